The whole path, thin: router, controller, hornbeamctl, stand-ins and a load tool in separate processes

Cause: an empty repository. A request is served from end to end: a caller asks an entry host for addresses, sends a chat request, the router decodes, admits, places by prefix, dispatches to an engine stand-in and relays its stream. Calls that must run at most once are claimed in the platform's key-value service by compare-and-swap.

Ruled out: a key per claim (a write each, over the service's rate); a claim's identity by router (a lost answer could not be told from another's claim, so each attempt carries a number of its own).

--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/pool/PoolPlan.java
@@ -0,0 +1,56 @@
+package org.hornbeamhead.core.pool;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.hornbeamhead.core.config.Pool;
+import org.hornbeamhead.core.drain.DrainOrders;
+
+/**
+ * Decides which orders bring a pool's replicas into the state that the operators state. A pure function of what is
+ * seen: orders are repeated until the replicas are in that state, so that a lost order, or an old one that an engine
+ * obeyed, is corrected at the next look.
+ */
+public final class PoolPlan {
+    private PoolPlan() {}
+
+    /**
+     * Decides.
+     *
+     * @param pool what the operators state
+     * @param drains the operators' drain orders
+     * @param seen what is seen of the replicas
+     * @param loadSlots how many loads this pool may have running
+     * @param loading replicas that were ordered to load and have not finished
+     * @return the orders to give now
+     */
+    public static List<ReplicaOrder> decide(
+            Pool pool, DrainOrders drains, List<ReplicaObservation> seen, int loadSlots, List<String> loading) {
+        List<ReplicaObservation> answering =
+                seen.stream().filter(o -> o.report().isPresent()).toList();
+        Stream<ReplicaOrder> loads = answering.stream()
+                .filter(o ->
+                        !hasWeights(pool, o) && !loading.contains(o.endpoint().address()))
+                .limit(Math.max(0, loadSlots - loading.size()))
+                .map(o -> order(pool, drains, o, true));
+        Stream<ReplicaOrder> corrections = answering.stream()
+                .filter(o -> hasWeights(pool, o) && isDraining(o) != wantsDrain(drains, o))
+                .map(o -> order(pool, drains, o, false));
+        return Stream.concat(loads, corrections).toList();
+    }
+
+    private static ReplicaOrder order(Pool pool, DrainOrders drains, ReplicaObservation o, boolean load) {
+        return new ReplicaOrder(o.endpoint().address(), pool.weights(), wantsDrain(drains, o), load);
+    }
+
+    private static boolean hasWeights(Pool pool, ReplicaObservation o) {
+        return o.report().filter(r -> r.weights().equals(pool.weights())).isPresent();
+    }
+
+    private static boolean isDraining(ReplicaObservation o) {
+        return o.report().filter(r -> r.draining()).isPresent();
+    }
+
+    private static boolean wantsDrain(DrainOrders drains, ReplicaObservation o) {
+        return o.endpoint().leaving() || drains.isDraining(o.endpoint().address());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/settings/Durations.java
@@ -0,0 +1,37 @@
+package org.hornbeamhead.core.settings;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads durations such as {@code 400 ms}, {@code 2s}, {@code 5 min}, {@code 1 h}. The unit is required. */
+public final class Durations {
+    private static final Pattern FORM = Pattern.compile("(\\d{1,9})\\s*([a-z]+)");
+    private static final Map<String, Duration> UNITS = Map.of(
+            "ms", Duration.ofMillis(1),
+            "s", Duration.ofSeconds(1),
+            "min", Duration.ofMinutes(1),
+            "h", Duration.ofHours(1));
+
+    private Durations() {}
+
+    /**
+     * Reads a duration.
+     *
+     * @param text the text
+     * @return the duration, or what is wrong with the text
+     */
+    public static Either<String, Duration> parse(String text) {
+        Matcher m = FORM.matcher(text.trim());
+        if (!m.matches()) {
+            return Either.left("'" + text + "' is no duration; write a number and a unit, such as 400 ms");
+        }
+        Duration unit = UNITS.get(m.group(2));
+        if (unit == null) {
+            return Either.left("unknown unit '" + m.group(2) + "'; the units are ms, s, min and h");
+        }
+        return Either.right(unit.multipliedBy(Long.parseLong(m.group(1))));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/settings/IniSection.java
@@ -0,0 +1,49 @@
+package org.hornbeamhead.core.settings;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One section of an INI text.
+ *
+ * @param source the file's name
+ * @param line the line of the section's header, counted from 1
+ * @param name the section's full name
+ * @param entries the entries in their order
+ */
+public record IniSection(String source, int line, String name, List<IniEntry> entries) {
+    /** Copies the entries, so that the section cannot change. */
+    public IniSection {
+        entries = List.copyOf(entries);
+    }
+
+    /**
+     * Returns the first word of the name: {@code class} of {@code class counter}.
+     *
+     * @return the kind of section
+     */
+    public String kind() {
+        int space = name.indexOf(' ');
+        return space < 0 ? name : name.substring(0, space);
+    }
+
+    /**
+     * Returns what follows the kind: {@code counter} of {@code class counter}.
+     *
+     * @return the title, or an empty string
+     */
+    public String title() {
+        int space = name.indexOf(' ');
+        return space < 0 ? "" : name.substring(space + 1).trim();
+    }
+
+    /**
+     * Finds an entry.
+     *
+     * @param key the key
+     * @return the last entry of that key, as in most INI readers
+     */
+    public Optional<IniEntry> entry(String key) {
+        return entries.stream().filter(e -> e.key().equals(key)).reduce((a, b) -> b);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
@@ -0,0 +1,144 @@
+package org.hornbeamhead.daemon;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpServer;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.hornbeamhead.core.settings.Addresses;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
+
+/** A process's reactor, its HTTP listener, and its end on a signal. */
+public final class Daemon {
+    private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(10);
+    private static final int MAX_BODY_BYTES = 8 << 20;
+    private static final long SHUTDOWN_LIMIT_SECONDS = 600;
+
+    private final Eventloop reactor;
+    private final Clock clock = new ReactorClock();
+    private final CountDownLatch ended = new CountDownLatch(1);
+
+    /** Makes a daemon on the calling thread. */
+    public Daemon() {
+        this.reactor = Eventloop.builder().withCurrentThread().build();
+    }
+
+    /**
+     * Listens for HTTP.
+     *
+     * @param address where; port 0 takes a free one
+     * @param servlet answers
+     * @return the server, with the address it took
+     * @throws IOException when the address cannot be bound
+     */
+    public HttpServer listen(InetSocketAddress address, AsyncServlet servlet) throws IOException {
+        HttpServer server = HttpServer.builder(reactor, servlet)
+                .withListenAddress(address)
+                .withReadWriteTimeout(READ_WRITE_TIMEOUT)
+                .withMaxBodySize(MAX_BODY_BYTES)
+                .withAcceptOnce(false)
+                .build();
+        server.listen();
+        return server;
+    }
+
+    /**
+     * Tells the address that a server took.
+     *
+     * @param server the server
+     * @return such as {@code 127.0.0.1:8080}
+     */
+    public static String address(HttpServer server) {
+        return Addresses.format(server.getBoundAddresses().get(0));
+    }
+
+    /**
+     * Registers what is done at a signal to end. The process stays until {@link #end} is called.
+     *
+     * @param drain starts the graceful shutdown, on the reactor's thread
+     */
+    public void onSignal(Runnable drain) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            reactor.execute(drain);
+            awaitEnd();
+        }));
+    }
+
+    private void awaitEnd() {
+        try {
+            if (!ended.await(SHUTDOWN_LIMIT_SECONDS, TimeUnit.SECONDS)) {
+                Runtime.getRuntime().halt(ExitCode.FAILED.code());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Lets the process end. */
+    public void end() {
+        ended.countDown();
+        reactor.breakEventloop();
+    }
+
+    /**
+     * Tells whoever started the process that it serves, on one line of standard output.
+     *
+     * @param addresses such as {@code http=127.0.0.1:8080}
+     */
+    public static void announce(String... addresses) {
+        System.out.println("READY " + String.join(" ", addresses));
+        System.out.flush();
+    }
+
+    /** Runs the reactor until the end. */
+    public void run() {
+        reactor.keepAlive(true);
+        reactor.run();
+        ended.countDown();
+    }
+
+    /**
+     * Runs an action again and again.
+     *
+     * @param every the pause between two runs
+     * @param action the action
+     */
+    public void repeat(Duration every, Runnable action) {
+        reactor.delayBackground(every, () -> {
+            action.run();
+            repeat(every, action);
+        });
+    }
+
+    /**
+     * Returns the reactor's timers.
+     *
+     * @return timers that run on the reactor's thread
+     */
+    public Timers timers() {
+        return (delay, action) -> reactor.delayBackground(delay, action);
+    }
+
+    /**
+     * Returns the reactor.
+     *
+     * @return the reactor
+     */
+    public NioReactor reactor() {
+        return reactor;
+    }
+
+    /**
+     * Returns the machine's clocks.
+     *
+     * @return the clock
+     */
+    public Clock clock() {
+        return clock;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeamhead/router/ConfigAgent.java
@@ -0,0 +1,124 @@
+package org.hornbeamhead.router;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Supplier;
+import org.hornbeamhead.core.config.ConfigHolder;
+import org.hornbeamhead.core.config.ConfigLog;
+import org.hornbeamhead.core.placement.ReplicaRing;
+import org.hornbeamhead.core.store.KeyValueStore;
+import org.hornbeamhead.core.store.StoreReply;
+import org.hornbeamhead.core.time.Timers;
+import org.hornbeamhead.peer.PeerClient;
+
+/**
+ * Keeps the configuration new. A few routers watch the platform's service; the rest hear of versions by gossip and
+ * fetch them from a peer. A router that starts asks peers and the platform at once and takes whichever answers.
+ */
+final class ConfigAgent {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int WATCHERS = 3;
+    private static final long WATCH_KEY = 0x636f6e666967L;
+    private static final Duration RETRY = Duration.ofMillis(200);
+    private static final Duration SLOW_CHECK = Duration.ofSeconds(60);
+    private static final Duration PAUSE = Duration.ofMillis(500);
+
+    private final ConfigHolder holder;
+    private final ConfigLog log;
+    private final KeyValueStore store;
+    private final PeerClient peers;
+    private final Timers timers;
+    private final String self;
+    private final Supplier<List<String>> serving;
+    private long watchedVersion;
+    private boolean fetching;
+    private boolean reading;
+
+    ConfigAgent(
+            ConfigHolder holder,
+            KeyValueStore store,
+            PeerClient peers,
+            Timers timers,
+            String self,
+            Supplier<List<String>> serving) {
+        this.holder = holder;
+        this.log = new ConfigLog(store);
+        this.store = store;
+        this.peers = peers;
+        this.timers = timers;
+        this.self = self;
+        this.serving = serving;
+    }
+
+    /** Starts to look for a first configuration, and to watch. */
+    void start() {
+        readUntilFirst();
+        watch();
+        slowCheck();
+    }
+
+    private void readUntilFirst() {
+        if (holder.state().version() == 0) {
+            readPlatform();
+            serving.get().stream().filter(p -> !p.equals(self)).findAny().ifPresent(this::fetch);
+            timers.schedule(RETRY.toMillis(), this::readUntilFirst);
+        }
+    }
+
+    /** A long stop-gap for the case that no watcher is alive and no peer has told: rare enough for any fleet. */
+    private void slowCheck() {
+        timers.schedule(SLOW_CHECK.toMillis(), () -> {
+            readPlatform();
+            slowCheck();
+        });
+    }
+
+    private void watch() {
+        boolean mine = ReplicaRing.of(serving.get()).walk(WATCH_KEY, WATCHERS).contains(self);
+        if (!mine) {
+            timers.schedule(PAUSE.toMillis(), this::watch);
+            return;
+        }
+        store.watch(ConfigLog.HEAD, watchedVersion).thenAccept(reply -> {
+            if (reply instanceof StoreReply.Found found && found.entry().version() > watchedVersion) {
+                watchedVersion = found.entry().version();
+                readPlatform();
+            }
+            boolean again = reply instanceof StoreReply.Found;
+            timers.schedule(again ? 0 : PAUSE.toMillis(), this::watch);
+        });
+    }
+
+    private void readPlatform() {
+        if (reading) {
+            return;
+        }
+        reading = true;
+        log.latest(holder.state()).thenAccept(read -> {
+            reading = false;
+            read.peek(state -> accepted(holder.offer(state), "platform"));
+        });
+    }
+
+    /** Fetches a newer version from a peer that has it. */
+    void fetch(String peerAddress) {
+        if (fetching) {
+            return;
+        }
+        fetching = true;
+        peers.configSince(peerAddress, holder.state().version()).whenComplete((records, e) -> {
+            fetching = false;
+            if (e == null) {
+                accepted(holder.offer(records), peerAddress);
+            }
+        });
+    }
+
+    private void accepted(boolean newer, String from) {
+        if (newer) {
+            logger.atInfo().log(
+                    "configuration version %d in force, from %s", holder.state().version(), from);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeamhead/router/PeerNode.java
@@ -0,0 +1,55 @@
+package org.hornbeamhead.router;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.udp.UdpPacket;
+import io.activej.net.socket.udp.UdpSocket;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.DatagramChannel;
+import java.util.function.Consumer;
+import org.hornbeamhead.core.membership.GossipMessage;
+import org.hornbeamhead.core.settings.Addresses;
+import org.hornbeamhead.peer.GossipCodec;
+
+/** Sends and receives gossip as UDP datagrams. Owned by the reactor's thread. */
+final class PeerNode {
+    private final UdpSocket socket;
+    private Consumer<GossipMessage> receiver = m -> {};
+
+    /**
+     * Opens the socket.
+     *
+     * @param reactor the thread's reactor
+     * @param address where to listen
+     * @throws IOException when the address cannot be bound
+     */
+    PeerNode(NioReactor reactor, InetSocketAddress address) throws IOException {
+        DatagramChannel channel = DatagramChannel.open();
+        channel.configureBlocking(false);
+        channel.bind(address);
+        this.socket = UdpSocket.connect(reactor, channel).getResult();
+    }
+
+    /** Starts to hand on what comes in. */
+    void receive(Consumer<GossipMessage> into) {
+        receiver = into;
+        receiveNext();
+    }
+
+    private void receiveNext() {
+        socket.receive().whenResult(packet -> {
+            GossipCodec.decode(packet.getBuf().asArray()).ifPresent(receiver);
+            receiveNext();
+        });
+    }
+
+    void send(String peerAddress, GossipMessage message) {
+        Addresses.parse(peerAddress)
+                .peek(to -> socket.send(UdpPacket.of(ByteBuf.wrapForReading(GossipCodec.encode(message)), to)));
+    }
+
+    void close() {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
@@ -0,0 +1,85 @@
+package org.hornbeamhead.router;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hornbeamhead.core.config.OperatorsConfig;
+import org.hornbeamhead.core.config.Pool;
+import org.hornbeamhead.core.endpoint.Endpoint;
+import org.hornbeamhead.core.endpoint.EndpointKind;
+import org.hornbeamhead.core.endpoint.LoadReport;
+import org.hornbeamhead.platform.EngineControl;
+
+/** The pools of the configuration with the endpoints of the list of hosts. Owned by the reactor's thread. */
+final class PoolDirectory {
+    private final RouterContext context;
+    private final EngineControl control;
+    private final Map<String, EnginePool> engines = new HashMap<>();
+    private final Map<String, ServicePool> services = new HashMap<>();
+    private List<Endpoint> hosts = List.of();
+
+    PoolDirectory(RouterContext context, EngineControl control) {
+        this.context = context;
+        this.control = control;
+        context.config().onChange(this::configured);
+    }
+
+    EnginePool engines(Pool pool) {
+        return engines.computeIfAbsent(
+                pool.name(),
+                n -> new EnginePool(
+                        context.clock(), context.random(), context.settings().batchQueue()));
+    }
+
+    ServicePool service(String name) {
+        return services.computeIfAbsent(name, n -> new ServicePool(context.clock()));
+    }
+
+    Collection<EnginePool> engines() {
+        return engines.values();
+    }
+
+    Map<String, EnginePool> enginesByName() {
+        return engines;
+    }
+
+    private void configured(OperatorsConfig config) {
+        config.pools().values().stream()
+                .filter(Pool::isEngine)
+                .forEach(p -> engines(p).table().model(p.model()));
+        listed(hosts);
+    }
+
+    /** Takes over the list of hosts. */
+    void listed(List<Endpoint> listed) {
+        hosts = listed;
+        context.config().config().pools().values().forEach(pool -> {
+            if (pool.isEngine()) {
+                engines(pool).table().listed(of(EndpointKind.ENGINE, pool.name()));
+            } else {
+                service(pool.name()).listed(of(EndpointKind.SERVICE, pool.name()));
+            }
+        });
+        pollLoads();
+    }
+
+    List<Endpoint> of(EndpointKind kind, String pool) {
+        return hosts.stream()
+                .filter(e -> e.kind() == kind && e.pool().equals(pool))
+                .toList();
+    }
+
+    List<Endpoint> entries() {
+        return hosts.stream().filter(e -> e.kind() == EndpointKind.ENTRY).toList();
+    }
+
+    /** Asks every engine that this router uses for its load. */
+    void pollLoads() {
+        engines.values().forEach(pool -> new ArrayList<>(pool.table().replicas()).forEach(replica -> {
+            String address = replica.address();
+            control.load(address).whenResult((LoadReport report) -> pool.table().report(address, report));
+        }));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/hornbeamhead/router/RouterContext.java
@@ -0,0 +1,29 @@
+package org.hornbeamhead.router;
+
+import java.util.SplittableRandom;
+import org.hornbeamhead.core.config.ConfigHolder;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
+import org.hornbeamhead.daemon.Metrics;
+
+/**
+ * What all parts of one router process share.
+ *
+ * @param settings the process's settings
+ * @param clock the machine's clocks
+ * @param timers the reactor's timers
+ * @param random randomness for choices; not for secrets
+ * @param connections connections to endpoints
+ * @param metrics the process's metrics
+ * @param config the configuration in force
+ * @param health how the classes stand against their targets
+ */
+record RouterContext(
+        RouterSettings settings,
+        Clock clock,
+        Timers timers,
+        SplittableRandom random,
+        Connections connections,
+        Metrics metrics,
+        ConfigHolder config,
+        ClassHealth health) {}
--- /dev/null
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePool.java
@@ -0,0 +1,79 @@
+package org.hornbeamhead.router;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamhead.core.endpoint.Endpoint;
+import org.hornbeamhead.core.retry.OutlierGuard;
+import org.hornbeamhead.core.retry.RetryBudget;
+import org.hornbeamhead.core.time.Clock;
+
+/** The replicas of a plain service, chosen by the fewest calls of this router. Owned by the reactor's thread. */
+final class ServicePool {
+    private static final class Replica {
+        private final OutlierGuard outlier = new OutlierGuard();
+        private int calls;
+        private long lastUse;
+    }
+
+    private final Clock clock;
+    private final RetryBudget retries = new RetryBudget();
+    private final Map<String, Replica> replicas = new HashMap<>();
+    private List<Endpoint> endpoints = List.of();
+    private long uses;
+
+    ServicePool(Clock clock) {
+        this.clock = clock;
+    }
+
+    void listed(List<Endpoint> listed) {
+        endpoints = listed;
+        replicas.keySet().retainAll(listed.stream().map(Endpoint::address).toList());
+        listed.forEach(e -> replicas.computeIfAbsent(e.address(), a -> new Replica()));
+    }
+
+    /** Chooses a replica and counts a call; empty when none takes work. */
+    Optional<String> choose(Set<String> excluded) {
+        long now = clock.monotonicMillis();
+        Optional<String> chosen = endpoints.stream()
+                .filter(e -> !e.leaving() && !excluded.contains(e.address()))
+                .map(Endpoint::address)
+                .filter(a -> !replicas.get(a).outlier.ejected(now))
+                .min(Comparator.<String>comparingInt(a -> replicas.get(a).calls)
+                        .thenComparingLong(a -> replicas.get(a).lastUse));
+        chosen.map(replicas::get).ifPresent(r -> {
+            r.calls++;
+            r.lastUse = ++uses;
+        });
+        return chosen;
+    }
+
+    void ended(String address, boolean ok) {
+        Replica replica = replicas.get(address);
+        if (replica == null) {
+            return;
+        }
+        replica.calls--;
+        if (ok) {
+            replica.outlier.succeeded();
+            retries.succeeded();
+        } else {
+            replica.outlier.failed(clock.monotonicMillis());
+        }
+    }
+
+    void unreachable(String address) {
+        Replica replica = replicas.get(address);
+        if (replica != null) {
+            replica.calls--;
+            replica.outlier.unreachable(clock.monotonicMillis());
+        }
+    }
+
+    RetryBudget retries() {
+        return retries;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
@@ -0,0 +1,106 @@
+package org.hornbeamhead.standin.service;
+
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.promise.SettablePromise;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.hornbeamhead.daemon.Daemon;
+import org.hornbeamhead.daemon.HttpAnswers;
+import org.hornbeamhead.daemon.Json;
+
+/** A stand-in plain service. It counts how often each id was run; that count judges whether anything ran twice. */
+public final class PlainServer {
+    private static final int BODY_LIMIT = 1 << 20;
+    private static final HttpHeader KEY = HttpHeaders.of("Idempotency-Key");
+
+    /**
+     * What the service does wrong.
+     *
+     * @param workMillis how long a call takes, in milliseconds
+     * @param silentShare the share of calls that run and are never answered
+     * @param refuseShare the share of calls that are refused with 503 before they run
+     */
+    public record ServiceFaults(long workMillis, double silentShare, double refuseShare) {}
+
+    /**
+     * What the service counted.
+     *
+     * @param calls calls run
+     * @param ids distinct ids run
+     * @param doubled ids run more than once
+     */
+    public record ServiceStats(long calls, int ids, long doubled) {}
+
+    private final Daemon daemon;
+    private final SplittableRandom random;
+    private final Map<String, Integer> runs = new HashMap<>();
+    private ServiceFaults faults = new ServiceFaults(0, 0, 0);
+    private long calls;
+
+    /**
+     * Makes a service.
+     *
+     * @param daemon the process
+     * @param seed draws which calls fail
+     */
+    public PlainServer(Daemon daemon, long seed) {
+        this.daemon = daemon;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /**
+     * Gives the HTTP interface.
+     *
+     * @return the servlet
+     */
+    public AsyncServlet servlet() {
+        return RoutingServlet.builder(daemon.reactor())
+                .with(HttpMethod.POST, "/admin/faults", this::fault)
+                .with(HttpMethod.GET, "/admin/stats", r -> HttpAnswers.json(200, stats()))
+                .with(HttpMethod.GET, "/admin/runs", r -> HttpAnswers.json(200, runs))
+                .with("/*", this::run)
+                .build();
+    }
+
+    private Promise<HttpResponse> run(HttpRequest request) {
+        if (random.nextDouble() < faults.refuseShare()) {
+            return HttpAnswers.text(503, "text/plain", "refused before any work");
+        }
+        calls++;
+        String id = request.getHeader(KEY);
+        if (id != null) {
+            runs.merge(id, 1, Integer::sum);
+        }
+        if (random.nextDouble() < faults.silentShare()) {
+            return new SettablePromise<>();
+        }
+        Promise<HttpResponse> answer =
+                HttpAnswers.json(200, Json.object().put("id", id).put("path", request.getPath()));
+        return faults.workMillis() == 0
+                ? answer
+                : Promises.delay(faults.workMillis()).then(v -> answer);
+    }
+
+    private ServiceStats stats() {
+        return new ServiceStats(
+                calls, runs.size(), runs.values().stream().filter(n -> n > 1).count());
+    }
+
+    private Promise<HttpResponse> fault(HttpRequest request) {
+        return request.loadBody(BODY_LIMIT).then(buf -> {
+            faults = Json.read(buf.getString(StandardCharsets.UTF_8), ServiceFaults.class)
+                    .getOrElse(new ServiceFaults(0, 0, 0));
+            return HttpAnswers.text(200, "text/plain", "set");
+        });
+    }
+}
