--- a/core/src/main/java/org/hornbeamhead/core/membership/GossipNode.java
+++ b/core/src/main/java/org/hornbeamhead/core/membership/GossipNode.java
@@ -138,13 +138,28 @@
     private void answer(GossipMessage message) {
         String from = message.sender().peerAddress();
         switch (message.kind()) {
-            case PROBE -> send(from, GossipMessage.Kind.ACK, message.sequence(), "");
+            case PROBE -> {
+                tellOfSuspicion(message.sender());
+                send(from, GossipMessage.Kind.ACK, message.sequence(), "");
+            }
             case ACK -> acknowledged(message);
             case PROBE_FOR_ME -> probeFor(message);
             case NEWS -> replyToNews(message);
         }
     }
 
+    /**
+     * Failure: after an hour's cut both sides hold the other for dead, and the news of it has long run its course.
+     * Symptom: each answers the other's probes and still names it to no caller. A sender that is believed to be gone is
+     * told so again, with the answer, and refutes.
+     */
+    private void tellOfSuspicion(Member sender) {
+        Member known = members.get(sender.peerAddress());
+        if (known != null && known.status().compareTo(sender.status()) > 0) {
+            news.addFirst(known);
+        }
+    }
+
     /** Answers news with news when the sender is behind, so that a version spreads both ways. */
     private void replyToNews(GossipMessage message) {
         if (message.configVersion() < configVersion) {
--- a/core/src/main/java/org/hornbeamhead/core/membership/NewsQueue.java
+++ b/core/src/main/java/org/hornbeamhead/core/membership/NewsQueue.java
@@ -17,6 +17,11 @@
         byAddress.put(member.peerAddress(), new News(member, 0));
     }
 
+    /** Adds news that the next message must carry, whatever else there is. */
+    void addFirst(Member member) {
+        byAddress.put(member.peerAddress(), new News(member, -1));
+    }
+
     List<Member> take(int count, int fleetSize) {
         int limit = REPEATS * (Integer.SIZE - Integer.numberOfLeadingZeros(fleetSize + 1));
         List<News> chosen = byAddress.values().stream()
