--- /dev/null
+++ b/core/src/test/java/org/hornbeamhead/core/drain/DrainTest.java
@@ -0,0 +1,51 @@
+package org.hornbeamhead.core.drain;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.hornbeamhead.core.time.ManualClock;
+import org.testng.annotations.Test;
+
+public class DrainTest {
+    // Callers hold the address for two seconds more. The router serves them, then refuses, then waits for the last
+    // stream.
+    @Test
+    public void theListenerStaysUntilAnswersHaveRunOutAndStreamsHaveEnded() {
+        ManualClock clock = new ManualClock(0);
+        DrainSequence drain = new DrainSequence(clock, 2_000);
+        drain.leave();
+        assertFalse(drain.isAdvertised());
+        assertEquals(drain.step(0), DrainState.LEAVING);
+        assertTrue(drain.acceptsWork());
+        clock.advance(2_000);
+        drain.leave();
+        assertEquals(drain.step(1), DrainState.FINISHING);
+        assertFalse(drain.acceptsWork());
+        assertEquals(drain.step(0), DrainState.DONE);
+    }
+
+    @Test
+    public void ordersAreKeptWithWhoAndWhy() {
+        DrainOrder order = new DrainOrder("10.0.0.1:80", "ana", 5, "disk | noise\n", "");
+        DrainOrders orders = new DrainOrders(List.of()).with(order).with(order);
+        assertEquals(orders.orders().size(), 1);
+        DrainOrders read = DrainOrders.parse(orders.format());
+        assertEquals(read, orders);
+        assertTrue(read.isDraining("10.0.0.1:80"));
+        DrainOrders ended = read.ended("10.0.0.1:80", "rui");
+        assertFalse(ended.isDraining("10.0.0.1:80"));
+        assertEquals(ended.orders().get(0).endedBy(), "rui");
+    }
+
+    @Test
+    public void oldEndedOrdersAreForgottenAndThoseInForceNever() {
+        DrainOrders orders = new DrainOrders(List.of()).with(new DrainOrder("kept", "a", 0, "r", ""));
+        for (int i = 0; i < 1_500; i++) {
+            orders = orders.with(new DrainOrder("e" + i, "a", i, "r", "")).ended("e" + i, "b");
+        }
+        assertEquals(orders.orders().size(), 1_000);
+        assertTrue(orders.isDraining("kept"));
+    }
+}
