Restarts, roll-outs, leases and configuration under failure; three faults mended

Faults found by the new process tests, each with its cause: 1. A graceful end gave exit code 143: the JVM reports the signal after its shutdown hooks. The hook now ends the process itself, with 0 when the drain was finished. 2. The warm-up share is now a preference; a cold replica serves any prompt when no warm one takes work. 3. A router is named only after it has said itself that it serves.

Ruled out for 3: the drain sequence (refusals came from the new process, not the leaving one).

--- a/core/src/main/java/org/hornbeamhead/core/membership/GossipNode.java
+++ b/core/src/main/java/org/hornbeamhead/core/membership/GossipNode.java
@@ -50,7 +50,7 @@
     /**
      * Makes a node that knows only itself.
      *
-     * @param self the node's own member, alive
+     * @param self the node's own member, starting
      * @param clock the clock
      * @param timers runs the node's waits
      * @param random chooses peers
@@ -99,6 +99,21 @@
         }
     }
 
+    /**
+     * Tells the others that this node serves.
+     *
+     * <p>Failure: a replaced host stands in the list before its process has a configuration, and is named to callers.
+     * Symptom: refusals after each restart. A node is named only after it has said itself that it serves.
+     */
+    public void serve() {
+        if (self.status() == MemberStatus.STARTING) {
+            self = self.with(MemberStatus.ALIVE);
+            news.add(self);
+            spreadNews();
+            listener.membersChanged();
+        }
+    }
+
     /** Tells the others that this node is being shut down gracefully. */
     public void leave() {
         self = new Member(self.peerAddress(), self.address(), self.incarnation() + 1, MemberStatus.LEAVING);
--- a/core/src/main/java/org/hornbeamhead/core/placement/PrefixPlacement.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/PrefixPlacement.java
@@ -47,13 +47,19 @@
     private static List<PlacementChoice> score(
             ReplicaTable table, PrefixChain chain, Set<String> excluded, int width, long now) {
         // More of the ring is walked than wanted, so that replicas that take no work are passed over.
-        return table.ring().walk(chain.house().key(), width + PASSED_OVER + excluded.size()).stream()
+        List<Replica> near = table.ring().walk(chain.house().key(), width + PASSED_OVER + excluded.size()).stream()
                 .filter(address -> !excluded.contains(address))
                 .flatMap(address -> table.find(address).stream())
-                .filter(replica -> replica.accepts(now, chain.dossier().key()))
-                .limit(width)
-                .map(replica -> predict(replica, chain, now, PlacementReason.LEAST_RECOMPUTED))
+                .filter(replica -> replica.takesWork(now))
                 .toList();
+        List<Replica> warm = near.stream()
+                .filter(replica -> replica.isWarmFor(now, chain.dossier().key()))
+                .toList();
+        return (warm.isEmpty() ? near : warm)
+                .stream()
+                        .limit(width)
+                        .map(replica -> predict(replica, chain, now, PlacementReason.LEAST_RECOMPUTED))
+                        .toList();
     }
 
     /**
--- a/core/src/main/java/org/hornbeamhead/core/placement/Replica.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/Replica.java
@@ -114,16 +114,24 @@
     }
 
     /**
-     * Tells whether new work may go here.
+     * Tells whether new work may go here at all.
      *
      * @param nowMillis the monotonic time
-     * @param key spreads a gradual return over the prompts: a returning replica takes a growing share of them
-     * @return true when it may
+     * @return false while it leaves, drains, or is ejected
      */
-    public boolean accepts(long nowMillis, long key) {
-        if (endpoint.leaving() || draining || outlier.ejected(nowMillis)) {
-            return false;
-        }
+    public boolean takesWork(long nowMillis) {
+        return !endpoint.leaving() && !draining && !outlier.ejected(nowMillis);
+    }
+
+    /**
+     * Tells whether a prompt belongs to the share that a replica takes while it warms up, which grows from a fifth to
+     * all. A preference only: where no warm replica takes work, a cold one serves any prompt.
+     *
+     * @param nowMillis the monotonic time
+     * @param key the prompt's key
+     * @return true when it does; always true for a warm replica
+     */
+    public boolean isWarmFor(long nowMillis, long key) {
         long sinceMillis = nowMillis - Math.max(warmSinceMillis, outlier.returnedAtMillis());
         if (sinceMillis >= WARM_UP_MILLIS) {
             return true;
--- a/core/src/test/java/org/hornbeamhead/core/membership/GossipNodeTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/membership/GossipNodeTest.java
@@ -51,8 +51,12 @@
     }
 
     private void open(String peer, String address, long incarnation) {
+        open(peer, address, incarnation, MemberStatus.ALIVE);
+    }
+
+    private void open(String peer, String address, long incarnation, MemberStatus status) {
         GossipNode node = new GossipNode(
-                new Member(peer, address, incarnation, MemberStatus.ALIVE),
+                new Member(peer, address, incarnation, status),
                 clock,
                 timers,
                 random.split(),
@@ -148,6 +152,24 @@
         assertEquals(nodes.get("p0").serving().size(), 7);
     }
 
+    // A host stands in the list before its process can serve. It is probed, and named only after it said that it
+    // serves.
+    @Test
+    public void aStartingRouterIsNotNamedUntilItSaysThatItServes() {
+        fleet(4);
+        timers.advance(3_000);
+        open("p9", "h9", 1, MemberStatus.STARTING);
+        List<Member> listed = new ArrayList<>(nodes.get("p0").members());
+        listed.add(new Member("p9", "h9", 0, MemberStatus.STARTING));
+        nodes.values().forEach(n -> n.listed(listed));
+        timers.advance(10_000);
+        assertTrue(allBelieve("p9", MemberStatus.STARTING));
+        assertEquals(nodes.get("p0").serving().size(), 4);
+        nodes.get("p9").serve();
+        timers.advance(2_000);
+        assertEquals(nodes.get("p0").serving().size(), 5);
+    }
+
     // A dead router is replaced by a new process at the same address, whose incarnation is its later start.
     @Test
     public void aReplacedRouterIsTakenBack() {
--- a/core/src/test/java/org/hornbeamhead/core/placement/PrefixPlacementTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/placement/PrefixPlacementTest.java
@@ -195,15 +195,27 @@
         Replica replica = table.find("e1").orElseThrow();
         table.report("e1", report("inc-again", "w1", 0));
         long early = IntStream.range(0, 1_000)
-                .filter(k -> replica.accepts(clock.monotonicMillis(), ReplicaRing.mix(k, 1)))
+                .filter(k -> replica.isWarmFor(clock.monotonicMillis(), ReplicaRing.mix(k, 1)))
                 .count();
         clock.advance(5_000);
         long later = IntStream.range(0, 1_000)
-                .filter(k -> replica.accepts(clock.monotonicMillis(), ReplicaRing.mix(k, 1)))
+                .filter(k -> replica.isWarmFor(clock.monotonicMillis(), ReplicaRing.mix(k, 1)))
                 .count();
         assertTrue(early > 100 && early < 300 && later > 450 && later < 750, early + " then " + later);
     }
 
+    // A roll-out has loaded two replicas, which are cold, and the other two load now. Any prompt is still served.
+    @Test
+    public void coldReplicasServeAnyPromptWhenNoWarmOneTakesWork() {
+        IntStream.range(0, 2).forEach(i -> table.report("e" + i, report("again-" + i, "w2", 0)));
+        IntStream.range(2, 8).forEach(i -> table.report("e" + i, new LoadReport("inc-" + i, "m", "w1", 0, 0, true)));
+        for (int i = 0; i < 100; i++) {
+            assertTrue(placement
+                    .choose(table, chain(SEED, "house", "d" + i), TARGET, Set.of())
+                    .isPresent());
+        }
+    }
+
     @Test
     public void aLostReplicaMovesOnlyItsOwnKeys() {
         ReplicaRing before =
--- a/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
@@ -64,18 +64,20 @@
      */
     public void onSignal(Runnable drain) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            reactor.execute(drain);
-            awaitEnd();
+            if (ended.getCount() > 0) {
+                reactor.execute(drain);
+                Runtime.getRuntime().halt(awaitEnd().code());
+            }
         }));
     }
 
-    private void awaitEnd() {
+    /** A process that a signal ends reports the signal as its exit code; one that drained as asked ended well. */
+    private ExitCode awaitEnd() {
         try {
-            if (!ended.await(SHUTDOWN_LIMIT_SECONDS, TimeUnit.SECONDS)) {
-                Runtime.getRuntime().halt(ExitCode.FAILED.code());
-            }
+            return ended.await(SHUTDOWN_LIMIT_SECONDS, TimeUnit.SECONDS) ? ExitCode.OK : ExitCode.FAILED;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return ExitCode.FAILED;
         }
     }
 
--- a/fleet/src/test/java/org/hornbeamhead/fleet/TestFleet.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/TestFleet.java
@@ -43,7 +43,7 @@
     private ProcessHandleBox hosts;
 
     TestFleet() throws IOException {
-        dir = Files.createTempDirectory("hornbeam-fleet");
+        dir = Files.createTempDirectory(Files.createDirectories(Path.of("target", "fleet-logs")), "fleet");
     }
 
     /** Starts the platform's stand-ins and makes a first configuration. */
@@ -148,6 +148,13 @@
         return launch(ControllerMain.class, "--settings", file.toString());
     }
 
+    /** Starts a router and lists it, as a platform does that replaces a host. */
+    ProcessHandleBox listedRouter() throws IOException, InterruptedException {
+        ProcessHandleBox router = router().awaitReady();
+        list(router, false);
+        return router;
+    }
+
     /** Puts a router into the platform's list of hosts. */
     void list(ProcessHandleBox router, boolean leaving) throws IOException, InterruptedException {
         put(new Endpoint(EndpointKind.ENTRY, "test", router.http(), router.peer(), "dc", leaving));
@@ -222,7 +229,11 @@
     }
 
     HttpRequest request(ProcessHandleBox box, String path, String body, String... headers) {
-        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + box.http() + path))
+        return requestTo(box.http(), path, body, headers);
+    }
+
+    HttpRequest requestTo(String address, String path, String body, String... headers) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + path))
                 .version(HttpClient.Version.HTTP_1_1)
                 .header("Authorization", "Bearer " + CUSTOMER_KEY)
                 .POST(HttpRequest.BodyPublishers.ofString(body));
--- a/router/src/main/java/org/hornbeamhead/router/ConfigAgent.java
+++ b/router/src/main/java/org/hornbeamhead/router/ConfigAgent.java
@@ -3,9 +3,13 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hornbeamhead.core.config.ConfigHolder;
 import org.hornbeamhead.core.config.ConfigLog;
+import org.hornbeamhead.core.membership.Member;
+import org.hornbeamhead.core.membership.MemberStatus;
 import org.hornbeamhead.core.placement.ReplicaRing;
 import org.hornbeamhead.core.store.KeyValueStore;
 import org.hornbeamhead.core.store.StoreReply;
@@ -30,7 +34,8 @@
     private final PeerClient peers;
     private final Timers timers;
     private final String self;
-    private final Supplier<List<String>> serving;
+    private final Supplier<List<Member>> members;
+    private final SplittableRandom random = new SplittableRandom();
     private long watchedVersion;
     private boolean fetching;
     private boolean reading;
@@ -41,14 +46,14 @@
             PeerClient peers,
             Timers timers,
             String self,
-            Supplier<List<String>> serving) {
+            Supplier<List<Member>> members) {
         this.holder = holder;
         this.log = new ConfigLog(store);
         this.store = store;
         this.peers = peers;
         this.timers = timers;
         this.self = self;
-        this.serving = serving;
+        this.members = members;
     }
 
     /** Starts to look for a first configuration, and to watch. */
@@ -61,11 +66,19 @@
     private void readUntilFirst() {
         if (holder.state().version() == 0) {
             readPlatform();
-            serving.get().stream().filter(p -> !p.equals(self)).findAny().ifPresent(this::fetch);
+            List<String> others = peers(
+                    m -> m.status() != MemberStatus.DEAD && !m.peerAddress().equals(self));
+            if (!others.isEmpty()) {
+                fetch(others.get(random.nextInt(others.size())));
+            }
             timers.schedule(RETRY.toMillis(), this::readUntilFirst);
         }
     }
 
+    private List<String> peers(Predicate<Member> which) {
+        return members.get().stream().filter(which).map(Member::peerAddress).toList();
+    }
+
     /** A long stop-gap for the case that no watcher is alive and no peer has told: rare enough for any fleet. */
     private void slowCheck() {
         timers.schedule(SLOW_CHECK.toMillis(), () -> {
@@ -75,7 +88,9 @@
     }
 
     private void watch() {
-        boolean mine = ReplicaRing.of(serving.get()).walk(WATCH_KEY, WATCHERS).contains(self);
+        boolean mine = ReplicaRing.of(peers(m -> m.status() == MemberStatus.ALIVE))
+                .walk(WATCH_KEY, WATCHERS)
+                .contains(self);
         if (!mine) {
             timers.schedule(PAUSE.toMillis(), this::watch);
             return;
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -73,6 +73,7 @@
     private final ConfigAgent configAgent;
     private final RouterContext context;
     private final AsyncServlet routes;
+    private boolean hostsKnown;
 
     /**
      * Opens a router's sockets and joins its parts.
@@ -104,7 +105,7 @@
         this.peerServer = new PeerServer(settings.peer(), new Handler());
         InetSocketAddress peer = new InetSocketAddress(settings.peer().getAddress(), peerServer.port());
         this.peerNode = new PeerNode(daemon.reactor(), peer);
-        Member self = new Member(Addresses.format(peer), address, daemon.clock().wallMillis(), MemberStatus.ALIVE);
+        Member self = new Member(Addresses.format(peer), address, daemon.clock().wallMillis(), MemberStatus.STARTING);
         this.gossip = new GossipNode(
                 self,
                 daemon.clock(),
@@ -116,8 +117,7 @@
         this.tickets = new TicketOffice(address, daemon.clock(), new SecureRandom(), TICKET_TTL_MILLIS);
         ClaimBatcher batcher = new ClaimBatcher(store, daemon.clock(), daemon.timers(), ClaimLimits.STANDARD);
         this.claims = new ClaimAgent(batcher, peers, self.peerAddress());
-        this.configAgent =
-                new ConfigAgent(config, store, peers, daemon.timers(), self.peerAddress(), this::servingPeers);
+        this.configAgent = new ConfigAgent(config, store, peers, daemon.timers(), self.peerAddress(), gossip::members);
         this.routes =
                 routes(new ModelPipeline(context, pools, running), new RouterStatus(context, pools, gossip, running));
         metrics.gauge("hornbeam_config_version", () -> config.state().version());
@@ -145,7 +145,7 @@
     }
 
     private Promise<HttpResponse> ready() {
-        boolean ready = drain.isAdvertised() && config.state().version() > 0;
+        boolean ready = drain.isAdvertised() && gossip.self().status() == MemberStatus.ALIVE;
         return HttpAnswers.text(ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
     }
 
@@ -162,13 +162,10 @@
         return HttpAnswers.json(200, json);
     }
 
-    private List<String> servingPeers() {
-        return gossip.serving().stream().map(Member::peerAddress).toList();
-    }
-
     /** Runs until the end of the process. */
     void run() {
         config.onChange(c -> gossip.config(config.state().version()));
+        config.onChange(c -> serveWhenReady());
         peerNode.receive(gossip::receive);
         gossip.start();
         membersChanged();
@@ -188,11 +185,19 @@
         hostList.fetch().whenResult(hosts -> {
             pools.listed(hosts);
             gossip.listed(pools.entries().stream().map(Router::member).toList());
+            hostsKnown = true;
+            serveWhenReady();
         });
     }
 
+    private void serveWhenReady() {
+        if (hostsKnown && config.state().version() > 0) {
+            gossip.serve();
+        }
+    }
+
     private static Member member(Endpoint entry) {
-        MemberStatus status = entry.leaving() ? MemberStatus.LEAVING : MemberStatus.ALIVE;
+        MemberStatus status = entry.leaving() ? MemberStatus.LEAVING : MemberStatus.STARTING;
         return new Member(entry.peerAddress(), entry.address(), 0, status);
     }
 
