--- a/core/src/main/java/org/hornbeamhead/core/admission/AdmissionControl.java
+++ b/core/src/main/java/org/hornbeamhead/core/admission/AdmissionControl.java
@@ -42,7 +42,7 @@
      */
     public AdmissionDecision interactive(
             String customer, PlacementTarget target, PlacementChoice choice, long nowMillis) {
-        double wait = choice.replica().firstTokenMillis(0, nowMillis);
+        double wait = choice.replica().waitMillis(nowMillis);
         double limit = target.firstTokenMillis();
         boolean late = choice.firstTokenMillis() > limit && wait > limit * FREE_SHARE;
         if (late) {
@@ -65,7 +65,7 @@
      * @return to admit or to wait
      */
     public AdmissionDecision batch(double tightestMillis, PlacementChoice choice, boolean pressing, long nowMillis) {
-        double wait = choice.replica().firstTokenMillis(0, nowMillis);
+        double wait = choice.replica().waitMillis(nowMillis);
         return pressing || wait <= tightestMillis * SLACK_SHARE
                 ? new AdmissionDecision.Admit()
                 : new AdmissionDecision.Wait();
--- a/core/src/main/java/org/hornbeamhead/core/endpoint/LoadReport.java
+++ b/core/src/main/java/org/hornbeamhead/core/endpoint/LoadReport.java
@@ -6,7 +6,7 @@
  * @param incarnation changes with each start of the engine
  * @param model the model it serves
  * @param weights the version of the weights it serves
- * @param waitingTokens prompt tokens accepted and not yet computed
+ * @param waitingTokens prompt tokens accepted, not cached, and not yet computed
  * @param running streams being generated
  * @param draining whether the engine refuses new work
  */
--- a/core/src/main/java/org/hornbeamhead/core/placement/CachedPrefixes.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/CachedPrefixes.java
@@ -6,11 +6,12 @@
 import org.hornbeamhead.core.prefix.PrefixLevel;
 
 /**
- * What one router believes one incarnation of a replica has cached: the levels of prompts that it sent there, as long
- * as the engine seems to keep them. Bounded in size; the answers' cached-token counts correct it.
+ * What one router believes one incarnation of a replica has cached: the levels of prompts that it sent there. Bounded
+ * in size; the answers' cached-token counts correct it.
  *
  * <p>Engines evict within seconds and say so late. The time an entry is believed is therefore learned: a miss where a
- * hit was expected shortens it, a hit on an old entry lengthens it.
+ * hit was expected shortens it, a hit on an old entry lengthens it. Beyond that time the belief fades instead of
+ * ending, so that a dossier is still sent where it was last, all else being equal.
  */
 public final class CachedPrefixes {
     private static final int CAPACITY = 4096;
@@ -18,6 +19,7 @@
     private static final long MIN_LIFETIME_MILLIS = 1_000;
     private static final long MAX_LIFETIME_MILLIS = 300_000;
     private static final double HIT_SHARE = 0.8;
+    private static final double GROWTH = 1.25;
 
     private record Entry(int tokens, long touchedMillis) {}
 
@@ -30,22 +32,32 @@
     private long lifetimeMillis = FIRST_LIFETIME_MILLIS;
 
     /**
-     * Predicts how many tokens of a prompt are cached.
+     * Tells what is believed of a prompt.
      *
      * @param chain the prompt's levels
      * @param nowMillis the monotonic time
-     * @return tokens of the deepest level believed to be cached; 0 when none is
+     * @return the belief in the deepest level that was sent
      */
-    public int cachedTokens(PrefixChain chain, long nowMillis) {
-        int deepest = 0;
+    public CacheBelief belief(PrefixChain chain, long nowMillis) {
+        CacheBelief belief = CacheBelief.NONE;
         for (PrefixLevel level : chain.levels()) {
             Entry entry = entries.get(level.key());
-            if (entry == null || nowMillis - entry.touchedMillis() > lifetimeMillis) {
-                return deepest;
+            if (entry == null) {
+                return belief;
             }
-            deepest = level.tokens();
+            long age = nowMillis - entry.touchedMillis();
+            CacheBelief deeper = new CacheBelief(level.tokens(), age, likelihood(age));
+            belief = deeper.expectedTokens() >= belief.expectedTokens() ? deeper : belief;
         }
-        return deepest;
+        return belief;
+    }
+
+    private double likelihood(long ageMillis) {
+        if (ageMillis <= lifetimeMillis) {
+            return 1;
+        }
+        double beyond = (double) lifetimeMillis / ageMillis;
+        return beyond * beyond;
     }
 
     /**
@@ -61,38 +73,20 @@
     /**
      * Corrects the belief by what the engine counted.
      *
-     * @param predicted the cached tokens that were predicted at dispatch
-     * @param actual the cached tokens that the engine counted
-     * @param ageMillis how old the deepest believed entry was at dispatch
+     * @param believed what was believed at dispatch
+     * @param actualTokens the cached tokens that the engine counted
      */
-    public void correct(int predicted, int actual, long ageMillis) {
-        if (predicted == 0) {
+    public void correct(CacheBelief believed, int actualTokens) {
+        if (believed.tokens() == 0) {
             return;
         }
-        if (actual < predicted * HIT_SHARE) {
-            lifetimeMillis = Math.max(MIN_LIFETIME_MILLIS, Math.min(lifetimeMillis, (lifetimeMillis + ageMillis) / 2));
-        } else if (ageMillis > lifetimeMillis / 2) {
-            lifetimeMillis = Math.min(MAX_LIFETIME_MILLIS, lifetimeMillis + lifetimeMillis / 4);
-        }
-    }
-
-    /**
-     * Tells how long ago the deepest believed level was touched.
-     *
-     * @param chain the prompt's levels
-     * @param nowMillis the monotonic time
-     * @return milliseconds; 0 when nothing is believed
-     */
-    public long ageMillis(PrefixChain chain, long nowMillis) {
-        long age = 0;
-        for (PrefixLevel level : chain.levels()) {
-            Entry entry = entries.get(level.key());
-            if (entry == null || nowMillis - entry.touchedMillis() > lifetimeMillis) {
-                return age;
-            }
-            age = nowMillis - entry.touchedMillis();
+        boolean hit = actualTokens >= believed.tokens() * HIT_SHARE;
+        long age = believed.ageMillis();
+        if (hit && age > lifetimeMillis / 2) {
+            lifetimeMillis = Math.min(MAX_LIFETIME_MILLIS, (long) (Math.max(lifetimeMillis, age) * GROWTH));
+        } else if (!hit && age < lifetimeMillis) {
+            lifetimeMillis = Math.max(MIN_LIFETIME_MILLIS, (lifetimeMillis + age) / 2);
         }
-        return age;
     }
 
     /**
--- a/core/src/main/java/org/hornbeamhead/core/placement/PlacementChoice.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/PlacementChoice.java
@@ -5,8 +5,7 @@
  *
  * @param replica the replica chosen
  * @param missedTokens prompt tokens predicted to be computed
- * @param cachedTokens prompt tokens predicted to be cached
- * @param cachedAgeMillis how old the belief in the cached tokens was
+ * @param belief what was believed to be cached
  * @param waitingTokens prompt tokens predicted to be ahead
  * @param firstTokenMillis the predicted time to the first token
  * @param reason why this one
@@ -14,8 +13,7 @@
 public record PlacementChoice(
         Replica replica,
         int missedTokens,
-        int cachedTokens,
-        long cachedAgeMillis,
+        CacheBelief belief,
         double waitingTokens,
         double firstTokenMillis,
         PlacementReason reason) {}
--- a/core/src/main/java/org/hornbeamhead/core/placement/PrefixPlacement.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/PrefixPlacement.java
@@ -4,62 +4,74 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.prefix.PrefixChain;
 
 /**
- * The placement of this system: the shared beginning picks a few replicas off the ring, the dossier orders them, and
- * the request goes to the one that recomputes least among those that meet the target. When none meets it, the fastest
- * of a wider set is taken and the beginning's set grows.
+ * The placement of this system. The shared beginning picks replicas off the ring, as many as its rate keeps warm; the
+ * dossier orders them, always the same way. The request goes to the first or second in that order, whichever costs
+ * less: waiting, and computing what is missed. When both would use up too much of the target, all of the beginning's
+ * replicas are looked at, and a hot dossier comes to stand on more of them.
  */
 public final class PrefixPlacement implements PlacementPolicy {
-    /**
-     * The share of the target that a queue may fill before a prefix spills; the rest is for what cannot be foreseen.
-     */
+    /** The share of the target that waiting may fill before more replicas are looked at. */
     private static final double SPILL_SHARE = 0.5;
 
-    private static final double IDLE_SHARE = 0.1;
-    private static final int SPILL_EXTRA = 3;
+    /** How much dearer a millisecond of computing is than one of waiting, since it takes capacity from all. */
+    private static final double INTERACTIVE_DEARNESS = 8;
+
+    private static final double BATCH_DEARNESS = 16;
+    private static final int CHOICES = 2;
     private static final int PASSED_OVER = 8;
 
     private final PrefixWidths widths = new PrefixWidths();
+    private int routers = 1;
+
+    /**
+     * Tells how many routers serve, which each see about the same share of a beginning's uses.
+     *
+     * @param serving the number of routers, this one included
+     */
+    public void routers(int serving) {
+        routers = Math.max(1, serving);
+    }
 
     @Override
     public Optional<PlacementChoice> choose(
             ReplicaTable table, PrefixChain chain, PlacementTarget target, Set<String> excluded) {
         long now = table.clock().monotonicMillis();
         long house = chain.house().key();
-        int width = widths.width(house);
-        List<PlacementChoice> own = score(table, chain, excluded, width, now);
-        double limit = target.firstTokenMillis() * SPILL_SHARE;
-        Optional<PlacementChoice> cheapest = own.stream()
-                .filter(c -> target.batch() || queueMillis(c, now) <= limit)
-                .min(byRecomputation(chain));
-        if (cheapest.isPresent()) {
-            narrowWhenIdle(own, house, limit, now);
-            return cheapest;
+        widths.used(house, now);
+        int width = widths.width(house, routers, table.ring().size(), now);
+        List<Replica> ordered = ordered(table, chain, excluded, width, now);
+        List<PlacementChoice> first = ordered.stream()
+                .limit(CHOICES)
+                .map(r -> predict(r, chain, now, PlacementReason.LEAST_RECOMPUTED))
+                .toList();
+        Comparator<PlacementChoice> byCost = Comparator.comparingDouble(c -> cost(c, target, now));
+        boolean busy = first.stream().allMatch(c -> waitMillis(c, now) > target.firstTokenMillis() * SPILL_SHARE);
+        if (!busy || target.batch()) {
+            return first.stream().min(byCost);
         }
-        widths.widen(house, table.ring().size(), now);
-        return score(table, chain, excluded, width + SPILL_EXTRA, now).stream()
-                .min(Comparator.comparingDouble(PlacementChoice::firstTokenMillis))
-                .map(PrefixPlacement::spilled);
+        return ordered.stream()
+                .map(r -> predict(r, chain, now, PlacementReason.SPILLED))
+                .min(byCost);
     }
 
-    private static List<PlacementChoice> score(
+    private static List<Replica> ordered(
             ReplicaTable table, PrefixChain chain, Set<String> excluded, int width, long now) {
+        long dossier = chain.dossier().key();
         // More of the ring is walked than wanted, so that replicas that take no work are passed over.
         List<Replica> near = table.ring().walk(chain.house().key(), width + PASSED_OVER + excluded.size()).stream()
                 .filter(address -> !excluded.contains(address))
                 .flatMap(address -> table.find(address).stream())
                 .filter(replica -> replica.takesWork(now))
                 .toList();
-        List<Replica> warm = near.stream()
-                .filter(replica -> replica.isWarmFor(now, chain.dossier().key()))
+        List<Replica> warm =
+                near.stream().filter(replica -> replica.isWarmFor(now, dossier)).toList();
+        Stream<Replica> own = (warm.isEmpty() ? near : warm).stream().limit(width);
+        return own.sorted(Comparator.comparingLong(r -> ReplicaRing.mix(dossier, r.ringKey())))
                 .toList();
-        return (warm.isEmpty() ? near : warm)
-                .stream()
-                        .limit(width)
-                        .map(replica -> predict(replica, chain, now, PlacementReason.LEAST_RECOMPUTED))
-                        .toList();
     }
 
     /**
@@ -72,42 +84,18 @@
      * @return the prediction
      */
     public static PlacementChoice predict(Replica replica, PrefixChain chain, long now, PlacementReason reason) {
-        int missed = replica.missedTokens(chain, now);
+        CacheBelief belief = replica.cached().belief(chain, now);
+        int missed = chain.tokens() - belief.expectedTokens();
         return new PlacementChoice(
-                replica,
-                missed,
-                chain.tokens() - missed,
-                replica.cached().ageMillis(chain, now),
-                replica.waitingTokens(now),
-                replica.firstTokenMillis(missed, now),
-                reason);
-    }
-
-    private static double queueMillis(PlacementChoice choice, long now) {
-        return choice.replica().firstTokenMillis(0, now);
-    }
-
-    private static Comparator<PlacementChoice> byRecomputation(PrefixChain chain) {
-        long dossier = chain.dossier().key();
-        return Comparator.comparingInt(PlacementChoice::missedTokens)
-                .thenComparingLong(
-                        c -> ReplicaRing.mix(dossier, c.replica().address().hashCode()));
+                replica, missed, belief, replica.waitingTokens(now), replica.firstTokenMillis(missed, now), reason);
     }
 
-    private void narrowWhenIdle(List<PlacementChoice> own, long house, double limit, long now) {
-        if (own.stream().allMatch(c -> queueMillis(c, now) < limit * IDLE_SHARE)) {
-            widths.narrow(house, now);
-        }
+    private static double waitMillis(PlacementChoice choice, long now) {
+        return choice.replica().waitMillis(now);
     }
 
-    private static PlacementChoice spilled(PlacementChoice c) {
-        return new PlacementChoice(
-                c.replica(),
-                c.missedTokens(),
-                c.cachedTokens(),
-                c.cachedAgeMillis(),
-                c.waitingTokens(),
-                c.firstTokenMillis(),
-                PlacementReason.SPILLED);
+    private static double cost(PlacementChoice choice, PlacementTarget target, long now) {
+        double compute = choice.replica().computeMillis(choice.missedTokens());
+        return waitMillis(choice, now) + compute * (target.batch() ? BATCH_DEARNESS : INTERACTIVE_DEARNESS);
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/placement/Replica.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/Replica.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.core.placement;
 
+import net.openhft.hashing.LongHashFunction;
 import org.hornbeamhead.core.endpoint.Endpoint;
 import org.hornbeamhead.core.endpoint.LoadReport;
 import org.hornbeamhead.core.prefix.PrefixChain;
@@ -14,12 +15,14 @@
  */
 public final class Replica {
     private static final double FIRST_MILLIS_PER_TOKEN = 0.05;
+    private static final double MIN_MILLIS_PER_TOKEN = 0.0005;
     private static final double SMOOTHING = 0.1;
-    private static final double OTHERS_HALF_LIFE_MILLIS = 1_000;
+    private static final double ENOUGH_TO_TELL_SPEED = 1_000;
     private static final long WARM_UP_MILLIS = 10_000;
     private static final long FULL_SHARE = 1_000;
     private static final long FIRST_SHARE = 200;
 
+    private final long ringKey;
     private Endpoint endpoint;
     private String incarnation = "";
     private String model = "";
@@ -32,7 +35,8 @@
     private int ownStreams;
     private double othersTokens;
     private int othersStreams;
-    private long othersAtMillis;
+    private double busyUntilMillis;
+    private int samples;
     private double millisPerToken = FIRST_MILLIS_PER_TOKEN;
     private double fixedMillis;
     private final OutlierGuard outlier;
@@ -45,6 +49,7 @@
      */
     Replica(Endpoint endpoint, OutlierGuard outlier) {
         this.endpoint = endpoint;
+        this.ringKey = LongHashFunction.xx3().hashChars(endpoint.address());
         this.outlier = outlier;
     }
 
@@ -72,8 +77,8 @@
         model = report.model();
         draining = report.draining();
         othersTokens = Math.max(0, report.waitingTokens() - ownTokens);
+        busyUntilMillis = nowMillis + (ownTokens + othersTokens) * millisPerToken;
         othersStreams = Math.max(0, report.running() - ownStreams);
-        othersAtMillis = nowMillis;
     }
 
     void endpoint(Endpoint changed) {
@@ -88,7 +93,28 @@
      * @return milliseconds
      */
     public double firstTokenMillis(int missedTokens, long nowMillis) {
-        return fixedMillis + (waitingTokens(nowMillis) + missedTokens) * millisPerToken;
+        return fixedMillis + waitMillis(nowMillis) + computeMillis(missedTokens);
+    }
+
+    /**
+     * Predicts how long a new request waits for the prompts ahead of it. Between two reports the backlog drains with
+     * time and grows with this router's own dispatches.
+     *
+     * @param nowMillis the monotonic time
+     * @return milliseconds
+     */
+    public double waitMillis(long nowMillis) {
+        return Math.max(0, busyUntilMillis - nowMillis);
+    }
+
+    /**
+     * Predicts how long prompt tokens take to compute.
+     *
+     * @param missedTokens how many
+     * @return milliseconds
+     */
+    public double computeMillis(int missedTokens) {
+        return missedTokens * millisPerToken;
     }
 
     /**
@@ -98,8 +124,7 @@
      * @return tokens
      */
     public double waitingTokens(long nowMillis) {
-        double age = Math.max(0, nowMillis - othersAtMillis);
-        return ownTokens + othersTokens * Math.pow(0.5, age / OTHERS_HALF_LIFE_MILLIS);
+        return waitMillis(nowMillis) / millisPerToken;
     }
 
     /**
@@ -110,7 +135,7 @@
      * @return tokens to compute
      */
     public int missedTokens(PrefixChain chain, long nowMillis) {
-        return chain.tokens() - cached.cachedTokens(chain, nowMillis);
+        return chain.tokens() - cached.belief(chain, nowMillis).expectedTokens();
     }
 
     /**
@@ -143,17 +168,24 @@
     void dispatched(PrefixChain chain, int missed, long nowMillis) {
         ownTokens += missed;
         ownStreams++;
+        busyUntilMillis = Math.max((double) nowMillis, busyUntilMillis) + missed * millisPerToken;
         cached.sent(chain, nowMillis);
     }
 
-    void firstToken(int missed, double elapsedMillis, double predictedMillis, double waitingAtDispatch) {
-        ownTokens = Math.max(0, ownTokens - missed);
-        double tokens = waitingAtDispatch + missed;
-        if (tokens > FULL_SHARE) {
-            millisPerToken += SMOOTHING * ((elapsedMillis - fixedMillis) / tokens - millisPerToken);
-            millisPerToken = Math.max(FIRST_MILLIS_PER_TOKEN / 100, millisPerToken);
+    void firstToken(PlacementChoice choice, double elapsedMillis, long nowMillis) {
+        ownTokens = Math.max(0, ownTokens - choice.missedTokens());
+        if (ownTokens == 0 && othersTokens == 0) {
+            busyUntilMillis = (double) nowMillis;
+        }
+        double tokens = choice.waitingTokens() + choice.missedTokens();
+        if (tokens > ENOUGH_TO_TELL_SPEED) {
+            samples++;
+            double smoothing = Math.max(SMOOTHING, 1.0 / samples);
+            double measured = Math.max(0, elapsedMillis - fixedMillis) / tokens;
+            millisPerToken = Math.max(MIN_MILLIS_PER_TOKEN, millisPerToken + smoothing * (measured - millisPerToken));
         } else {
-            fixedMillis += SMOOTHING * (Math.min(elapsedMillis, predictedMillis * 2 + 1) - fixedMillis);
+            double plausible = Math.min(elapsedMillis, choice.firstTokenMillis() * 2 + 1);
+            fixedMillis += SMOOTHING * (plausible - fixedMillis);
         }
     }
 
@@ -175,6 +207,15 @@
         return endpoint.address();
     }
 
+    /**
+     * Returns the hash of the replica's name, for orders that all routers agree on.
+     *
+     * @return the hash
+     */
+    long ringKey() {
+        return ringKey;
+    }
+
     /**
      * Returns the replica's line in the host list.
      *
--- a/core/src/main/java/org/hornbeamhead/core/placement/ReplicaTable.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/ReplicaTable.java
@@ -95,8 +95,7 @@
      * @param elapsedMillis the time since dispatch
      */
     public void firstToken(PlacementChoice choice, double elapsedMillis) {
-        choice.replica()
-                .firstToken(choice.missedTokens(), elapsedMillis, choice.firstTokenMillis(), choice.waitingTokens());
+        choice.replica().firstToken(choice, elapsedMillis, clock.monotonicMillis());
     }
 
     /**
@@ -109,7 +108,7 @@
         choice.replica().ended();
         choice.replica().outlier().succeeded();
         if (cachedTokens >= 0) {
-            choice.replica().cached().correct(choice.cachedTokens(), cachedTokens, choice.cachedAgeMillis());
+            choice.replica().cached().correct(choice.belief(), cachedTokens);
         }
     }
 
--- a/core/src/test/java/org/hornbeamhead/core/placement/PrefixPlacementTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/placement/PrefixPlacementTest.java
@@ -61,7 +61,7 @@
                 placement.choose(table, chain, TARGET, Set.of()).orElseThrow();
         table.dispatched(chain, choice);
         table.firstToken(choice, choice.firstTokenMillis());
-        table.ended(choice, choice.cachedTokens());
+        table.ended(choice, choice.belief().tokens());
         return choice;
     }
 
@@ -106,9 +106,18 @@
             setUp();
             PrefixChain chain = chain(SEED, "house", "dossier");
             PlacementChoice first = send(chain);
-            assertTrue(first.replica().cached().cachedTokens(chain, clock.monotonicMillis()) > 0);
+            assertTrue(first.replica()
+                            .cached()
+                            .belief(chain, clock.monotonicMillis())
+                            .tokens()
+                    > 0);
             table.report(first.replica().address(), (LoadReport) change[0]);
-            assertEquals(first.replica().cached().cachedTokens(chain, clock.monotonicMillis()), 0);
+            assertEquals(
+                    first.replica()
+                            .cached()
+                            .belief(chain, clock.monotonicMillis())
+                            .tokens(),
+                    0);
         }
     }
 
@@ -135,8 +144,9 @@
         }
         assertNotEquals(SEED.salt(), seed.salt());
         send(mine);
-        assertTrue(
-                table.replicas().stream().allMatch(r -> r.cached().cachedTokens(theirs, clock.monotonicMillis()) == 0));
+        assertTrue(table.replicas().stream()
+                .allMatch(
+                        r -> r.cached().belief(theirs, clock.monotonicMillis()).tokens() == 0));
     }
 
     // A leaving, draining or ejected replica gets no new work, and the rest serves on.
@@ -169,6 +179,43 @@
         assertTrue(used >= 6, used + " replicas used");
     }
 
+    @Test
+    public void aBeginningsWidthFollowsItsRateAndDoesNotSwing() {
+        PrefixWidths widths = new PrefixWidths();
+        long now = 0;
+        int changes = 0;
+        int last = widths.width(1, 8, 1_000, now);
+        for (int i = 0; i < 4_000; i++) {
+            now += i < 2_000 ? 10 : 15_000;
+            widths.used(1, now);
+            int width = widths.width(1, 8, 1_000, now);
+            changes += width == last ? 0 : 1;
+            last = width;
+            if (i == 1_999) {
+                assertTrue(width >= 1_000, "hot: " + width);
+            }
+        }
+        assertEquals(last, 8);
+        assertTrue(changes < 20, changes + " changes");
+    }
+
+    // Replicas in a row queue up for one hot dossier: it comes to stand on a third and a fourth.
+    @Test
+    public void aHotDossierSpillsWhenItsOwnReplicasQueue() {
+        PrefixChain chain = chain(SEED, "house", "dossier");
+        Map<String, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            PlacementChoice choice =
+                    placement.choose(table, chain, TARGET, Set.of()).orElseThrow();
+            table.dispatched(chain, choice);
+            table.report(
+                    choice.replica().address(),
+                    report("inc-" + choice.replica().address().substring(1), "w1", 40_000));
+            counts.merge(choice.replica().address(), 1, Integer::sum);
+        }
+        assertTrue(counts.size() > 2, counts.toString());
+    }
+
     // All routers see the same report of one idle replica. Each counts its own dispatches on top, and the prefix
     // decides
     // first, so that they do not all run there.
--- a/router/src/main/java/org/hornbeamhead/router/EnginePool.java
+++ b/router/src/main/java/org/hornbeamhead/router/EnginePool.java
@@ -3,7 +3,6 @@
 import java.util.random.RandomGenerator;
 import org.hornbeamhead.core.admission.AdmissionControl;
 import org.hornbeamhead.core.admission.BatchQueue;
-import org.hornbeamhead.core.placement.PlacementPolicy;
 import org.hornbeamhead.core.placement.PrefixPlacement;
 import org.hornbeamhead.core.placement.ReplicaTable;
 import org.hornbeamhead.core.retry.RetryBudget;
@@ -12,7 +11,7 @@
 /** All that one router knows and decides of one pool of engines. Owned by the reactor's thread. */
 final class EnginePool {
     private final ReplicaTable table;
-    private final PlacementPolicy placement = new PrefixPlacement();
+    private final PrefixPlacement placement = new PrefixPlacement();
     private final AdmissionControl admission;
     private final RetryBudget retries = new RetryBudget();
     private final BatchQueue<BatchWait> batch;
@@ -27,7 +26,7 @@
         return table;
     }
 
-    PlacementPolicy placement() {
+    PrefixPlacement placement() {
         return placement;
     }
 
--- a/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
+++ b/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
@@ -19,6 +19,7 @@
     private final Map<String, EnginePool> engines = new HashMap<>();
     private final Map<String, ServicePool> services = new HashMap<>();
     private List<Endpoint> hosts = List.of();
+    private int routers = 1;
 
     PoolDirectory(RouterContext context, EngineControl control) {
         this.context = context;
@@ -27,10 +28,20 @@
     }
 
     EnginePool engines(Pool pool) {
-        return engines.computeIfAbsent(
-                pool.name(),
-                n -> new EnginePool(
-                        context.clock(), context.random(), context.settings().batchQueue()));
+        return engines.computeIfAbsent(pool.name(), n -> open());
+    }
+
+    private EnginePool open() {
+        EnginePool pool = new EnginePool(
+                context.clock(), context.random(), context.settings().batchQueue());
+        pool.placement().routers(routers);
+        return pool;
+    }
+
+    /** Notes how many routers serve, which see about the same share of the load each. */
+    void routers(int serving) {
+        routers = serving;
+        engines.values().forEach(p -> p.placement().routers(serving));
     }
 
     ServicePool service(String name) {
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -205,6 +205,7 @@
         List<Member> serving = gossip.serving();
         entries.serving(serving.stream().map(Member::address).toList());
         claims.serving(serving.stream().map(Member::peerAddress).toList());
+        pools.routers(serving.size());
     }
 
     private void leave() {
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/BlockCache.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/BlockCache.java
@@ -29,6 +29,15 @@
         return hits;
     }
 
+    /** Counts the leading blocks that are cached, and marks nothing. */
+    int peek(BlockChain chain) {
+        int hits = 0;
+        while (hits < chain.length() && usedAtMillis.containsKey(chain.get(hits))) {
+            hits++;
+        }
+        return hits;
+    }
+
     void store(BlockChain chain, long nowMillis) {
         for (int i = 0; i < chain.length(); i++) {
             usedAtMillis.put(chain.get(i), nowMillis);
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineModel.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineModel.java
@@ -15,7 +15,7 @@
 public final class EngineModel {
     private static final double MILLIS_PER_SECOND = 1000;
 
-    private record Work(EngineRequest request, EngineSink sink, long order) {}
+    private record Work(EngineRequest request, EngineSink sink, long order, int missedAtArrival) {}
 
     private final EngineSpeed speed;
     private final Clock clock;
@@ -52,10 +52,11 @@
      * @param sink receives what is generated
      */
     public void submit(EngineRequest request, EngineSink sink) {
-        Work work = new Work(request, sink, nextOrder++);
+        int missed = request.promptTokens() - cache.peek(request.blocks()) * BlockCache.BLOCK_TOKENS;
+        Work work = new Work(request, sink, nextOrder++, missed);
         live.put(request.id(), work);
         waiting.add(work);
-        waitingTokens += request.promptTokens();
+        waitingTokens += missed;
         computeNext();
     }
 
@@ -67,7 +68,7 @@
     public void cancel(String id) {
         Work work = live.remove(id);
         if (work != null && waiting.remove(work)) {
-            waitingTokens -= work.request().promptTokens();
+            waitingTokens -= work.missedAtArrival();
         }
     }
 
@@ -88,7 +89,7 @@
 
     private void computed(Work work, int cached) {
         computing = false;
-        waitingTokens -= work.request().promptTokens();
+        waitingTokens -= work.missedAtArrival();
         cache.store(work.request().blocks(), clock.monotonicMillis());
         if (live.containsKey(work.request().id())) {
             streams++;
@@ -125,7 +126,7 @@
     }
 
     /**
-     * Counts prompt tokens accepted and not yet computed.
+     * Counts prompt tokens accepted, not cached at their arrival and not yet computed.
      *
      * @return tokens
      */
