--- a/core/src/main/java/org/hornbeamhead/core/claim/ClaimLimits.java
+++ b/core/src/main/java/org/hornbeamhead/core/claim/ClaimLimits.java
@@ -11,7 +11,7 @@
  */
 public record ClaimLimits(int partitions, long windowMillis, int slots, long commitEveryMillis, int tries) {
     /** Twelve minutes of retention; at most 200 writes a second for a fleet whose claims meet at their owners. */
-    public static final ClaimLimits STANDARD = new ClaimLimits(16, 10_000, 73, 80, 6);
+    public static final ClaimLimits STANDARD = new ClaimLimits(16, 2_000, 361, 80, 6);
 
     /** Checks the numbers. */
     public ClaimLimits {
--- a/core/src/main/java/org/hornbeamhead/core/placement/PrefixPlacement.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/PrefixPlacement.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.hornbeamhead.core.prefix.PrefixChain;
 
 /**
@@ -23,6 +22,8 @@
     private static final double BATCH_DEARNESS = 16;
     private static final int CHOICES = 2;
     private static final int PASSED_OVER = 8;
+    private static final int MOST_ORDERED = 64;
+    private static final int MOST_SPILLED = 8;
 
     private final PrefixWidths widths = new PrefixWidths();
     private int routers = 1;
@@ -61,17 +62,27 @@
     private static List<Replica> ordered(
             ReplicaTable table, PrefixChain chain, Set<String> excluded, int width, long now) {
         long dossier = chain.dossier().key();
-        // More of the ring is walked than wanted, so that replicas that take no work are passed over.
-        List<Replica> near = table.ring().walk(chain.house().key(), width + PASSED_OVER + excluded.size()).stream()
+        if (width > MOST_ORDERED) {
+            // So hot a beginning stands everywhere: the dossier's own place on the ring gives the order, at a cost that
+            // does not grow with the width.
+            return taking(table, dossier, dossier, MOST_SPILLED, excluded, now);
+        }
+        return taking(table, chain.house().key(), dossier, width, excluded, now).stream()
+                .sorted(Comparator.comparingLong(r -> ReplicaRing.mix(dossier, r.ringKey())))
+                .toList();
+    }
+
+    /** Walks the ring from a key to the replicas that take work; cold ones are left out while there are warm ones. */
+    private static List<Replica> taking(
+            ReplicaTable table, long key, long dossier, int count, Set<String> excluded, long now) {
+        List<Replica> near = table.ring().walk(key, count + PASSED_OVER + excluded.size()).stream()
                 .filter(address -> !excluded.contains(address))
                 .flatMap(address -> table.find(address).stream())
                 .filter(replica -> replica.takesWork(now))
                 .toList();
         List<Replica> warm =
                 near.stream().filter(replica -> replica.isWarmFor(now, dossier)).toList();
-        Stream<Replica> own = (warm.isEmpty() ? near : warm).stream().limit(width);
-        return own.sorted(Comparator.comparingLong(r -> ReplicaRing.mix(dossier, r.ringKey())))
-                .toList();
+        return (warm.isEmpty() ? near : warm).stream().limit(count).toList();
     }
 
     /**
--- a/core/src/main/java/org/hornbeamhead/core/placement/ReplicaRing.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/ReplicaRing.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
 import net.openhft.hashing.LongHashFunction;
@@ -68,12 +69,14 @@
     public List<String> walk(long key, int count) {
         int wanted = Math.min(count, names.size());
         List<String> found = new ArrayList<>(wanted);
+        BitSet seen = new BitSet(names.size());
         int at = Arrays.binarySearch(points, mix(key, 0));
         int start = at >= 0 ? at : -at - 1;
         for (int i = 0; i < points.length && found.size() < wanted; i++) {
-            String name = names.get(owners[(start + i) % points.length]);
-            if (!found.contains(name)) {
-                found.add(name);
+            int owner = owners[(start + i) % points.length];
+            if (!seen.get(owner)) {
+                seen.set(owner);
+                found.add(names.get(owner));
             }
         }
         return found;
--- a/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
+++ b/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,15 +11,22 @@
 import org.hornbeamhead.core.endpoint.Endpoint;
 import org.hornbeamhead.core.endpoint.EndpointKind;
 import org.hornbeamhead.core.endpoint.LoadReport;
+import org.hornbeamhead.core.placement.ReplicaSubset;
+import org.hornbeamhead.core.placement.ReplicaTable;
 import org.hornbeamhead.platform.EngineControl;
 
 /** The pools of the configuration with the endpoints of the list of hosts. Owned by the reactor's thread. */
 final class PoolDirectory {
+    private static final int POLLS_AT_ONCE = 16;
+
+    private record Poll(ReplicaTable table, String address, String knownWeights) {}
+
     private final RouterContext context;
     private final EngineControl control;
     private final Map<String, EnginePool> engines = new HashMap<>();
     private final Map<String, ServicePool> services = new HashMap<>();
     private List<Endpoint> hosts = List.of();
+    private final List<Poll> toPoll = new ArrayList<>();
     private int routers = 1;
 
     PoolDirectory(RouterContext context, EngineControl control) {
@@ -68,12 +76,15 @@
         hosts = listed;
         context.config().config().pools().values().forEach(pool -> {
             if (pool.isEngine()) {
-                engines(pool).table().listed(of(EndpointKind.ENGINE, pool.name()));
+                engines(pool)
+                        .table()
+                        .listed(ReplicaSubset.choose(
+                                of(EndpointKind.ENGINE, pool.name()),
+                                context.settings().dataCentre()));
             } else {
                 service(pool.name()).listed(of(EndpointKind.SERVICE, pool.name()));
             }
         });
-        pollLoads();
     }
 
     List<Endpoint> of(EndpointKind kind, String pool) {
@@ -86,11 +97,19 @@
         return hosts.stream().filter(e -> e.kind() == EndpointKind.ENTRY).toList();
     }
 
-    /** Asks every engine that this router uses for its load. */
+    /**
+     * Asks engines for their load, a few at a time in turn, so that the cost does not grow with the pools. Replicas
+     * that have not reported yet come first.
+     */
     void pollLoads() {
-        engines.values().forEach(pool -> new ArrayList<>(pool.table().replicas()).forEach(replica -> {
-            String address = replica.address();
-            control.load(address).whenResult((LoadReport report) -> pool.table().report(address, report));
-        }));
+        if (toPoll.isEmpty()) {
+            engines.forEach((name, pool) ->
+                    pool.table().replicas().forEach(r -> toPoll.add(new Poll(pool.table(), r.address(), r.weights()))));
+            toPoll.sort(Comparator.comparing(p -> !p.knownWeights().isEmpty()));
+        }
+        List<Poll> now = toPoll.subList(0, Math.min(POLLS_AT_ONCE, toPoll.size()));
+        now.forEach(p ->
+                control.load(p.address()).whenResult((LoadReport r) -> p.table().report(p.address(), r)));
+        now.clear();
     }
 }
