--- a/bench/src/main/java/org/hornbeamhead/bench/ClaimBench.java
+++ b/bench/src/main/java/org/hornbeamhead/bench/ClaimBench.java
@@ -57,8 +57,8 @@
     }
 
     static String head() {
-        return "| claims/s | writes/s | reads/s | writes per 1,000 claims | p50 ms | p99 ms | KB/s written | us of processor "
-                + "time per claim, store included |\n|---|---|---|---|---|---|---|---|";
+        return "| claims/s | writes/s | reads/s | writes per 1,000 claims | p50 ms | p99 ms | KB/s written "
+                + "| us of processor time per claim, store included |\n|---|---|---|---|---|---|---|---|";
     }
 
     private void claim(ClaimBatcher owners) {
--- a/bench/src/main/java/org/hornbeamhead/bench/MemoryBench.java
+++ b/bench/src/main/java/org/hornbeamhead/bench/MemoryBench.java
@@ -47,9 +47,8 @@
 
     /** Measures the operators' configuration. */
     static String config(int customers) {
-        StringBuilder text = new StringBuilder(
-                "[fleet]\nname = f\n[class a]\nkind = interactive\nfirst-token = 1 s\n[pool p]\nkind = engine\nmodel = m\n"
-                        + "weights = w\n");
+        StringBuilder text = new StringBuilder("[fleet]\nname = f\n[class a]\nkind = interactive\nfirst-token = 1 s\n"
+                + "[pool p]\nkind = engine\nmodel = m\nweights = w\n");
         for (int i = 0; i < customers; i++) {
             text.append(String.format("[customer c%d]\nkey-sha256 = %064x\nclasses = a\npools = p\n", i, i));
         }
--- a/router/src/test/java/org/hornbeamhead/router/EngineEventTest.java
+++ b/router/src/test/java/org/hornbeamhead/router/EngineEventTest.java
@@ -16,7 +16,8 @@
             {"{ \"id\" : \"chatcmpl-a.1\", \"choices\" : [] }", "", false},
             {"{\"id\":\"chatcmpl-a.1\",\"choices\":[],\"usage\":{\"prompt_tokens\":1}}", "", true},
             {
-                "{\"id\":\"chatcmpl-a.1\",\"choices\":[{\"delta\":{\"content\":\"\\\"usage\\\":{ \\\"id\\\":\\\"b\\\"\"}}]}",
+                "{\"id\":\"chatcmpl-a.1\",\"choices\":[{\"delta\":{\"content\":"
+                        + "\"\\\"usage\\\":{ \\\"id\\\":\\\"b\\\"\"}}]}",
                 "\"usage\":{ \"id\":\"b\"",
                 false
             },
