Router: a watcher reads again after a failed read; retries are spread; names imported instead of spelled out

Cause: read as a newcomer, ConfigAgent noted a version as seen before it had read it. A read refused at that moment left the version out of force at that watcher until the next change or a minute's check. Ruled out: that the other watchers cover it (one failing platform refuses all three). Before: ConfigAgentTest failed (version 1 after 5 s). First try, with delays up to 5 s: still failed, since four refusals took longer than 5 s; kept delays are 250 ms to 1 s. After: passes. Also: retries of a starting herd are spread by the Backoff that stood unused, and full names in the code became imports.

--- a/bench/src/main/java/org/hornbeamhead/bench/ClaimBench.java
+++ b/bench/src/main/java/org/hornbeamhead/bench/ClaimBench.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 import org.hornbeamhead.core.claim.Claim;
 import org.hornbeamhead.core.claim.ClaimBatcher;
@@ -68,7 +69,7 @@
     }
 
     private final class TimedStore implements KeyValueStore {
-        private CompletionStage<StoreReply> later(java.util.function.Supplier<StoreReply> reply) {
+        private CompletionStage<StoreReply> later(Supplier<StoreReply> reply) {
             CompletableFuture<StoreReply> result = new CompletableFuture<>();
             timers.schedule(STORE_MILLIS, () -> result.complete(reply.get()));
             return result;
--- a/bench/src/main/java/org/hornbeamhead/bench/PlacementBenchmark.java
+++ b/bench/src/main/java/org/hornbeamhead/bench/PlacementBenchmark.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.bench;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -48,7 +49,7 @@
 
     private final ManualClock clock = new ManualClock(0);
     private final PrefixPlacement placement = new PrefixPlacement();
-    private final EntryDirectory entries = new EntryDirectory(java.time.Duration.ofSeconds(2));
+    private final EntryDirectory entries = new EntryDirectory(Duration.ofSeconds(2));
     private ReplicaTable table;
     private List<Endpoint> endpoints;
     private List<String> addresses;
--- a/core/src/main/java/org/hornbeamhead/core/config/ConfigHolder.java
+++ b/core/src/main/java/org/hornbeamhead/core/config/ConfigHolder.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.hornbeamhead.core.settings.Finding;
 
 /**
  * The configuration in force in one process. It only ever moves to a higher version.
@@ -36,7 +37,7 @@
         if (offered.version() <= state.version()) {
             return false;
         }
-        Validation<List<org.hornbeamhead.core.settings.Finding>, OperatorsConfig> read = OperatorsConfigReader.read(
+        Validation<List<Finding>, OperatorsConfig> read = OperatorsConfigReader.read(
                 "version " + offered.version(), offered.document().text());
         state = offered;
         // A text that this program cannot read was accepted by a newer one. The version still counts, so that it
--- a/core/src/main/java/org/hornbeamhead/core/config/ConfigState.java
+++ b/core/src/main/java/org/hornbeamhead/core/config/ConfigState.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.core.config;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 
 /**
@@ -63,7 +64,7 @@
                 last.author(),
                 last.wallMillis(),
                 last.reason(),
-                java.util.Optional.of(document.text()),
+                Optional.of(document.text()),
                 List.of()));
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/config/OperatorsConfigReader.java
+++ b/core/src/main/java/org/hornbeamhead/core/config/OperatorsConfigReader.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.hornbeamhead.core.settings.Finding;
 import org.hornbeamhead.core.settings.Findings;
@@ -77,7 +78,7 @@
         in.finish();
     }
 
-    private void titled(IniSection section, java.util.function.Consumer<String> read) {
+    private void titled(IniSection section, Consumer<String> read) {
         if (section.title().isEmpty()) {
             findings.add(new Finding(
                     section.source(), section.line(), section.name(), "", "the section needs a name after its kind"));
--- a/ctl/src/main/java/org/hornbeamhead/ctl/ConfigCommands.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/ConfigCommands.java
@@ -10,7 +10,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.config.AppendResult;
 import org.hornbeamhead.core.config.ConfigAuthor;
 import org.hornbeamhead.core.config.ConfigDocument;
@@ -57,11 +59,11 @@
         };
     }
 
-    private <T> T onStore(java.util.function.Function<KeyValueStore, CompletionStage<T>> task) {
+    private <T> T onStore(Function<KeyValueStore, CompletionStage<T>> task) {
         return Reactors.run(reactor -> task.apply(new HttpKeyValueStore(HttpCaller.connectingAnew(reactor), address)));
     }
 
-    private ExitCode withLatest(java.util.function.Function<ConfigState, ExitCode> use) {
+    private ExitCode withLatest(Function<ConfigState, ExitCode> use) {
         Either<String, ConfigState> read = onStore(store -> new ConfigLog(store).latest(ConfigState.NONE));
         return read.fold(this::failed, use);
     }
@@ -184,8 +186,8 @@
             if (read.get().isEmpty()) {
                 return CompletableFuture.completedStage(before);
             }
-            List<ConfigRecord> next = java.util.stream.Stream.concat(before.stream(), read.get().stream())
-                    .toList();
+            List<ConfigRecord> next =
+                    Stream.concat(before.stream(), read.get().stream()).toList();
             return collect(log, version + 1, next);
         });
     }
--- a/ctl/src/main/java/org/hornbeamhead/ctl/StatusCommand.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/StatusCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.activej.http.HttpMethod;
+import io.activej.promise.Promise;
 import java.time.Duration;
 import org.hornbeamhead.daemon.ExitCode;
 import org.hornbeamhead.daemon.HttpCaller;
@@ -17,7 +18,7 @@
     static ExitCode run(String router, boolean json) {
         HttpReply reply = Reactors.run(reactor -> HttpCaller.connectingAnew(reactor)
                 .call(HttpMethod.GET, "http://" + router + "/v1/status", "", LIMIT)
-                .then(r -> io.activej.promise.Promise.of(r), e -> io.activej.promise.Promise.of(new HttpReply(0, "")))
+                .then(r -> Promise.of(r), e -> Promise.of(new HttpReply(0, "")))
                 .toCompletableFuture());
         if (!reply.isOk()) {
             System.err.println("hornbeamctl: the router at " + router + " does not answer");
--- a/daemon/src/main/java/org/hornbeamhead/daemon/HttpCaller.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/HttpCaller.java
@@ -1,9 +1,11 @@
 package org.hornbeamhead.daemon;
 
 import io.activej.dns.IDnsClient;
+import io.activej.dns.protocol.DnsProtocol;
 import io.activej.dns.protocol.DnsQuery;
 import io.activej.dns.protocol.DnsQueryException;
 import io.activej.dns.protocol.DnsResponse;
+import io.activej.dns.protocol.DnsTransaction;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
@@ -106,8 +108,7 @@
             return response != null
                     ? Promise.of(response)
                     : Promise.ofException(new DnsQueryException(DnsResponse.ofFailure(
-                            io.activej.dns.protocol.DnsTransaction.of((short) 0, query),
-                            io.activej.dns.protocol.DnsProtocol.ResponseErrorCode.NAME_ERROR)));
+                            DnsTransaction.of((short) 0, query), DnsProtocol.ResponseErrorCode.NAME_ERROR)));
         }
 
         @Override
--- a/daemon/src/main/java/org/hornbeamhead/daemon/Metrics.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Metrics.java
@@ -3,6 +3,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -59,10 +60,7 @@
      * @param tags keys and values in turn
      */
     public void gauge(String name, Supplier<Number> value, String... tags) {
-        io.micrometer.core.instrument.Gauge.builder(name, value)
-                .tags(tags)
-                .strongReference(true)
-                .register(registry);
+        Gauge.builder(name, value).tags(tags).strongReference(true).register(registry);
     }
 
     /**
--- a/fleet/src/test/java/org/hornbeamhead/fleet/TestFleet.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/TestFleet.java
@@ -1,11 +1,13 @@
 package org.hornbeamhead.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.MessageDigest;
@@ -15,6 +17,8 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Predicate;
+import java.util.stream.StreamSupport;
 import org.hornbeamhead.controller.ControllerMain;
 import org.hornbeamhead.core.endpoint.Endpoint;
 import org.hornbeamhead.core.endpoint.EndpointKind;
@@ -88,8 +92,7 @@
     static String sha256(String text) {
         try {
             return HexFormat.of()
-                    .formatHex(MessageDigest.getInstance("SHA-256")
-                            .digest(text.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+                    .formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
         }
@@ -203,10 +206,8 @@
         }
     }
 
-    private static long count(JsonNode list, java.util.function.Predicate<JsonNode> which) {
-        return java.util.stream.StreamSupport.stream(list.spliterator(), false)
-                .filter(which)
-                .count();
+    private static long count(JsonNode list, Predicate<JsonNode> which) {
+        return StreamSupport.stream(list.spliterator(), false).filter(which).count();
     }
 
     JsonNode status(ProcessHandleBox router) throws IOException, InterruptedException {
@@ -260,7 +261,7 @@
     }
 
     private static JsonNode messages(String dossier) {
-        com.fasterxml.jackson.databind.node.ArrayNode list = Json.object().putArray("messages");
+        ArrayNode list = Json.object().putArray("messages");
         list.addObject().put("role", "system").put("content", "instructions of the house ".repeat(40));
         list.addObject().put("role", "user").put("content", (dossier + " ").repeat(200));
         list.addObject().put("role", "user").put("content", "what now?");
--- a/peer/src/test/java/org/hornbeamhead/peer/GossipCodecTest.java
+++ b/peer/src/test/java/org/hornbeamhead/peer/GossipCodecTest.java
@@ -3,9 +3,11 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.hornbeamhead.core.membership.GossipMessage;
 import org.hornbeamhead.core.membership.GossipNode;
 import org.hornbeamhead.core.membership.Member;
@@ -26,13 +28,13 @@
 
     @DataProvider
     public Object[][] kinds() {
-        return java.util.Arrays.stream(GossipMessage.Kind.values())
+        return Arrays.stream(GossipMessage.Kind.values())
                 .map(k -> new Object[] {k})
                 .toArray(Object[][]::new);
     }
 
     private static GossipMessage message(GossipMessage.Kind kind) {
-        List<Member> updates = java.util.stream.IntStream.range(0, GossipNode.UPDATES_PER_MESSAGE)
+        List<Member> updates = IntStream.range(0, GossipNode.UPDATES_PER_MESSAGE)
                 .mapToObj(GossipCodecTest::member)
                 .toList();
         return new GossipMessage(kind, 77, member(1), "10.0.0.9:1", 13_000, updates);
@@ -51,7 +53,7 @@
         SplittableRandom random = new SplittableRandom(9);
         byte[] good = GossipCodec.encode(message(GossipMessage.Kind.PROBE));
         for (int i = 0; i < 20_000; i++) {
-            byte[] bytes = java.util.Arrays.copyOf(good, random.nextInt(good.length + 20));
+            byte[] bytes = Arrays.copyOf(good, random.nextInt(good.length + 20));
             for (int k = 0; k < random.nextInt(4) && bytes.length > 0; k++) {
                 bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
             }
--- a/router/src/main/java/org/hornbeamhead/router/ConfigAgent.java
+++ b/router/src/main/java/org/hornbeamhead/router/ConfigAgent.java
@@ -11,6 +11,7 @@
 import org.hornbeamhead.core.membership.Member;
 import org.hornbeamhead.core.membership.MemberStatus;
 import org.hornbeamhead.core.placement.ReplicaRing;
+import org.hornbeamhead.core.retry.Backoff;
 import org.hornbeamhead.core.store.KeyValueStore;
 import org.hornbeamhead.core.store.StoreReply;
 import org.hornbeamhead.core.time.Timers;
@@ -24,7 +25,10 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int WATCHERS = 3;
     private static final long WATCH_KEY = 0x636f6e666967L;
-    private static final Duration RETRY = Duration.ofMillis(200);
+    /** Spread, so that a herd of routers that start together does not ask together. */
+    private static final Backoff RETRY = new Backoff(200, 1_000);
+
+    private static final Backoff WATCH_RETRY = new Backoff(250, 1_000);
     private static final Duration SLOW_CHECK = Duration.ofSeconds(60);
     private static final Duration PAUSE = Duration.ofMillis(500);
 
@@ -36,6 +40,9 @@
     private final String self;
     private final Supplier<List<Member>> members;
     private final SplittableRandom random = new SplittableRandom();
+    private int tries;
+    private int failures;
+    private boolean readFailed;
     private long watchedVersion;
     private boolean fetching;
     private boolean reading;
@@ -71,7 +78,7 @@
             if (!others.isEmpty()) {
                 fetch(others.get(random.nextInt(others.size())));
             }
-            timers.schedule(RETRY.toMillis(), this::readUntilFirst);
+            timers.schedule(RETRY.delayMillis(tries++, random), this::readUntilFirst);
         }
     }
 
@@ -100,11 +107,17 @@
                 watchedVersion = found.entry().version();
                 readPlatform();
             }
-            boolean again = reply instanceof StoreReply.Found;
-            timers.schedule(again ? 0 : PAUSE.toMillis(), this::watch);
+            boolean failed = readFailed || !(reply instanceof StoreReply.Found);
+            failures = failed ? failures + 1 : 0;
+            timers.schedule(failed ? WATCH_RETRY.delayMillis(failures, random) : 0, this::watch);
         });
     }
 
+    /**
+     * Failure: a watch tells of a new version, and the read that follows fails. Symptom: the version is not in force
+     * here, nor spreads from here, until the next change. What was watched is forgotten, so that the next watch tells
+     * of it again.
+     */
     private void readPlatform() {
         if (reading) {
             return;
@@ -112,6 +125,10 @@
         reading = true;
         log.latest(holder.state()).thenAccept(read -> {
             reading = false;
+            readFailed = read.isLeft();
+            if (readFailed) {
+                watchedVersion = 0;
+            }
             read.peek(state -> accepted(holder.offer(state), "platform"));
         });
     }
--- a/router/src/main/java/org/hornbeamhead/router/ModelPipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ModelPipeline.java
@@ -19,6 +19,7 @@
 import org.hornbeamhead.core.placement.PlacementTarget;
 import org.hornbeamhead.daemon.HttpAnswers;
 import org.hornbeamhead.daemon.HttpReply;
+import org.hornbeamhead.daemon.Json;
 import org.hornbeamhead.daemon.Logs;
 
 /** The way of a model request: decode, admit, place, dispatch, relay, account. */
@@ -166,8 +167,7 @@
                                     .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
                                     .withHeader(HttpHeaders.of("X-Request-Id"), request.id())
                                     .withHeader(Refusals.OUTCOME, "completed")
-                                    .withBody(org.hornbeamhead.daemon.Json.write(whole)
-                                            .getBytes(StandardCharsets.UTF_8))
+                                    .withBody(Json.write(whole).getBytes(StandardCharsets.UTF_8))
                                     .toPromise();
                         },
                         e -> failed(request, exchange, e));
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -38,6 +38,7 @@
 import org.hornbeamhead.daemon.Daemon;
 import org.hornbeamhead.daemon.HttpAnswers;
 import org.hornbeamhead.daemon.HttpCaller;
+import org.hornbeamhead.daemon.Json;
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.peer.PeerClient;
 import org.hornbeamhead.peer.PeerHandler;
@@ -153,7 +154,7 @@
         String customer = request.getQueryParameter("customer");
         String hint = request.getQueryParameter("hint");
         EntryAnswer answer = entries.answer(customer == null ? "" : customer, hint == null ? "" : hint);
-        ObjectNode json = org.hornbeamhead.daemon.Json.object();
+        ObjectNode json = Json.object();
         answer.addresses().forEach(json.withArray("addresses")::add);
         json.put("ttl_ms", answer.ttl().toMillis());
         if (request.getQueryParameter("ticket") != null && drain.isAdvertised()) {
--- a/standin/src/main/java/org/hornbeamhead/standin/StandinMain.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/StandinMain.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -199,7 +200,7 @@
 
     private void registerOnly(Daemon daemon, OptionSet options) {
         Endpoint endpoint = new Endpoint(
-                EndpointKind.valueOf(options.valueOf(kind).toUpperCase(java.util.Locale.ROOT)),
+                EndpointKind.valueOf(options.valueOf(kind).toUpperCase(Locale.ROOT)),
                 options.valueOf(pool),
                 options.valueOf(address),
                 options.valueOf(peer),
--- a/standin/src/main/java/org/hornbeamhead/standin/load/LoadRunner.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/load/LoadRunner.java
@@ -19,6 +19,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.UUID;
+import java.util.function.Consumer;
 import org.hornbeamhead.core.claim.ClaimIds;
 import org.hornbeamhead.core.stream.CorruptStreamException;
 import org.hornbeamhead.core.stream.SseParser;
@@ -96,7 +97,7 @@
                 });
     }
 
-    private void each(PlannedRequest request, java.util.function.Consumer<LoadStats> note) {
+    private void each(PlannedRequest request, Consumer<LoadStats> note) {
         String kind =
                 request.service() ? workload.servicePool() : request.workClass().name();
         note.accept(group("class " + kind));
