--- a/fleet/src/test/java/org/hornbeamhead/fleet/StreamFailureTest.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/StreamFailureTest.java
@@ -48,6 +48,13 @@
         return fleet.post(router, "/v1/chat/completions", TestFleet.chat(dossier, TOKENS, true));
     }
 
+    private CompletableFuture<HttpResponse<String>> askWithoutWaiting() {
+        return fleet.client()
+                .sendAsync(
+                        fleet.request(router, "/v1/chat/completions", TestFleet.chat("dossier", TOKENS, true)),
+                        HttpResponse.BodyHandlers.ofString());
+    }
+
     private ProcessHandleBox busyEngine() {
         List<ProcessHandleBox> busy = new ArrayList<>();
         TestFleet.await(() -> {
@@ -107,10 +114,7 @@
     // the caller sees one whole answer and no break.
     @Test
     public void aKilledEnginesStreamIsContinuedElsewhere() throws Exception {
-        CompletableFuture<HttpResponse<String>> answer = fleet.client()
-                .sendAsync(
-                        fleet.request(router, "/v1/chat/completions", TestFleet.chat("dossier", TOKENS, true)),
-                        HttpResponse.BodyHandlers.ofString());
+        CompletableFuture<HttpResponse<String>> answer = askWithoutWaiting();
         busyEngine().kill();
         assertEquals(TestFleet.text(answer.get().body()), expected);
         assertTrue(TestFleet.isWhole(answer.get().body()));
@@ -120,10 +124,7 @@
     // connection and goes on.
     @Test
     public void aSilentConnectionIsLeftForANewOne() throws Exception {
-        CompletableFuture<HttpResponse<String>> answer = fleet.client()
-                .sendAsync(
-                        fleet.request(router, "/v1/chat/completions", TestFleet.chat("dossier", TOKENS, true)),
-                        HttpResponse.BodyHandlers.ofString());
+        CompletableFuture<HttpResponse<String>> answer = askWithoutWaiting();
         fleet.fault(busyEngine(), FINE.replace("\"silent\":false", "\"silent\":true"));
         assertEquals(TestFleet.text(answer.get().body()), expected);
         assertTrue(TestFleet.isWhole(answer.get().body()));
@@ -132,10 +133,7 @@
     // An engine is frozen: nothing comes, and no connection to it is answered. Another one takes over.
     @Test
     public void aFrozenEnginesStreamIsContinuedElsewhere() throws Exception {
-        CompletableFuture<HttpResponse<String>> answer = fleet.client()
-                .sendAsync(
-                        fleet.request(router, "/v1/chat/completions", TestFleet.chat("dossier", TOKENS, true)),
-                        HttpResponse.BodyHandlers.ofString());
+        CompletableFuture<HttpResponse<String>> answer = askWithoutWaiting();
         busyEngine().freeze();
         assertEquals(TestFleet.text(answer.get().body()), expected);
     }
