The clients of the product's own outside interfaces move to clients/; platform/ is free for the platform's adapter

Cause: the module named platform held clients of the key-value service, host list and engine control that the stand-ins speak; the adapter of the users' platform needs that name. Pure rename, no behaviour changed; the build was run, the tests not yet.

--- a/platform/src/main/java/org/hornbeamhead/platform/HostListClient.java
+++ b/clients/src/main/java/org/hornbeamhead/clients/HostListClient.java
@@ -1,4 +1,4 @@
-package org.hornbeamhead.platform;
+package org.hornbeamhead.clients;
 
 import io.activej.http.HttpMethod;
 import io.activej.promise.Promise;
--- a/controller/src/main/java/org/hornbeamhead/controller/Controller.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/Controller.java
@@ -26,9 +26,9 @@
 import org.hornbeamhead.daemon.HttpAnswers;
 import org.hornbeamhead.daemon.HttpCaller;
 import org.hornbeamhead.daemon.Metrics;
-import org.hornbeamhead.platform.EngineControl;
-import org.hornbeamhead.platform.HostListClient;
-import org.hornbeamhead.platform.HttpKeyValueStore;
+import org.hornbeamhead.clients.EngineControl;
+import org.hornbeamhead.clients.HostListClient;
+import org.hornbeamhead.clients.HttpKeyValueStore;
 
 /**
  * One controller process. Each runs on every entry host; for each pool a few of them, computed from the list of hosts,
--- a/controller/src/main/java/org/hornbeamhead/controller/PoolController.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/PoolController.java
@@ -19,7 +19,7 @@
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
-import org.hornbeamhead.platform.EngineControl;
+import org.hornbeamhead.clients.EngineControl;
 
 /** Gives orders to the engines of one pool while it holds the pool's lease. */
 final class PoolController {
--- a/ctl/src/main/java/org/hornbeamhead/ctl/ConfigCommands.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/ConfigCommands.java
@@ -28,7 +28,7 @@
 import org.hornbeamhead.daemon.ExitCode;
 import org.hornbeamhead.daemon.HttpCaller;
 import org.hornbeamhead.daemon.Json;
-import org.hornbeamhead.platform.HttpKeyValueStore;
+import org.hornbeamhead.clients.HttpKeyValueStore;
 
 /** The commands that read or change what the platform's service holds. */
 final class ConfigCommands {
--- a/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
+++ b/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
@@ -13,7 +13,7 @@
 import org.hornbeamhead.core.endpoint.LoadReport;
 import org.hornbeamhead.core.placement.ReplicaSubset;
 import org.hornbeamhead.core.placement.ReplicaTable;
-import org.hornbeamhead.platform.EngineControl;
+import org.hornbeamhead.clients.EngineControl;
 
 /** The pools of the configuration with the endpoints of the list of hosts. Owned by the reactor's thread. */
 final class PoolDirectory {
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -43,9 +43,9 @@
 import org.hornbeamhead.peer.PeerClient;
 import org.hornbeamhead.peer.PeerHandler;
 import org.hornbeamhead.peer.PeerServer;
-import org.hornbeamhead.platform.EngineControl;
-import org.hornbeamhead.platform.HostListClient;
-import org.hornbeamhead.platform.HttpKeyValueStore;
+import org.hornbeamhead.clients.EngineControl;
+import org.hornbeamhead.clients.HostListClient;
+import org.hornbeamhead.clients.HttpKeyValueStore;
 
 /** One router process: its parts, how they are joined, and the order in which it ends. */
 final class Router {
