--- a/controller/src/main/java/org/hornbeamhead/controller/Controller.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/Controller.java
@@ -10,6 +10,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.hornbeamhead.clients.EngineControl;
+import org.hornbeamhead.clients.HostListClient;
+import org.hornbeamhead.clients.HttpKeyValueStore;
 import org.hornbeamhead.core.config.ConfigHolder;
 import org.hornbeamhead.core.config.ConfigLog;
 import org.hornbeamhead.core.config.ConfigState;
@@ -26,9 +29,6 @@
 import org.hornbeamhead.daemon.HttpAnswers;
 import org.hornbeamhead.daemon.HttpCaller;
 import org.hornbeamhead.daemon.Metrics;
-import org.hornbeamhead.clients.EngineControl;
-import org.hornbeamhead.clients.HostListClient;
-import org.hornbeamhead.clients.HttpKeyValueStore;
 
 /**
  * One controller process. Each runs on every entry host; for each pool a few of them, computed from the list of hosts,
--- a/controller/src/main/java/org/hornbeamhead/controller/PoolController.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/PoolController.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hornbeamhead.clients.EngineControl;
 import org.hornbeamhead.core.config.Pool;
 import org.hornbeamhead.core.drain.DrainOrders;
 import org.hornbeamhead.core.endpoint.Endpoint;
@@ -19,7 +20,6 @@
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
-import org.hornbeamhead.clients.EngineControl;
 
 /** Gives orders to the engines of one pool while it holds the pool's lease. */
 final class PoolController {
--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
@@ -0,0 +1,12 @@
+package org.hornbeamhead.core.engine;
+
+/**
+ * An engine that a request may go to.
+ *
+ * @param id names one run of the engine
+ * @param weights the version of the model's weights that it serves
+ * @param load the work there
+ * @param memoryTokens the tokens that fit into its memory
+ * @param steeredAway whether it is about to change its weights, so that new requests would be refused or delay it
+ */
+public record EngineCandidate(String id, long weights, EngineLoad load, long memoryTokens, boolean steeredAway) {}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/http/RequestReader.java
@@ -0,0 +1,133 @@
+package org.hornbeamhead.core.http;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Reads requests out of the bytes of one connection.
+ *
+ * <p>Failure: two lengths, a length beside chunks, or a line end that only some accept let a caller hide a second
+ * request inside a body. Symptom: a replica runs a request that no caller sent. Each such message is refused here, and
+ * what is sent on carries one length that was counted here.
+ */
+public final class RequestReader {
+    private static final int BAD_REQUEST = 400;
+    private static final int TOO_LARGE = 413;
+    private static final int NOT_IMPLEMENTED = 501;
+    private static final int VERSION_NOT_SUPPORTED = 505;
+
+    private final int maxBodyBytes;
+    private final HeadReader heads;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private RequestHead head;
+    private BodyReader framing;
+
+    /**
+     * Makes a reader for one connection.
+     *
+     * @param maxHeadBytes the longest head
+     * @param maxBodyBytes the longest body
+     */
+    public RequestReader(int maxHeadBytes, int maxBodyBytes) {
+        this.heads = new HeadReader(maxHeadBytes);
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /**
+     * Reads on.
+     *
+     * @param in the bytes; those after the request's end are left in it
+     * @return the request once it is whole
+     * @throws BadMessageException when the bytes are no request, or one too large; the connection is of no use after it
+     */
+    public Optional<WholeRequest> feed(Bytes in) throws BadMessageException {
+        if (head == null) {
+            List<String> lines = heads.feed(in);
+            if (lines == null) {
+                return Optional.empty();
+            }
+            readHead(lines);
+        }
+        framing.feed(in, body);
+        if (body.size() > maxBodyBytes) {
+            throw new BadMessageException(TOO_LARGE, "the body has more than " + maxBodyBytes + " bytes");
+        }
+        return framing.done() ? Optional.of(finish()) : Optional.empty();
+    }
+
+    /**
+     * Tells whether a part of a request has come.
+     *
+     * @return true between the first byte of a head and the end of its body
+     */
+    public boolean insideRequest() {
+        return head != null || heads.started();
+    }
+
+    /**
+     * Tells whether the caller waits for leave to send the body.
+     *
+     * @return true after a head that says so
+     */
+    public boolean awaitsContinue() {
+        return head != null && head.headers().listed("Expect", "100-continue");
+    }
+
+    private WholeRequest finish() {
+        WholeRequest whole = new WholeRequest(head, body.toByteArray());
+        head = null;
+        framing = null;
+        body.reset();
+        return whole;
+    }
+
+    private void readHead(List<String> lines) throws BadMessageException {
+        String[] start = lines.get(0).split(" ", -1);
+        boolean proper = start.length == 3
+                && !start[0].isEmpty()
+                && start[0].chars().allMatch(c -> HeadReader.tokenChar((char) c))
+                && start[1].startsWith("/")
+                && start[1].chars().allMatch(c -> c > ' ' && c < 127);
+        if (!proper) {
+            throw new BadMessageException(BAD_REQUEST, "the first line is no request");
+        }
+        if (!start[2].equals("HTTP/1.1") && !start[2].equals("HTTP/1.0")) {
+            throw new BadMessageException(VERSION_NOT_SUPPORTED, "the protocol is neither HTTP/1.1 nor HTTP/1.0");
+        }
+        Headers headers = HeadReader.headers(lines.subList(1, lines.size()));
+        if (headers.all("Host").size() != 1) {
+            throw new BadMessageException(BAD_REQUEST, "there is not exactly one Host line");
+        }
+        framing = framing(headers);
+        boolean keep = start[2].equals("HTTP/1.1")
+                ? !headers.listed("Connection", "close")
+                : headers.listed("Connection", "keep-alive");
+        head = new RequestHead(start[0], start[1], headers, keep);
+    }
+
+    private BodyReader framing(Headers headers) throws BadMessageException {
+        List<String> lengths = headers.all("Content-Length");
+        List<String> codings = headers.all("Transfer-Encoding");
+        if (!codings.isEmpty()) {
+            if (!lengths.isEmpty()) {
+                throw new BadMessageException(BAD_REQUEST, "the body has a length beside chunks");
+            }
+            if (codings.size() != 1 || !codings.get(0).equalsIgnoreCase("chunked")) {
+                throw new BadMessageException(NOT_IMPLEMENTED, "the body's transfer coding is not understood");
+            }
+            return BodyReader.chunked();
+        }
+        if (lengths.isEmpty()) {
+            return BodyReader.ofLength(0);
+        }
+        long length = headers.number("Content-Length").orElse(-1);
+        if (lengths.size() != 1 || length < 0) {
+            throw new BadMessageException(BAD_REQUEST, "the body has no single proper length");
+        }
+        if (length > maxBodyBytes) {
+            throw new BadMessageException(TOO_LARGE, "the body has more than " + maxBodyBytes + " bytes");
+        }
+        return BodyReader.ofLength(length);
+    }
+}
--- a/ctl/src/main/java/org/hornbeamhead/ctl/ConfigCommands.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/ConfigCommands.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.hornbeamhead.clients.HttpKeyValueStore;
 import org.hornbeamhead.core.config.AppendResult;
 import org.hornbeamhead.core.config.ConfigAuthor;
 import org.hornbeamhead.core.config.ConfigDocument;
@@ -28,7 +29,6 @@
 import org.hornbeamhead.daemon.ExitCode;
 import org.hornbeamhead.daemon.HttpCaller;
 import org.hornbeamhead.daemon.Json;
-import org.hornbeamhead.clients.HttpKeyValueStore;
 
 /** The commands that read or change what the platform's service holds. */
 final class ConfigCommands {
--- a/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
@@ -25,7 +25,11 @@
 
     /** Makes a daemon on the calling thread. */
     public Daemon() {
-        this.reactor = Eventloop.builder().withCurrentThread().build();
+        // Timers run on the monotonic clock: a step of the wall clock must neither fire nor stall them.
+        this.reactor = Eventloop.builder()
+                .withTimeProvider(clock::monotonicMillis)
+                .withCurrentThread()
+                .build();
     }
 
     /**
--- a/daemon/src/main/java/org/hornbeamhead/daemon/Logs.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Logs.java
@@ -1,6 +1,12 @@
 package org.hornbeamhead.daemon;
 
 import com.google.common.flogger.MetadataKey;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
 
 /** The fields that log lines carry beside their message, and the choice of Flogger's back end. */
 public final class Logs {
@@ -19,12 +25,38 @@
     /** Why it was decided. */
     public static final MetadataKey<String> REASON = MetadataKey.single("reason", String.class);
 
-    private static final String BACKEND = "com.google.common.flogger.backend.log4j2.Log4j2BackendFactory";
+    /** The inputs of a decision, with their age or version. */
+    public static final MetadataKey<String> INPUTS = MetadataKey.single("inputs", String.class);
+
+    private static final String BACKEND = "com.google.common.flogger.backend.system.SimpleBackendFactory#getInstance";
 
     private Logs() {}
 
-    /** Sends Flogger's lines to the JSON layout. Called first in each {@code main}, before any logger is made. */
+    /** Sends all log records as JSON lines to standard error, where programs announce themselves on standard output. */
     public static void configure() {
-        System.setProperty("flogger.backend_factory", BACKEND + "#getInstance");
+        configure(System.err);
+    }
+
+    /**
+     * Sends all log records as JSON lines to a stream. Called first in each {@code main}, before any logger is made.
+     *
+     * @param out the stream
+     */
+    public static void configure(PrintStream out) {
+        System.setProperty("flogger.backend_factory", BACKEND);
+        Logger root = LogManager.getLogManager().getLogger("");
+        Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
+        root.addHandler(new JsonLines(out));
+        root.setLevel(level(System.getProperty("hornbeam.log.level", "info")));
+        Logger.getLogger("io.activej").setLevel(Level.SEVERE);
+    }
+
+    private static Level level(String name) {
+        return switch (name.toLowerCase(Locale.ROOT)) {
+            case "debug" -> Level.FINE;
+            case "warn", "warning" -> Level.WARNING;
+            case "error" -> Level.SEVERE;
+            default -> Level.INFO;
+        };
     }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -0,0 +1,253 @@
+package org.hornbeamhead.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.route.CallerLimits;
+import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Daemon;
+import org.hornbeamhead.daemon.HttpAnswers;
+import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.caller.CallerFront;
+import org.hornbeamhead.gateway.dispatch.Dispatcher;
+import org.hornbeamhead.gateway.dispatch.WireDialect;
+import org.hornbeamhead.gateway.duty.Duties;
+import org.hornbeamhead.gateway.duty.ReplicaOrders;
+import org.hornbeamhead.gateway.duty.SteerNotice;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.PeerMirror;
+import org.hornbeamhead.gateway.state.PlatformStore;
+import org.hornbeamhead.gateway.state.RouterEntry;
+import org.hornbeamhead.gateway.state.RouterList;
+import org.hornbeamhead.gateway.state.RouterPresence;
+import org.hornbeamhead.gateway.state.RoutingState;
+import org.hornbeamhead.gateway.state.StoreFollower;
+import org.hornbeamhead.gateway.state.WeightsView;
+
+/** A router: all its parts, put together and run on one reactor. */
+public final class RouterProcess {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Limits on callers before the first configuration is known. */
+    private static final CallerLimits FIRST_LIMITS = new CallerLimits(16_384, 4_194_304, 3_000, 15_000);
+    /**
+     * An entry that vanished while the store was away, or this shortly after, may be back: registries drop what could
+     * not be renewed. The users' pages say that live servers are listed again within two seconds.
+     */
+    private static final long RELIST_MILLIS = 2_000;
+
+    private final RouterSettings settings;
+    private final Daemon daemon;
+    private final NioReactor reactor;
+    private final Clock clock;
+    private final PlatformDocuments documents;
+    private final Metrics metrics = new Metrics();
+    private final StoreMirror mirror = new StoreMirror();
+    private final RoutingState state = new RoutingState();
+    private final ReplicaRegistry registry;
+    private final WeightsView weights;
+    private final RouterList routers;
+    private final RouterPresence presence;
+    private final StoreFollower follower;
+    private final PeerMirror peers;
+    private final SteerNotice notice;
+    private final Duties duties;
+    private final CallerFront front;
+    private final Shutdown shutdown;
+
+    /**
+     * What a platform provides.
+     *
+     * @param store its store
+     * @param documents reads what others write there
+     * @param dialect the header lines of callers and replicas
+     * @param orders orders to replicas
+     */
+    public record Ports(PlatformStore store, PlatformDocuments documents, WireDialect dialect, ReplicaOrders orders) {}
+
+    /**
+     * Puts a router together.
+     *
+     * @param settings what it is told
+     * @param daemon its reactor
+     * @param ports what the platform provides
+     */
+    public RouterProcess(RouterSettings settings, Daemon daemon, Ports ports) {
+        this.settings = settings;
+        this.daemon = daemon;
+        this.reactor = daemon.reactor();
+        this.clock = daemon.clock();
+        this.documents = ports.documents();
+        Random random = new Random();
+        registry = new ReplicaRegistry(reactor, clock);
+        weights = new WeightsView(settings.weightsBound().toMillis());
+        routers = new RouterList(settings.self(), this::ready);
+        presence = new RouterPresence(reactor, ports.store(), settings.self());
+        follower = new StoreFollower(reactor, clock, random, ports.store(), mirror, state);
+        peers = new PeerMirror(reactor, clock, random, mirror, state, follower, this::peerAddresses);
+        notice = new SteerNotice(reactor, clock, this::peerAddresses, weights, registry);
+        duties = new Duties(
+                new Duties.Parts(reactor, clock, registry, weights, ports.orders(), ports.store(), mirror, notice),
+                settings,
+                routers);
+        Dispatcher dispatcher = new Dispatcher(new Dispatcher.Parts(
+                reactor,
+                clock,
+                ports.dialect(),
+                state,
+                registry,
+                weights,
+                metrics,
+                random,
+                settings.self().dataCentre(),
+                settings.budget(),
+                routers::count));
+        front = new CallerFront(reactor, dispatcher, this::limits, metrics);
+        shutdown = new Shutdown(daemon, front, presence, settings.grace());
+        mirror.listen(this::changed);
+    }
+
+    private CallerLimits limits() {
+        return state.config().map(RoutingConfig::limits).orElse(FIRST_LIMITS);
+    }
+
+    private List<String> peerAddresses() {
+        return routers.peerAddresses(settings.seeds());
+    }
+
+    /**
+     * Starts to listen and to follow the store.
+     *
+     * @throws IOException when an address cannot be bound
+     */
+    public void start() throws IOException {
+        front.listen(settings.callers());
+        daemon.listen(settings.peers(), this::answerPeer);
+        if (settings.metrics().getPort() != 0) {
+            daemon.listen(settings.metrics(), request -> metrics.scrape());
+        }
+        metrics.gauge("hornbeam_requests_in_flight", front::inFlight);
+        metrics.gauge("hornbeam_caller_connections", front::connections);
+        metrics.gauge("hornbeam_replicas", () -> registry.all().size());
+        metrics.gauge("hornbeam_store_away", () -> follower.away() ? 1 : 0);
+        follower.start();
+        peers.start();
+        presence.start();
+        duties.start();
+        daemon.onSignal(shutdown::begin);
+        logger.atInfo()
+                .with(Logs.DECISION, "started")
+                .log("router %s started", settings.self().node());
+    }
+
+    private Promise<HttpResponse> answerPeer(HttpRequest request) throws Exception {
+        AsyncServlet servlet =
+                switch (request.getPath()) {
+                    case PeerMirror.PATH -> peers::answer;
+                    case SteerNotice.PATH -> notice::answer;
+                    default -> r -> HttpAnswers.text(404, "text/plain", "no such path\n");
+                };
+        return servlet.serve(request);
+    }
+
+    private void changed(StoreItem item) {
+        if (item.key().startsWith(RouterEntry.PREFIX)) {
+            routerChanged(item);
+            return;
+        }
+        switch (documents.kind(item.key())) {
+            case CONFIGURATION -> documents
+                    .configuration(item)
+                    .peekLeft(why -> unreadable(item, why))
+                    .forEach(c -> state.accept(c, item.revision()));
+            case WEIGHTS -> documents
+                    .weights(item)
+                    .peekLeft(why -> unreadable(item, why))
+                    .forEach(w -> named(w, item.revision()));
+            case REPLICA -> replicaChanged(item);
+            default -> logger.atFine().log("key %s is of no concern", item.key());
+        }
+    }
+
+    private void named(PlatformDocuments.NamedWeights w, long revision) {
+        logger.atInfo()
+                .with(Logs.DECISION, "weights named")
+                .with(Logs.INPUTS, "model=" + w.model() + " version=" + w.version() + " revision=" + revision)
+                .log("weights named: %d", w.version());
+        weights.name(w.model(), w.version(), clock.monotonicMillis());
+    }
+
+    private static void unreadable(StoreItem item, String why) {
+        logger.atWarning()
+                .with(Logs.REASON, why)
+                .with(Logs.INPUTS, "revision=" + item.revision())
+                .log("key %s cannot be read and is passed over", item.key());
+    }
+
+    private void replicaChanged(StoreItem item) {
+        if (!item.removed()) {
+            documents
+                    .replica(item)
+                    .peekLeft(why -> unreadable(item, why))
+                    .forEach(e -> registry.put(e, item.revision()));
+            return;
+        }
+        String id = documents.replicaId(item.key());
+        afterRelisting(item, () -> registry.remove(id, item.revision()));
+    }
+
+    private void routerChanged(StoreItem item) {
+        if (item.removed()) {
+            afterRelisting(item, () -> routers.changed(item));
+        } else {
+            routers.changed(item);
+        }
+    }
+
+    /** Believes a removal at once, or after the time in which it may turn out to be the work of an outage. */
+    private void afterRelisting(StoreItem removal, Runnable believe) {
+        long wait = follower.away() ? RELIST_MILLIS : RELIST_MILLIS - follower.millisSinceReturn();
+        if (wait <= 0 || mirrorIsFirst()) {
+            believe.run();
+            return;
+        }
+        reactor.delayBackground(wait, () -> {
+            if (mirror.get(removal.key()).isEmpty()) {
+                believe.run();
+            }
+        });
+    }
+
+    private boolean mirrorIsFirst() {
+        return mirror.revision() == 0;
+    }
+
+    /**
+     * Tells whether the router should get callers.
+     *
+     * @return true with a configuration, until it is told to end
+     */
+    public boolean ready() {
+        return state.config().isPresent() && !shutdown.begun();
+    }
+
+    /**
+     * Lists the addresses that callers should use.
+     *
+     * @param limit the most addresses
+     * @return the addresses
+     */
+    public List<String> callerAddresses(int limit) {
+        return new ArrayList<>(routers.callerAddresses(limit));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
@@ -0,0 +1,69 @@
+package org.hornbeamhead.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import org.hornbeamhead.daemon.Daemon;
+import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.gateway.caller.CallerFront;
+import org.hornbeamhead.gateway.state.RouterPresence;
+
+/**
+ * The graceful end of a router: leave the list, go on serving those who still have the address, finish, end.
+ *
+ * <p>Failure: callers keep an answer for three times its time to live, and go on using open connections. Symptom: a
+ * router that closes its listener at once cuts requests that were sent in good faith. It listens until the longest-kept
+ * answer has run out, and each answer closes its connection.
+ */
+final class Shutdown {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Three times the second for which address answers may be kept, and the way there. */
+    private static final long LISTEN_MILLIS = 3_500;
+    /** Left of the grace when the process ends whatever still runs. */
+    private static final long LAST_MILLIS = 400;
+
+    private static final long CHECK_MILLIS = 50;
+
+    private final Daemon daemon;
+    private final CallerFront front;
+    private final RouterPresence presence;
+    private final long graceMillis;
+    private long begunAt = -1;
+
+    Shutdown(Daemon daemon, CallerFront front, RouterPresence presence, Duration grace) {
+        this.daemon = daemon;
+        this.front = front;
+        this.presence = presence;
+        this.graceMillis = grace.toMillis();
+    }
+
+    boolean begun() {
+        return begunAt >= 0;
+    }
+
+    void begin() {
+        if (begun()) {
+            return;
+        }
+        begunAt = daemon.clock().monotonicMillis();
+        logger.atInfo().with(Logs.DECISION, "stopping").log("the router leaves the list and finishes its requests");
+        front.drain();
+        presence.leave();
+        check();
+    }
+
+    private void check() {
+        long since = daemon.clock().monotonicMillis() - begunAt;
+        boolean done = since > LISTEN_MILLIS && front.inFlight() == 0;
+        if (done || since > graceMillis - LAST_MILLIS) {
+            front.stopListening();
+            front.closeIdle();
+            logger.atInfo()
+                    .with(Logs.DECISION, "stopped")
+                    .with(Logs.INPUTS, "inFlight=" + front.inFlight() + " afterMillis=" + since)
+                    .log("the router ends");
+            daemon.reactor().delayBackground(CHECK_MILLIS, daemon::end);
+            return;
+        }
+        daemon.reactor().delayBackground(CHECK_MILLIS, this::check);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -0,0 +1,217 @@
+package org.hornbeamhead.gateway.dispatch;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.reactor.nio.NioReactor;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+import org.hornbeamhead.core.http.Headers;
+import org.hornbeamhead.core.http.WholeRequest;
+import org.hornbeamhead.core.retry.SharedRetryBudget;
+import org.hornbeamhead.core.route.KeyOwner;
+import org.hornbeamhead.core.route.Route;
+import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.route.ServiceSpec;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.caller.CallerAnswer;
+import org.hornbeamhead.gateway.caller.CallerHandler;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.RoutingState;
+import org.hornbeamhead.gateway.state.WeightsView;
+
+/** Answers callers: decodes, identifies, and hands each request to an exchange with replicas. */
+public final class Dispatcher implements CallerHandler {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
+    /** A router that knows no configuration yet has one within a second or so of its start. */
+    private static final long NOT_READY_RETRY_MILLIS = 500;
+
+    private final NioReactor reactor;
+    private final Clock clock;
+    private final WireDialect dialect;
+    private final RoutingState state;
+    private final ReplicaRegistry registry;
+    private final Metrics metrics;
+    private final RandomGenerator random;
+    private final TargetPicker picker;
+    private final BudgetLimits budgetLimits;
+    private final IntSupplier routers;
+    private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
+
+    /**
+     * The budget of repeats that all routers share.
+     *
+     * @param ratio repeats allowed a request
+     * @param slack repeats allowed besides, over all routers and the window
+     * @param window the window
+     */
+    public record BudgetLimits(double ratio, double slack, Duration window) {}
+
+    /**
+     * What the dispatcher works with.
+     *
+     * @param reactor the thread's reactor
+     * @param clock the clock
+     * @param dialect the header lines
+     * @param state the configuration in force
+     * @param registry the replicas
+     * @param weights the named weights
+     * @param metrics the process's metrics
+     * @param random the source of randomness
+     * @param dataCentre where this router stands
+     * @param budgetLimits the shared budget of repeats
+     * @param routers counts the live routers, this one included
+     */
+    public record Parts(
+            NioReactor reactor,
+            Clock clock,
+            WireDialect dialect,
+            RoutingState state,
+            ReplicaRegistry registry,
+            WeightsView weights,
+            Metrics metrics,
+            RandomGenerator random,
+            String dataCentre,
+            BudgetLimits budgetLimits,
+            IntSupplier routers) {}
+
+    /**
+     * Makes a dispatcher.
+     *
+     * @param parts what it works with
+     */
+    public Dispatcher(Parts parts) {
+        this.reactor = parts.reactor();
+        this.clock = parts.clock();
+        this.dialect = parts.dialect();
+        this.state = parts.state();
+        this.registry = parts.registry();
+        this.metrics = parts.metrics();
+        this.random = parts.random();
+        this.budgetLimits = parts.budgetLimits();
+        this.routers = parts.routers();
+        this.picker = new TargetPicker(clock, registry, parts.weights(), parts.dataCentre());
+    }
+
+    @Override
+    public void handle(WholeRequest whole, CallerAnswer answer) {
+        CallerRequest request = dialect.read(whole);
+        Optional<RoutingConfig> known = state.config();
+        if (known.isEmpty()) {
+            refuseUnrun(request, answer, "no configuration yet", NOT_READY_RETRY_MILLIS);
+            return;
+        }
+        RoutingConfig config = known.get();
+        Optional<Route> route = config.route(request.host(), whole.head().path());
+        if (route.isEmpty()) {
+            deny(request, answer, NOT_FOUND, "no route");
+            return;
+        }
+        Optional<KeyOwner> owner = request.key().flatMap(config::owner);
+        if (owner.isEmpty() && config.needsKeys() && !route.get().open()) {
+            deny(request, answer, UNAUTHORIZED, "no customer has this key");
+            return;
+        }
+        if (request.id().isEmpty()) {
+            answer(request, answer, BAD_REQUEST, "the request names no id", Headers.NONE);
+            return;
+        }
+        forward(config, route.get(), owner, request, answer);
+    }
+
+    private void forward(
+            RoutingConfig config, Route route, Optional<KeyOwner> owner, CallerRequest request, CallerAnswer answer) {
+        String name = route.serviceFor(draw(request.id()));
+        Optional<ServiceSpec> service = config.service(name);
+        if (service.isEmpty()) {
+            refuseUnrun(request, answer, "service " + name + " is not configured", NOT_READY_RETRY_MILLIS);
+            return;
+        }
+        budget(name).requested(clock.monotonicMillis());
+        new Exchange(this, new Exchange.Subject(config, route, service.get(), owner, request), answer).start();
+    }
+
+    /** Spreads ids over all values, since their own bits may be a counter. */
+    private static long draw(String id) {
+        return id.chars().asLongStream().reduce(17, (h, c) -> h * 1_000_003 + c) >>> 8;
+    }
+
+    private SharedRetryBudget budget(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                s -> new SharedRetryBudget(
+                        budgetLimits.ratio(),
+                        budgetLimits.slack(),
+                        budgetLimits.window().toMillis()));
+    }
+
+    boolean takeRepeat(String service) {
+        return budget(service).tryTake(clock.monotonicMillis(), routers.getAsInt());
+    }
+
+    /**
+     * Denies what the configuration does not allow.
+     *
+     * <p>Failure: this router has not heard of the store for a while, and the configuration has moved on. Symptom: a
+     * caller with a new key is turned away for good. While the view may be old, the refusal says to come back.
+     */
+    private void deny(CallerRequest request, CallerAnswer answer, int status, String why) {
+        if (state.surelyFresh(clock.monotonicMillis())) {
+            answer(request, answer, status, why, Headers.NONE);
+        } else {
+            refuseUnrun(request, answer, why + " in a configuration that may be old", NOT_READY_RETRY_MILLIS);
+        }
+    }
+
+    void refuseUnrun(CallerRequest request, CallerAnswer answer, String why, long retryAfterMillis) {
+        long spread = retryAfterMillis + random.nextLong(retryAfterMillis + 1);
+        Headers headers = Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", spread / 1000.0));
+        answer(request, answer, UNAVAILABLE, why, headers);
+    }
+
+    void answer(CallerRequest request, CallerAnswer answer, int status, String why, Headers headers) {
+        metrics.count("hornbeam_own_answers", "status", Integer.toString(status));
+        logger.atInfo()
+                .with(Logs.REQUEST, request.id())
+                .with(Logs.DECISION, "own answer " + status)
+                .with(Logs.REASON, why)
+                .with(Logs.INPUTS, state.inputs(clock.monotonicMillis()))
+                .log("answered %d", status);
+        byte[] body = (why + "\n").getBytes(StandardCharsets.UTF_8);
+        answer.respond(status, headers.with("Content-Type", "text/plain"), body);
+    }
+
+    NioReactor reactor() {
+        return reactor;
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    WireDialect dialect() {
+        return dialect;
+    }
+
+    TargetPicker picker() {
+        return picker;
+    }
+
+    Metrics metrics() {
+        return metrics;
+    }
+
+    int routers() {
+        return Math.max(1, routers.getAsInt());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -0,0 +1,293 @@
+package org.hornbeamhead.gateway.dispatch;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.hornbeamhead.core.forward.AttemptEnd;
+import org.hornbeamhead.core.forward.FinalAnswer;
+import org.hornbeamhead.core.forward.Forwarding;
+import org.hornbeamhead.core.forward.NextStep;
+import org.hornbeamhead.core.http.Headers;
+import org.hornbeamhead.core.http.ResponseHead;
+import org.hornbeamhead.core.route.KeyOwner;
+import org.hornbeamhead.core.route.RequestKind;
+import org.hornbeamhead.core.route.Route;
+import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.route.ServiceSpec;
+import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.gateway.caller.CallerAnswer;
+import org.hornbeamhead.gateway.replica.LiveReplica;
+
+/** One caller's request from its arrival to its final answer, over one or more tries. */
+final class Exchange {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** A try that starts with less time left can hardly end; it would only take a place at a replica. */
+    private static final long MIN_TIME_LEFT_MILLIS = 20;
+    /** When a request that no replica could take is worth another try: a replica's queue turns over in about this. */
+    private static final long RETRY_AFTER_MILLIS = 300;
+
+    private static final long NO_DEADLINE_MILLIS = 60_000;
+
+    /**
+     * What is to be done.
+     *
+     * @param config the configuration under which the request was read
+     * @param route its route
+     * @param service its service
+     * @param owner the customer, empty on open routes
+     * @param request the request
+     */
+    record Subject(
+            RoutingConfig config, Route route, ServiceSpec service, Optional<KeyOwner> owner, CallerRequest request) {}
+
+    private final Dispatcher dispatcher;
+    private final Subject subject;
+    private final CallerAnswer answer;
+    private final Forwarding forwarding;
+    private final Set<String> tried = new HashSet<>();
+    private final long arrivedAt;
+    private final long deadline;
+    private final StreamProgress progress;
+    private ScheduledRunnable deadlineTimer;
+    private Attempt attempt;
+    private boolean over;
+
+    Exchange(Dispatcher dispatcher, Subject subject, CallerAnswer answer) {
+        this.dispatcher = dispatcher;
+        this.subject = subject;
+        this.answer = answer;
+        this.forwarding = new Forwarding(subject.route());
+        this.arrivedAt = dispatcher.clock().monotonicMillis();
+        this.deadline = arrivedAt + allowedMillis(subject);
+        this.progress = new StreamProgress(subject.request().lastEvent());
+    }
+
+    private static long allowedMillis(Subject s) {
+        long caller = s.request().timeLeftMillis().orElse(NO_DEADLINE_MILLIS);
+        long route = s.route().limits().timeoutMillis();
+        return route > 0 ? Math.min(caller, route) : caller;
+    }
+
+    void start() {
+        answer.onGone(this::callerGone);
+        deadlineTimer = dispatcher.reactor().delayBackground(Math.max(0, timeLeft()), this::timeIsOver);
+        tryNext();
+    }
+
+    private long timeLeft() {
+        return deadline - dispatcher.clock().monotonicMillis();
+    }
+
+    private void tryNext() {
+        Optional<Target> target = timeLeft() < MIN_TIME_LEFT_MILLIS
+                ? Optional.empty()
+                : dispatcher
+                        .picker()
+                        .pick(subject.config(), subject.service(), subject.request(), subject.owner(), tried);
+        if (target.isEmpty()) {
+            giveUp(
+                    forwarding.possibleRuns() > 0 || forwarding.hasBegun()
+                            ? forwarding.atDeadline(false)
+                            : FinalAnswer.NOT_RUN,
+                    "no replica can take it",
+                    Optional.empty());
+            return;
+        }
+        tried.add(target.get().replica().entry().id());
+        attempt = new Attempt(this, target.get());
+        attempt.start();
+    }
+
+    SendOrder orderFor(Target target) {
+        int priority = subject.owner()
+                .map(KeyOwner::priority)
+                .orElse(OptionalInt.empty())
+                .orElse(subject.route().priority());
+        return new SendOrder(
+                target.replica().entry().id(),
+                subject.owner().map(KeyOwner::customer),
+                Math.max(1, timeLeft()),
+                priority,
+                target.engine(),
+                progress.lastEvent());
+    }
+
+    /**
+     * A try ended without a whole answer.
+     *
+     * @param end how
+     * @param why for the log
+     * @param failure the replica's own failure, if it gave one
+     */
+    void attemptEnded(AttemptEnd end, String why, Optional<BufferedAnswer> failure) {
+        LiveReplica replica = attempt.target().replica();
+        attempt = null;
+        if (over) {
+            return;
+        }
+        Forwarding.Means means = new Forwarding.Means(
+                timeLeft() >= MIN_TIME_LEFT_MILLIS,
+                dispatcher.picker().anyLeft(subject.service(), tried),
+                () -> dispatcher.takeRepeat(subject.service().name()));
+        NextStep step = forwarding.after(end, means);
+        dispatcher.metrics().count("hornbeam_attempts_failed", "end", end.name());
+        logger.atInfo()
+                .with(Logs.REQUEST, subject.request().id())
+                .with(Logs.REPLICA, replica.entry().id())
+                .with(Logs.DECISION, "attempt " + end)
+                .with(Logs.REASON, why)
+                .with(Logs.INPUTS, "millisLeft=" + timeLeft() + " tried=" + tried.size() + " next=" + step)
+                .log("attempt ended: %s", end);
+        if (step instanceof NextStep.GiveUp end2) {
+            giveUp(end2.answer(), why, failure);
+        } else {
+            tryNext();
+        }
+    }
+
+    private void giveUp(FinalAnswer last, String why, Optional<BufferedAnswer> failure) {
+        finish(last.name());
+        if (last == FinalAnswer.BROKEN_OFF) {
+            answer.abort();
+        } else if (last == FinalAnswer.REPLICA_FAILURE && failure.isPresent()) {
+            failure.get().deliver(answer);
+        } else if (last == FinalAnswer.NOT_RUN) {
+            dispatcher.refuseUnrun(subject.request(), answer, why, RETRY_AFTER_MILLIS);
+        } else {
+            dispatcher.answer(subject.request(), answer, statusOf(last), why, Headers.NONE);
+        }
+    }
+
+    private static int statusOf(FinalAnswer last) {
+        return last.status() == 0 ? FinalAnswer.OUTCOME_UNKNOWN.status() : last.status();
+    }
+
+    private void timeIsOver() {
+        if (over) {
+            return;
+        }
+        FinalAnswer last = forwarding.atDeadline(attempt != null && attempt.wasSent());
+        stopAttempt();
+        giveUp(last, "its time is over", Optional.empty());
+    }
+
+    private void callerGone() {
+        if (!over) {
+            stopAttempt();
+            finish("CALLER_GONE");
+        }
+    }
+
+    private void stopAttempt() {
+        if (attempt != null) {
+            attempt.abandon();
+            attempt = null;
+        }
+    }
+
+    /** The answer's first bytes go to the caller. */
+    void begin(ResponseHead head) {
+        if (!forwarding.hasBegun()) {
+            forwarding.answerBegan();
+            answer.begin(head.status(), dispatcher.dialect().toCaller(head));
+            dispatcher
+                    .metrics()
+                    .time(
+                            "hornbeam_first_event",
+                            sinceArrival(),
+                            "route",
+                            subject.route().name());
+        }
+    }
+
+    void delivered(String how) {
+        attempt = null;
+        finish(how);
+    }
+
+    private void finish(String how) {
+        over = true;
+        deadlineTimer.cancel();
+        dispatcher
+                .metrics()
+                .time(
+                        "hornbeam_requests",
+                        sinceArrival(),
+                        "route",
+                        subject.route().name(),
+                        "outcome",
+                        how);
+        logger.atInfo()
+                .with(Logs.REQUEST, subject.request().id())
+                .with(Logs.DECISION, "ended " + how)
+                .with(
+                        Logs.INPUTS,
+                        "route=" + subject.route().name() + " millis="
+                                + sinceArrival().toMillis() + " tried=" + tried)
+                .log("request ended: %s", how);
+    }
+
+    private Duration sinceArrival() {
+        return Duration.ofMillis(dispatcher.clock().monotonicMillis() - arrivedAt);
+    }
+
+    boolean isOver() {
+        return over;
+    }
+
+    boolean streams() {
+        return subject.route().kind() == RequestKind.STREAM;
+    }
+
+    Subject subject() {
+        return subject;
+    }
+
+    CallerAnswer answer() {
+        return answer;
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    StreamProgress progress() {
+        return progress;
+    }
+
+    /** Whether another replica may run the request after this try has been silent. */
+    boolean mayTryAgain() {
+        return subject.route().repeatable()
+                && forwarding.possibleRuns() + 1 < subject.route().limits().maxAttempts()
+                && dispatcher.picker().anyLeft(subject.service(), tried);
+    }
+
+    /** How far a stream has come to the caller. */
+    static final class StreamProgress {
+        private OptionalLong last;
+
+        StreamProgress(OptionalLong asked) {
+            this.last = asked;
+        }
+
+        OptionalLong lastEvent() {
+            return last;
+        }
+
+        /** Tells whether an event is new, and notes it. */
+        boolean advance(OptionalLong id) {
+            if (id.isPresent() && last.isPresent() && id.getAsLong() <= last.getAsLong()) {
+                return false;
+            }
+            if (id.isPresent()) {
+                last = id;
+            }
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -0,0 +1,117 @@
+package org.hornbeamhead.gateway.dispatch;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamhead.core.engine.EngineCandidate;
+import org.hornbeamhead.core.engine.EngineChoice;
+import org.hornbeamhead.core.engine.EngineChooser;
+import org.hornbeamhead.core.engine.Prompt;
+import org.hornbeamhead.core.route.KeyOwner;
+import org.hornbeamhead.core.route.PromptStore;
+import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.route.ServiceSpec;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.WeightsView;
+
+/** Picks the replica for a try: the decisions are the chooser's, this gathers what they need. */
+final class TargetPicker {
+    private final Clock clock;
+    private final ReplicaRegistry registry;
+    private final WeightsView weights;
+    private final String dataCentre;
+    private final Map<String, EngineChooser> choosers = new HashMap<>();
+
+    TargetPicker(Clock clock, ReplicaRegistry registry, WeightsView weights, String dataCentre) {
+        this.clock = clock;
+        this.registry = registry;
+        this.weights = weights;
+        this.dataCentre = dataCentre;
+    }
+
+    Optional<Target> pick(
+            RoutingConfig config,
+            ServiceSpec service,
+            CallerRequest request,
+            Optional<KeyOwner> owner,
+            Set<String> tried) {
+        List<LiveReplica> usable = usable(service, tried);
+        return service.engine().isPresent() && request.prompt().isPresent()
+                ? engine(config, service, request.prompt().get(), owner, usable)
+                : plain(usable);
+    }
+
+    boolean anyLeft(ServiceSpec service, Set<String> tried) {
+        return registry.of(service.name()).stream()
+                .anyMatch(r -> !tried.contains(r.entry().id()));
+    }
+
+    /** Replicas that failed lately are left out, unless that would leave none. */
+    private List<LiveReplica> usable(ServiceSpec service, Set<String> tried) {
+        long now = clock.monotonicMillis();
+        List<LiveReplica> all = registry.of(service.name()).stream()
+                .filter(r -> !tried.contains(r.entry().id()))
+                .toList();
+        List<LiveReplica> sound =
+                all.stream().filter(r -> !r.guard().ejected(now)).toList();
+        return sound.isEmpty() ? all : sound;
+    }
+
+    private Optional<Target> plain(List<LiveReplica> usable) {
+        long now = clock.monotonicMillis();
+        return usable.stream()
+                .min(Comparator.comparingDouble((LiveReplica r) -> r.load().total(now))
+                        .thenComparing(r -> !r.entry().dataCentre().equals(dataCentre))
+                        .thenComparingInt(r -> r.connections().open()))
+                .map(r -> new Target(r, Optional.empty(), 0, "least load"));
+    }
+
+    private Optional<Target> engine(
+            RoutingConfig config,
+            ServiceSpec service,
+            Prompt prompt,
+            Optional<KeyOwner> owner,
+            List<LiveReplica> usable) {
+        long now = clock.monotonicMillis();
+        long newest = weights.named(prompt.model());
+        List<LiveReplica> allowed = usable.stream()
+                .filter(r -> r.weights(prompt.model()) >= newest || !weights.oldForbidden(prompt.model(), now))
+                .toList();
+        Map<String, LiveReplica> byId = new HashMap<>();
+        allowed.forEach(r -> byId.put(r.entry().id(), r));
+        long memory = service.engine().orElseThrow().memoryTokens();
+        List<EngineCandidate> candidates = allowed.stream()
+                .map(r -> new EngineCandidate(
+                        r.entry().id(),
+                        r.weights(prompt.model()),
+                        r.load(),
+                        memory,
+                        weights.steered(r.entry().id(), now)))
+                .toList();
+        String wall = owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
+        EngineChooser.Ask ask = new EngineChooser.Ask(prompt, wall, newest, weights.oldPenalized(prompt.model(), now));
+        return choosers.computeIfAbsent(service.name(), s -> new EngineChooser())
+                .choose(ask, candidates, now)
+                .map(choice -> target(
+                        config, prompt, wall, choice, byId.get(choice.engine().id())));
+    }
+
+    private static Target target(
+            RoutingConfig config, Prompt prompt, String wall, EngineChoice choice, LiveReplica replica) {
+        long version = choice.engine().weights();
+        String salt = prompt.model() + '.' + version + (wall.isEmpty() ? "" : '.' + wall);
+        Optional<String> store =
+                config.promptStores().stream().map(PromptStore::address).findFirst();
+        Optional<String> kept = store.filter(s -> prompt.sharedTokens() > 0);
+        return new Target(
+                replica,
+                Optional.of(new SendOrder.EngineOrder(salt, version, kept, kept)),
+                choice.predictedMillis(),
+                choice.home() ? "home" : "shorter wait than home");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/Duties.java
@@ -0,0 +1,65 @@
+package org.hornbeamhead.gateway.duty;
+
+import io.activej.reactor.nio.NioReactor;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.weights.RolloutPlan;
+import org.hornbeamhead.gateway.RouterSettings;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.PlatformStore;
+import org.hornbeamhead.gateway.state.RouterList;
+import org.hornbeamhead.gateway.state.WeightsView;
+
+/** The work that one router does for all of them. */
+public final class Duties {
+    private final WeightsDuty weightsDuty;
+
+    /**
+     * What duties work with.
+     *
+     * @param reactor the thread's reactor
+     * @param clock the clock
+     * @param registry the replicas
+     * @param weights the named weights
+     * @param orders gives orders
+     * @param store the platform's store
+     * @param mirror its mirror
+     * @param notice tells other routers
+     */
+    public record Parts(
+            NioReactor reactor,
+            Clock clock,
+            ReplicaRegistry registry,
+            WeightsView weights,
+            ReplicaOrders orders,
+            PlatformStore store,
+            StoreMirror mirror,
+            SteerNotice notice) {}
+
+    /**
+     * Makes the duties, none of them held.
+     *
+     * @param p what they work with
+     * @param settings this router's settings
+     * @param routers the other routers
+     */
+    public Duties(Parts p, RouterSettings settings, RouterList routers) {
+        String self = settings.self().node();
+        WeightsDuty.Parts parts = new WeightsDuty.Parts(
+                p.reactor(),
+                p.clock(),
+                p.registry(),
+                p.weights(),
+                p.orders(),
+                new RolloutPlan(settings.loadsAtOnce()),
+                routers::rank,
+                self,
+                settings.holderPause().toMillis());
+        weightsDuty = new WeightsDuty(parts, new DutyLease(p.clock(), p.store(), p.mirror(), self), p.notice());
+    }
+
+    /** Begins to look after the duties. */
+    public void start() {
+        weightsDuty.start();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
@@ -0,0 +1,310 @@
+package org.hornbeamhead.gateway.duty;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.reactor.nio.NioReactor;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.weights.RolloutPlan;
+import org.hornbeamhead.core.weights.WeightsReplica;
+import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.gateway.duty.ReplicaOrders.Reply;
+import org.hornbeamhead.gateway.duty.ReplicaOrders.Report;
+import org.hornbeamhead.gateway.duty.ReplicaOrders.WeightsOrder;
+import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.WeightsView;
+
+/** Brings replicas to the named weights, when this router has the right to order it. */
+public final class WeightsDuty {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long TICK_MILLIS = 50;
+    /** A report is as of some hundred milliseconds ago; asking more often tells nothing new. */
+    private static final long REPORT_EVERY_MILLIS = 150;
+    /** Routers hear a notice within a round trip; a replica is ordered only then. */
+    private static final long NOTICE_MILLIS = 20;
+    /**
+     * An order without an answer, at a replica that is idle and unchanged after this time, was lost: it is given again.
+     */
+    private static final long LOST_ORDER_MILLIS = 700;
+    /** How much later each further router tries to take the duty, so that one try at a time is made. */
+    private static final long RANK_MILLIS = 250;
+
+    private static final long GUARD_MILLIS = 300;
+
+    private final NioReactor reactor;
+    private final Clock clock;
+    private final ReplicaRegistry registry;
+    private final WeightsView weights;
+    private final ReplicaOrders orders;
+    private final DutyLease lease;
+    private final SteerNotice notice;
+    private final RolloutPlan plan;
+    private final IntSupplier rank;
+    private final String self;
+    private final long pauseMillis;
+    private final Map<String, Change> changes = new HashMap<>();
+    private final Map<String, Long> ordersSeen = new HashMap<>();
+    private long absentSince = -1;
+    private long neededSince = -1;
+    private long orderNotBefore;
+    private long lastOrderAt = Long.MIN_VALUE / 2;
+
+    private static final class Change {
+        private final String model;
+        private final long version;
+        private boolean noticed;
+        private boolean asked;
+        private long at;
+        private long reportedAt;
+
+        Change(String model, long version, long at) {
+            this.model = model;
+            this.version = version;
+            this.at = at;
+        }
+    }
+
+    /**
+     * What the duty works with.
+     *
+     * @param reactor the thread's reactor
+     * @param clock the clock
+     * @param registry the replicas
+     * @param weights the named weights
+     * @param orders gives orders
+     * @param plan which replicas come next
+     * @param rank this router's place in the order in which routers try to take the duty, from 0
+     * @param self this router's name
+     * @param pauseMillis how long two holders must be apart, in milliseconds
+     */
+    public record Parts(
+            NioReactor reactor,
+            Clock clock,
+            ReplicaRegistry registry,
+            WeightsView weights,
+            ReplicaOrders orders,
+            RolloutPlan plan,
+            IntSupplier rank,
+            String self,
+            long pauseMillis) {}
+
+    /**
+     * Makes a duty that is not held.
+     *
+     * @param parts what it works with
+     * @param lease the right to order
+     * @param notice tells other routers
+     */
+    WeightsDuty(Parts parts, DutyLease lease, SteerNotice notice) {
+        this.reactor = parts.reactor();
+        this.clock = parts.clock();
+        this.registry = parts.registry();
+        this.weights = parts.weights();
+        this.orders = parts.orders();
+        this.plan = parts.plan();
+        this.rank = parts.rank();
+        this.self = parts.self();
+        this.pauseMillis = parts.pauseMillis();
+        this.lease = lease;
+        this.notice = notice;
+    }
+
+    /** Looks after the duty until the process ends. */
+    public void start() {
+        step();
+        reactor.delayBackground(TICK_MILLIS, this::start);
+    }
+
+    private void step() {
+        boolean needed = !behind().isEmpty() || !changes.isEmpty();
+        neededSince = needed ? (neededSince < 0 ? now() : neededSince) : -1;
+        if (lease.isHeld()) {
+            lease.keep();
+            if (lease.fence().isPresent()) {
+                work(needed);
+            } else {
+                changes.clear();
+            }
+        } else {
+            seek(needed);
+        }
+    }
+
+    private void seek(boolean needed) {
+        Optional<DutyRecord> record = lease.record();
+        if (record.isPresent()) {
+            absentSince = -1;
+            if (record.get().released() && needed && myTurn(neededSince)) {
+                take(0);
+            }
+            return;
+        }
+        absentSince = absentSince < 0 ? now() : absentSince;
+        boolean longAbsent = now() - absentSince > pauseMillis + GUARD_MILLIS;
+        if (needed && myTurn(Math.max(neededSince, absentSince))) {
+            take(absentSince + pauseMillis + GUARD_MILLIS);
+        } else if (!needed && longAbsent && myTurn(absentSince + pauseMillis + GUARD_MILLIS)) {
+            lease.markFree().subscribe((v, e) -> absentSince = -1);
+        }
+    }
+
+    private boolean myTurn(long since) {
+        return now() - since >= rank.getAsInt() * RANK_MILLIS;
+    }
+
+    private void take(long notBefore) {
+        lease.take().subscribe((taken, e) -> {
+            if (e == null && taken) {
+                orderNotBefore = notBefore;
+                changes.clear();
+                ordersSeen.clear();
+            } else {
+                neededSince = now();
+            }
+        });
+    }
+
+    private void work(boolean needed) {
+        if (now() < orderNotBefore) {
+            return;
+        }
+        dropEnded();
+        begin();
+        changes.forEach(this::follow);
+        if (!needed && now() - lastOrderAt > pauseMillis + GUARD_MILLIS) {
+            lease.release();
+        }
+    }
+
+    private void dropEnded() {
+        Map<String, Long> done = new HashMap<>();
+        Set<String> gone = new HashSet<>();
+        changes.forEach((id, c) -> {
+            Optional<LiveReplica> replica = registry.get(id);
+            if (replica.isEmpty()) {
+                gone.add(id);
+            } else if (replica.get().weights(c.model) >= c.version) {
+                done.put(id, c.version);
+            }
+        });
+        if (!done.isEmpty() || !gone.isEmpty()) {
+            changes.keySet().removeAll(done.keySet());
+            changes.keySet().removeAll(gone);
+            notice.tell(Set.copyOf(changes.keySet()), done);
+        }
+    }
+
+    /** Replicas whose weights are older than the named ones, by model. */
+    private Map<String, List<WeightsReplica>> behind() {
+        Map<String, List<WeightsReplica>> behind = new HashMap<>();
+        weights.all().forEach((model, version) -> {
+            List<WeightsReplica> list = registry.all().stream()
+                    .filter(LiveReplica::takesWork)
+                    .filter(r -> r.weights(model) > 0 && r.weights(model) < version)
+                    .map(r -> new WeightsReplica(
+                            r.entry().id(), r.weights(model), r.load().total(now())))
+                    .toList();
+            if (!list.isEmpty()) {
+                behind.put(model, list);
+            }
+        });
+        return behind;
+    }
+
+    private void begin() {
+        List<String> chosen = new ArrayList<>();
+        behind().forEach((model, list) -> plan.next(list, weights.named(model), changes.keySet())
+                .forEach(r -> {
+                    changes.put(r.id(), new Change(model, weights.named(model), now()));
+                    chosen.add(r.id());
+                }));
+        if (!chosen.isEmpty()) {
+            notice.tell(Set.copyOf(changes.keySet()), Map.of());
+            reactor.delayBackground(
+                    NOTICE_MILLIS,
+                    () -> chosen.stream().filter(changes::containsKey).forEach(id -> changes.get(id).noticed = true));
+        }
+    }
+
+    private void follow(String id, Change c) {
+        registry.get(id).ifPresent(replica -> {
+            boolean known = ordersSeen.containsKey(id);
+            if (c.noticed && !c.asked && known) {
+                give(replica, c);
+            } else if ((c.asked || !known) && now() - c.reportedAt > REPORT_EVERY_MILLIS) {
+                ask(replica, c);
+            }
+        });
+    }
+
+    private void ask(LiveReplica replica, Change c) {
+        c.reportedAt = now();
+        orders.report(replica.entry()).subscribe((report, e) -> {
+            if (e == null) {
+                reported(replica, c, report);
+            } else {
+                logger.atInfo()
+                        .with(Logs.REPLICA, replica.entry().id())
+                        .with(Logs.DECISION, "no report")
+                        .with(Logs.REASON, String.valueOf(e.getMessage()))
+                        .log("the replica does not report");
+            }
+        });
+    }
+
+    private void give(LiveReplica replica, Change c) {
+        OptionalLong fence = lease.fence();
+        if (fence.isEmpty()) {
+            return;
+        }
+        c.asked = true;
+        c.at = now();
+        c.reportedAt = now();
+        lastOrderAt = now();
+        long before = ordersSeen.get(replica.entry().id());
+        WeightsOrder order = new WeightsOrder(c.model, c.version, self, fence.getAsLong(), before);
+        logger.atInfo()
+                .with(Logs.REPLICA, replica.entry().id())
+                .with(Logs.DECISION, "weights ordered")
+                .with(Logs.INPUTS, order.toString())
+                .log("order to serve version %d", c.version);
+        orders.give(replica.entry(), order).subscribe((reply, e) -> answered(replica, c, before, reply, e));
+    }
+
+    private void answered(LiveReplica replica, Change c, long before, Reply reply, Exception e) {
+        logger.atInfo()
+                .with(Logs.REPLICA, replica.entry().id())
+                .with(Logs.DECISION, "order answered")
+                .log("order to serve version %d: %s", c.version, e == null ? reply : e.getMessage());
+        if (reply == Reply.ACCEPTED) {
+            ordersSeen.put(replica.entry().id(), before + 1);
+        } else if (reply == Reply.ALREADY) {
+            replica.sawWeights(c.version);
+        } else if (reply == Reply.REFUSED) {
+            changes.remove(replica.entry().id());
+        }
+    }
+
+    private void reported(LiveReplica replica, Change c, Report report) {
+        String id = replica.entry().id();
+        ordersSeen.merge(id, report.orders(), Math::max);
+        long version = report.weights().getOrDefault(c.model, 0L);
+        replica.sawWeights(version);
+        boolean idle = !report.busy() && version < c.version;
+        if (idle && now() - c.at > LOST_ORDER_MILLIS) {
+            c.asked = false;
+        }
+    }
+
+    private long now() {
+        return clock.monotonicMillis();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -0,0 +1,94 @@
+package org.hornbeamhead.gateway.replica;
+
+import org.hornbeamhead.core.engine.EngineLoad;
+import org.hornbeamhead.core.replica.ReplicaEntry;
+import org.hornbeamhead.core.retry.OutlierGuard;
+
+/** One run of a replica, as this router knows it: its entry, its connections, its work, its failures. */
+public final class LiveReplica {
+    private final ReplicaConnections connections;
+    private final EngineLoad load = new EngineLoad();
+    private final OutlierGuard guard = new OutlierGuard();
+    private ReplicaEntry entry;
+    private long knownWeights;
+    private boolean leaving;
+
+    LiveReplica(ReplicaEntry entry, ReplicaConnections connections) {
+        this.entry = entry;
+        this.connections = connections;
+    }
+
+    void update(ReplicaEntry newer) {
+        entry = newer;
+    }
+
+    /**
+     * Returns the registry's entry.
+     *
+     * @return the newest entry
+     */
+    public ReplicaEntry entry() {
+        return entry;
+    }
+
+    /**
+     * Returns the connections.
+     *
+     * @return this router's connections to the replica
+     */
+    public ReplicaConnections connections() {
+        return connections;
+    }
+
+    /**
+     * Returns the work at the replica.
+     *
+     * @return the load as this router knows it
+     */
+    public EngineLoad load() {
+        return load;
+    }
+
+    /**
+     * Returns the record of failures.
+     *
+     * @return the guard
+     */
+    public OutlierGuard guard() {
+        return guard;
+    }
+
+    /**
+     * Tells which weights the replica serves. An answer or the holder of the duty may tell a change before the registry
+     * does; versions only rise during one run.
+     *
+     * @param model the model
+     * @return the version, 0 when it does not serve the model
+     */
+    public long weights(String model) {
+        return Math.max(knownWeights, entry.weights().getOrDefault(model, 0L));
+    }
+
+    /**
+     * Notes a version that was seen at the replica.
+     *
+     * @param version the version
+     */
+    public void sawWeights(long version) {
+        knownWeights = Math.max(knownWeights, version);
+    }
+
+    /** Notes that the replica itself said that it leaves. */
+    public void saidLeaving() {
+        leaving = true;
+    }
+
+    /**
+     * Tells whether new requests may go there.
+     *
+     * @return false for a replica that leaves
+     */
+    public boolean takesWork() {
+        return !leaving && !entry.draining();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
@@ -0,0 +1,156 @@
+package org.hornbeamhead.gateway.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.hornbeamhead.core.mirror.StoreChanges;
+import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.HttpAnswers;
+import org.hornbeamhead.daemon.HttpCaller;
+import org.hornbeamhead.daemon.HttpReply;
+import org.hornbeamhead.daemon.Json;
+
+/**
+ * Passes the mirror between routers.
+ *
+ * <p>Failure: the store turns this router away and serves the others. Symptom: this router goes on with a key that was
+ * taken away, or sends to a replica that left. While the store does not answer, the router reads the mirror of another
+ * one, a randomly chosen one each time; revisions decide what is newer, whoever tells it.
+ */
+public final class PeerMirror {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** The path at which routers read one another's mirrors. */
+    public static final String PATH = "/v1/mirror";
+
+    /** How often a router that the store does not answer asks others; a quarter of the bound, and 1 KB/s. */
+    private static final long POLL_MILLIS = 200;
+
+    private static final Duration TIMEOUT = Duration.ofMillis(700);
+
+    private final NioReactor reactor;
+    private final Clock clock;
+    private final RandomGenerator random;
+    private final HttpCaller caller;
+    private final StoreMirror mirror;
+    private final RoutingState state;
+    private final StoreFollower follower;
+    private final Supplier<List<String>> peers;
+
+    /**
+     * Makes a reader that does not read yet.
+     *
+     * @param reactor the thread's reactor
+     * @param clock the clock
+     * @param random the source of randomness
+     * @param mirror the mirror to keep up
+     * @param state told when the mirror is confirmed to be the newest
+     * @param follower tells whether the store answers
+     * @param peers the addresses at which other routers may be asked
+     */
+    public PeerMirror(
+            NioReactor reactor,
+            Clock clock,
+            RandomGenerator random,
+            StoreMirror mirror,
+            RoutingState state,
+            StoreFollower follower,
+            Supplier<List<String>> peers) {
+        this.reactor = reactor;
+        this.clock = clock;
+        this.random = random;
+        this.caller = HttpCaller.connectingAnew(reactor);
+        this.mirror = mirror;
+        this.state = state;
+        this.follower = follower;
+        this.peers = peers;
+    }
+
+    /** Starts to read whenever the store does not answer. */
+    public void start() {
+        reactor.delayBackground(POLL_MILLIS, this::poll);
+    }
+
+    private void poll() {
+        List<String> addresses = follower.away() ? peers.get() : List.of();
+        if (addresses.isEmpty()) {
+            reactor.delayBackground(POLL_MILLIS, this::poll);
+            return;
+        }
+        String peer = addresses.get(random.nextInt(addresses.size()));
+        long sent = clock.monotonicMillis();
+        caller.call(HttpMethod.GET, "http://" + peer + PATH + "?after=" + mirror.revision(), "", TIMEOUT)
+                .subscribe((reply, e) -> {
+                    if (e == null && reply.isOk()) {
+                        heard(peer, reply, sent);
+                    }
+                    reactor.delayBackground(POLL_MILLIS, this::poll);
+                });
+    }
+
+    private void heard(String peer, HttpReply reply, long sent) {
+        Json.parse(reply.body())
+                .peekLeft(why -> logger.atWarning().log("router %s answered no mirror: %s", peer, why))
+                .forEach(tree -> {
+                    mirror.apply(decode(tree));
+                    state.confirmed(sent - tree.path("ageMillis").asLong(Long.MAX_VALUE / 4));
+                });
+    }
+
+    private static StoreChanges decode(JsonNode tree) {
+        List<StoreItem> items = new ArrayList<>();
+        tree.path("items")
+                .forEach(i -> items.add(new StoreItem(
+                        i.path("key").asText(),
+                        i.path("revision").asLong(),
+                        i.path("value").asText(),
+                        i.path("removed").asBoolean())));
+        return new StoreChanges(
+                items, tree.path("revision").asLong(), tree.path("whole").asBoolean());
+    }
+
+    /**
+     * Answers another router.
+     *
+     * @param request asks for the changes after a revision
+     * @return the changes, and how old they may be
+     */
+    public Promise<HttpResponse> answer(HttpRequest request) {
+        long after;
+        try {
+            after = Long.parseLong(String.valueOf(request.getQueryParameter("after")));
+        } catch (NumberFormatException e) {
+            return HttpAnswers.text(400, "text/plain", "'after' is no revision\n");
+        }
+        if (mirror.revision() == 0) {
+            return HttpAnswers.text(503, "text/plain", "nothing is known yet\n");
+        }
+        return HttpAnswers.json(200, encode(mirror.since(after)));
+    }
+
+    private ObjectNode encode(StoreChanges changes) {
+        ObjectNode tree = Json.object();
+        tree.put("revision", changes.revision());
+        tree.put("whole", changes.whole());
+        tree.put("ageMillis", clock.monotonicMillis() - state.confirmedAt());
+        ArrayNode items = tree.putArray("items");
+        changes.items().forEach(i -> items.addObject()
+                .put("key", i.key())
+                .put("revision", i.revision())
+                .put("value", i.value())
+                .put("removed", i.removed()));
+        return tree;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterEntry.java
@@ -0,0 +1,34 @@
+package org.hornbeamhead.gateway.state;
+
+import org.hornbeamhead.daemon.Json;
+
+/**
+ * A router as it lists itself in the store.
+ *
+ * @param node the machine's name
+ * @param caller the address for callers
+ * @param peer the address for other routers
+ * @param dataCentre where it stands
+ */
+public record RouterEntry(String node, String caller, String peer, String dataCentre) {
+    /** The beginning of the keys of routers. */
+    public static final String PREFIX = "hornbeam/routers/";
+
+    /**
+     * Gives the key under which the router is listed.
+     *
+     * @return the key
+     */
+    public String key() {
+        return PREFIX + node;
+    }
+
+    /**
+     * Writes the entry.
+     *
+     * @return the value
+     */
+    public String text() {
+        return Json.write(this);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
@@ -0,0 +1,131 @@
+package org.hornbeamhead.gateway.state;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+import org.hornbeamhead.core.mirror.StoreChanges;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.retry.Backoff;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Logs;
+
+/** Keeps the mirror up with the platform's store by one waiting read after the other. */
+public final class StoreFollower {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /**
+     * Each waiting read that ends without a change is a priced call; a longer wait would find a silent connection late.
+     */
+    private static final Duration WAIT = Duration.ofSeconds(2);
+    /** Changes within this time are read by one call. It is a fiftieth of the time in which they must be in force. */
+    private static final long GATHER_MILLIS = 40;
+
+    private static final Backoff BACKOFF = new Backoff(100, 400);
+
+    private final NioReactor reactor;
+    private final Clock clock;
+    private final RandomGenerator random;
+    private final PlatformStore store;
+    private final StoreMirror mirror;
+    private final RoutingState state;
+    private int failures;
+    private boolean known;
+    private long awaySince;
+    private long backSince = Long.MIN_VALUE / 2;
+
+    /**
+     * Makes a follower that does not follow yet.
+     *
+     * @param reactor the thread's reactor
+     * @param clock the clock
+     * @param random the source of randomness
+     * @param store the store
+     * @param mirror the mirror to keep up
+     * @param state told when the mirror is confirmed to be the newest
+     */
+    public StoreFollower(
+            NioReactor reactor,
+            Clock clock,
+            RandomGenerator random,
+            PlatformStore store,
+            StoreMirror mirror,
+            RoutingState state) {
+        this.reactor = reactor;
+        this.clock = clock;
+        this.random = random;
+        this.store = store;
+        this.mirror = mirror;
+        this.state = state;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        awaySince = clock.monotonicMillis();
+        next();
+    }
+
+    private void next() {
+        long sent = clock.monotonicMillis();
+        boolean whole = !known;
+        Promise<StoreChanges> call = whole ? store.readAll() : store.watch(mirror.revision(), WAIT);
+        call.subscribe((changes, e) -> {
+            if (e == null) {
+                heard(changes, whole ? sent : clock.monotonicMillis());
+            } else {
+                failed(e);
+            }
+        });
+    }
+
+    private void heard(StoreChanges changes, long asOf) {
+        if (awaySince != 0) {
+            backSince = clock.monotonicMillis();
+            logger.atInfo()
+                    .with(Logs.DECISION, "store reached")
+                    .with(Logs.INPUTS, "awayMillis=" + (backSince - awaySince) + " revision=" + changes.revision())
+                    .log("the platform's store answers");
+        }
+        awaySince = 0;
+        failures = 0;
+        known = true;
+        mirror.apply(changes);
+        state.confirmed(asOf);
+        reactor.delayBackground(GATHER_MILLIS, this::next);
+    }
+
+    private void failed(Exception e) {
+        if (e instanceof HistoryLostException) {
+            known = false;
+            logger.atInfo().with(Logs.DECISION, "store read again").log("the store's history is lost");
+            next();
+            return;
+        }
+        if (awaySince == 0) {
+            awaySince = clock.monotonicMillis();
+            logger.atWarning()
+                    .with(Logs.DECISION, "store lost")
+                    .with(Logs.REASON, String.valueOf(e.getMessage()))
+                    .log("the platform's store does not answer");
+        }
+        reactor.delayBackground(BACKOFF.delayMillis(failures++, random), this::next);
+    }
+
+    /**
+     * Tells whether the store does not answer this router.
+     *
+     * @return true from the first failed call to the next good one
+     */
+    public boolean away() {
+        return awaySince != 0;
+    }
+
+    /**
+     * Tells how long ago the store came back.
+     *
+     * @return milliseconds since the last return; large when it never was away
+     */
+    public long millisSinceReturn() {
+        return clock.monotonicMillis() - backSince;
+    }
+}
--- a/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
+++ b/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hornbeamhead.clients.EngineControl;
 import org.hornbeamhead.core.config.OperatorsConfig;
 import org.hornbeamhead.core.config.Pool;
 import org.hornbeamhead.core.endpoint.Endpoint;
@@ -13,7 +14,6 @@
 import org.hornbeamhead.core.endpoint.LoadReport;
 import org.hornbeamhead.core.placement.ReplicaSubset;
 import org.hornbeamhead.core.placement.ReplicaTable;
-import org.hornbeamhead.clients.EngineControl;
 
 /** The pools of the configuration with the endpoints of the list of hosts. Owned by the reactor's thread. */
 final class PoolDirectory {
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -17,6 +17,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.hornbeamhead.clients.EngineControl;
+import org.hornbeamhead.clients.HostListClient;
+import org.hornbeamhead.clients.HttpKeyValueStore;
 import org.hornbeamhead.core.claim.Claim;
 import org.hornbeamhead.core.claim.ClaimBatcher;
 import org.hornbeamhead.core.claim.ClaimLimits;
@@ -43,9 +46,6 @@
 import org.hornbeamhead.peer.PeerClient;
 import org.hornbeamhead.peer.PeerHandler;
 import org.hornbeamhead.peer.PeerServer;
-import org.hornbeamhead.clients.EngineControl;
-import org.hornbeamhead.clients.HostListClient;
-import org.hornbeamhead.clients.HttpKeyValueStore;
 
 /** One router process: its parts, how they are joined, and the order in which it ends. */
 final class Router {
