Routers tell one another what they sent; each named version of weights has a bound of its own

Cause: each router knew only its own eighth of the load, so after a change of weights all of them chose the first engine that was done; streams there took up to 6 s. The bound on old weights was counted from the newest name and began anew with each.

--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
@@ -0,0 +1,73 @@
+package org.hornbeamhead.core.engine;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What one router believes of cached shared beginnings: which engines read one lately, and whether any did, so that the
+ * store beside the engines keeps it. Owned by one thread.
+ */
+public final class CachedParts {
+    /** Beginnings that are remembered, the least recently used dropped first; bounds the memory to some megabytes. */
+    private static final int MAX_BEGINNINGS = 20_000;
+    /** An engine's memory turns over in about this time at the sheets' load; later, a fetch is counted on. */
+    private static final long AT_ENGINE_MILLIS = 10_000;
+    /** Reading a beginning and sending it to the store takes about this long. */
+    private static final long TO_STORE_MILLIS = 400;
+
+    private final Map<Long, Map<String, Long>> beginnings = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Map<String, Long>> eldest) {
+            return size() > MAX_BEGINNINGS;
+        }
+    };
+
+    /**
+     * Notes that a beginning was sent to an engine.
+     *
+     * @param beginning a hash of the beginning with its salt
+     * @param engine the engine
+     * @param nowMillis the monotonic time
+     */
+    public void sent(long beginning, String engine, long nowMillis) {
+        beginnings.computeIfAbsent(beginning, b -> new HashMap<>(4)).put(engine, nowMillis);
+    }
+
+    /**
+     * Tells whether an engine should hold a beginning.
+     *
+     * @param beginning the beginning
+     * @param engine the engine
+     * @param nowMillis the monotonic time
+     * @return whether it read it lately
+     */
+    public boolean atEngine(long beginning, String engine, long nowMillis) {
+        Long at = beginnings.getOrDefault(beginning, Map.of()).get(engine);
+        return at != null && nowMillis - at < AT_ENGINE_MILLIS;
+    }
+
+    /**
+     * Tells whether a beginning can be fetched.
+     *
+     * @param beginning the beginning
+     * @param nowMillis the monotonic time
+     * @return whether an engine had time to read it and to send it to the store
+     */
+    public boolean kept(long beginning, long nowMillis) {
+        return beginnings.getOrDefault(beginning, Map.of()).values().stream()
+                .anyMatch(at -> nowMillis - at > TO_STORE_MILLIS);
+    }
+
+    /**
+     * Tells whether a beginning was never sent anywhere.
+     *
+     * @param beginning the beginning
+     * @return whether whoever gets it reads it first
+     */
+    public boolean unknown(long beginning) {
+        return !beginnings.containsKey(beginning);
+    }
+}
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
@@ -4,7 +4,11 @@
  * The engine that a request goes to.
  *
  * @param engine the engine
- * @param home whether it is the first in the order in which the prompt's engines are tried
+ * @param beginning a hash of the shared beginning with its salt
  * @param predictedMillis the predicted time to the first event, in milliseconds
+ * @param readMillis the predicted time that the engine reads for it, in milliseconds
+ * @param cost what the choice was made by: the predicted time and what the choice costs besides, in milliseconds
+ * @param why in words, for the log
  */
-public record EngineChoice(EngineCandidate engine, boolean home, double predictedMillis) {}
+public record EngineChoice(
+        EngineCandidate engine, long beginning, double predictedMillis, double readMillis, double cost, String why) {}
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -4,89 +4,101 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToLongFunction;
 import net.openhft.hashing.LongHashFunction;
 
 /**
- * Chooses the engine of a request: the one with the shortest predicted time to the first event, where reading a shared
- * beginning elsewhere than at its home counts as the time it takes to bring it there.
+ * Chooses the engine of a request: the one with the shortest predicted time to the first event, where reading what
+ * another engine has read before counts extra.
  *
- * <p>Answers the load of long shared prompts: every router computes the same order of engines from the prompt's shared
- * parts, so that one beginning is kept by few engines without any message between routers. Owned by one thread.
+ * <p>Answers the load of long shared prompts. Every router computes the same order of engines from a prompt's shared
+ * beginning, so that one beginning is kept by few engines even before hints between routers have come. Owned by one
+ * thread.
  */
 public final class EngineChooser {
-    /** Prompt tokens that an engine reads in a millisecond; from the deployments' sheets, for a 70 B model. */
-    private static final double TOKENS_PER_MILLI = 44.2;
-    /** Cached tokens that come over a link in a millisecond, at 164 KB a token and 230 Gbit/s, with setting up. */
-    private static final double FETCHED_PER_MILLI = 150;
-    /** A batch's step grows with its requests: 0.017 ms a request on the sheets, over about ten steps. */
+    /** A batch's step grows with its requests: 0.017 ms a request on the sheets, over about 35 steps of a stream. */
     private static final double MILLIS_PER_REQUEST = 0.6;
     /** The part of an engine's memory that running requests may take before new ones wait for one of them to end. */
     private static final double MEMORY_PART = 0.9;
     /** How long a request usually takes from its start to its end; sets how fast memory comes free. */
     private static final double USUAL_MILLIS = 500;
     /** Work at another engine counts this much more than the home's, so that small differences move nothing. */
-    private static final double AWAY_MILLIS = 15;
-    /** Stands for the price of beginning on weights that are about to be replaced, or at a busy engine. */
+    private static final double AWAY_MILLIS = 10;
+    /**
+     * Reading a beginning again that another engine has read: a thousand tokens cost a fifth of a long request's worth,
+     * which is what about 200 ms of lateness would.
+     */
+    private static final double MILLIS_PER_TOKEN_AGAIN = 0.05;
+    /** An engine about to change its weights refuses, or delays its change. */
     private static final double STEERED_MILLIS = 5_000;
-    /** Old weights after the time at which answers on them begin to be worth less. */
-    private static final double OLD_WEIGHTS_MILLIS = 400;
-    /** Share of the newest request in the running means of what requests bring. */
-    private static final double SMOOTHING = 0.05;
+    /** Answers on replaced weights are worth a fifth less, as if a fifth of them came late. */
+    private static final double REPLACED_MILLIS = 400;
 
-    private double usualNew = 1_000;
-    private double usualMemory = 4_000;
+    private final CachedParts cached = new CachedParts();
 
     /**
-     * What is asked.
+     * Chooses.
      *
      * @param prompt the prompt
-     * @param salt what separates its cached parts from those of other customers and weights
-     * @param newestWeights the version that new requests should begin on
-     * @param oldPenalized whether answers on older weights are worth less by now
+     * @param salt gives what separates an engine's cached parts from those of other customers and weights, by version
+     * @param candidates the usable engines
+     * @param nowMillis the monotonic time
+     * @return the choice, empty without candidates
      */
-    public record Ask(Prompt prompt, String salt, long newestWeights, boolean oldPenalized) {}
+    public Optional<EngineChoice> choose(
+            Prompt prompt, ToLongFunction<EngineCandidate> salt, List<EngineCandidate> candidates, long nowMillis) {
+        String shared = prompt.sharedKey();
+        Optional<String> home =
+                candidates.stream().map(EngineCandidate::id).max(Comparator.comparingLong(id -> rank(shared, id)));
+        return candidates.stream()
+                .map(c -> weigh(
+                        prompt,
+                        hash(shared) ^ salt.applyAsLong(c),
+                        c,
+                        home.orElseThrow().equals(c.id()),
+                        nowMillis))
+                .min(Comparator.comparingDouble(EngineChoice::cost));
+    }
 
     /**
-     * Chooses.
+     * Notes that a request went to an engine, of this router or another.
      *
-     * @param ask the request
-     * @param candidates the usable engines
+     * @param beginning a hash of the shared beginning with its salt
+     * @param engine the engine
      * @param nowMillis the monotonic time
-     * @return the choice, empty without candidates
      */
-    public Optional<EngineChoice> choose(Ask ask, List<EngineCandidate> candidates, long nowMillis) {
-        learn(ask.prompt());
-        String key = ask.salt() + '/' + ask.prompt().sharedKey();
-        boolean shared = ask.prompt().sharedTokens() > 0;
-        String home = candidates.stream()
-                .map(EngineCandidate::id)
-                .max(Comparator.comparingLong(id -> rank(key, id)))
-                .orElse("");
-        return candidates.stream()
-                .map(c -> predict(ask, c, !shared || c.id().equals(home), nowMillis))
-                .min(Comparator.comparingDouble(EngineChoice::predictedMillis));
+    public void sent(long beginning, String engine, long nowMillis) {
+        cached.sent(beginning, engine, nowMillis);
     }
 
     private static long rank(String key, String id) {
-        return LongHashFunction.xx3().hashBytes((key + '\0' + id).getBytes(StandardCharsets.UTF_8)) >>> 1;
+        return hash(key + '\0' + id) >>> 1;
     }
 
-    private EngineChoice predict(Ask ask, EngineCandidate c, boolean home, long nowMillis) {
-        Prompt prompt = ask.prompt();
-        int fresh = prompt.tokens() - prompt.sharedTokens();
-        double reading = (fresh + c.load().waitingTokens(nowMillis, usualNew)) / TOKENS_PER_MILLI;
-        double fetching = home ? 0 : AWAY_MILLIS + prompt.sharedTokens() / FETCHED_PER_MILLI;
-        double batch = c.load().total(nowMillis) * MILLIS_PER_REQUEST;
-        double memory = c.load().memoryTokens(nowMillis, usualMemory) + prompt.tokens() + prompt.outputTokens();
-        double over = Math.max(0, memory / (c.memoryTokens() * MEMORY_PART) - 1) * USUAL_MILLIS;
-        double steered = c.steeredAway() ? STEERED_MILLIS : 0;
-        double old = ask.oldPenalized() && c.weights() < ask.newestWeights() ? OLD_WEIGHTS_MILLIS : 0;
-        return new EngineChoice(c, home, reading + fetching + batch + over + steered + old);
+    private static long hash(String text) {
+        return LongHashFunction.xx3().hashBytes(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private void learn(Prompt prompt) {
-        int fresh = prompt.tokens() - prompt.sharedTokens();
-        usualNew += SMOOTHING * (fresh - usualNew);
-        usualMemory += SMOOTHING * (prompt.tokens() + prompt.outputTokens() - usualMemory);
+    private EngineChoice weigh(Prompt prompt, long beginning, EngineCandidate c, boolean home, long nowMillis) {
+        int shared = prompt.sharedTokens();
+        int fresh = prompt.tokens() - shared;
+        boolean here = shared == 0 || cached.atEngine(beginning, c.id(), nowMillis);
+        boolean fetched = !here && cached.kept(beginning, nowMillis);
+        double read =
+                here || fetched ? ReadingCost.readMillis(shared, fresh) : ReadingCost.readMillis(0, shared + fresh);
+        double fetch = fetched ? ReadingCost.fetchMillis(shared) : 0;
+        double wait = c.load().waitMillis(nowMillis);
+        double batch = c.load().total(nowMillis) * MILLIS_PER_REQUEST;
+        double memory = c.load().memoryTokens(nowMillis) + prompt.tokens() + prompt.outputTokens();
+        double over = Math.max(0, memory / (c.memoryTokens() * MEMORY_PART) - 1) * USUAL_MILLIS;
+        double predicted = wait + fetch + read + batch + over;
+        boolean again = !here && !fetched && !cached.unknown(beginning);
+        double cost = predicted
+                + (home ? 0 : AWAY_MILLIS)
+                + (again ? shared * MILLIS_PER_TOKEN_AGAIN : 0)
+                + (c.steeredAway() ? STEERED_MILLIS : 0)
+                + (c.replaced() ? REPLACED_MILLIS : 0);
+        String why = (home ? "home" : "away") + (here ? " cached" : fetched ? " fetched" : " read");
+        return new EngineChoice(c, beginning, predicted, read, cost, why);
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineLoad.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineLoad.java
@@ -1,66 +1,110 @@
 package org.hornbeamhead.core.engine;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * One router's view of the work at one engine: its own requests exactly, those of other routers from what the engine
- * said last. Owned by one thread.
+ * One router's view of the work at one engine: its own requests exactly, those of other routers from their hints.
+ *
+ * <p>Answers the load of many routers that choose between the same engines. Failure: each router sees only what it sent
+ * itself, so all of them find the same engine idle. Symptom: after a change of weights every request goes to the first
+ * engine that is done, and streams there stand still for seconds. Reading is kept as the time at which the engine will
+ * have read all that was sent to it, which needs no report of the engine and corrects itself with each first event.
+ *
+ * <p>Owned by one thread.
  */
 public final class EngineLoad {
-    /** What an engine said of itself says little after this time; a request lasts about half as long. */
-    private static final long REPORT_LIFE_MILLIS = 1_000;
+    /** What another router said last says nothing after this time: routers repeat their hints every half a second. */
+    private static final long HINT_LIFE_MILLIS = 1_500;
+    /** Work sent longer ago than this has been read, or the engine is stuck and its overdue requests tell so. */
+    private static final long SENT_LIFE_MILLIS = 5_000;
 
     private final Map<String, Work> own = new HashMap<>();
-    private int othersRunning;
-    private int othersWaiting;
-    private long reportedAt = Long.MIN_VALUE / 2;
+    private final Map<String, Hint> hints = new HashMap<>();
+    private final Deque<Sent> sent = new ArrayDeque<>();
+    private double readUntil;
 
-    private record Work(int newTokens, int memoryTokens, boolean reading) {}
+    private record Work(long sentAt, double expectedAt, int memoryTokens, boolean reading) {}
+
+    private record Hint(int running, int memoryTokens, long at) {}
+
+    private record Sent(long at, double millis) {}
 
     /**
-     * Notes that a request was sent.
+     * Notes that this router sent a request.
      *
      * @param id the request
-     * @param newTokens the prompt tokens that the engine must read
+     * @param readMillis the predicted time that the engine reads for it, in milliseconds
      * @param memoryTokens the tokens that the request takes in the engine's memory
+     * @param nowMillis the monotonic time
      */
-    public void sent(String id, int newTokens, int memoryTokens) {
-        own.put(id, new Work(newTokens, memoryTokens, true));
+    public void sent(String id, double readMillis, int memoryTokens, long nowMillis) {
+        queue(readMillis, nowMillis);
+        own.put(id, new Work(nowMillis, readUntil, memoryTokens, true));
     }
 
     /**
-     * Notes a request's first event: its prompt is read.
+     * Notes that another router sent a request.
      *
-     * @param id the request
+     * @param readMillis the predicted time that the engine reads for it, in milliseconds
+     * @param nowMillis the monotonic time
      */
-    public void firstEvent(String id) {
-        own.computeIfPresent(id, (k, w) -> new Work(0, w.memoryTokens(), false));
+    public void hinted(double readMillis, long nowMillis) {
+        queue(readMillis, nowMillis);
+    }
+
+    private void queue(double readMillis, long nowMillis) {
+        readUntil = Math.max(readUntil, (double) nowMillis) + readMillis;
+        sent.addLast(new Sent(nowMillis, readMillis));
+        while (sent.peekFirst().at() < nowMillis - SENT_LIFE_MILLIS) {
+            sent.removeFirst();
+        }
     }
 
     /**
-     * Notes that a request ended, whole or not.
+     * Notes what another router has at the engine.
      *
-     * @param id the request
+     * @param router the other router
+     * @param running its requests that have not ended
+     * @param memoryTokens the tokens that they take
+     * @param nowMillis the monotonic time
      */
-    public void ended(String id) {
-        own.remove(id);
+    public void hinted(String router, int running, int memoryTokens, long nowMillis) {
+        if (running == 0) {
+            hints.remove(router);
+        } else {
+            hints.put(router, new Hint(running, memoryTokens, nowMillis));
+        }
     }
 
     /**
-     * Takes over what the engine says of itself.
+     * Notes a request's first event: all that was sent before it is read, since engines read in the order of arrival.
      *
-     * @param running requests in its batch
-     * @param waiting requests before it
+     * @param id the request
      * @param nowMillis the monotonic time
      */
-    public void reported(int running, int waiting, long nowMillis) {
-        int ownReading = (int) own.values().stream().filter(Work::reading).count();
-        int ownRunning = own.size() - ownReading;
-        int others = Math.max(0, running + waiting - own.size());
-        othersWaiting = Math.min(others, Math.max(0, waiting - ownReading));
-        othersRunning = Math.min(others - othersWaiting, Math.max(0, running - ownRunning));
-        reportedAt = nowMillis;
+    public void firstEvent(String id, long nowMillis) {
+        Work w = own.get(id);
+        if (w == null || !w.reading()) {
+            return;
+        }
+        own.put(id, new Work(w.sentAt(), w.expectedAt(), w.memoryTokens(), false));
+        double after = sent.stream()
+                .filter(s -> s.at() > w.sentAt())
+                .mapToDouble(Sent::millis)
+                .sum();
+        readUntil = Math.min(readUntil, (double) nowMillis + after);
+    }
+
+    /**
+     * Notes that a request ended, whole or not.
+     *
+     * @param id the request
+     */
+    public void ended(String id) {
+        own.remove(id);
     }
 
     /**
@@ -72,41 +116,59 @@
         return own.size();
     }
 
+    /**
+     * Counts the tokens that this router's requests take.
+     *
+     * @return the tokens
+     */
+    public int ownMemoryTokens() {
+        return own.values().stream().mapToInt(Work::memoryTokens).sum();
+    }
+
     /**
      * Counts the requests of all routers.
      *
      * @param nowMillis the monotonic time
      * @return the number as far as known
      */
-    public double total(long nowMillis) {
-        return own.size() + (othersRunning + othersWaiting) * freshness(nowMillis);
+    public int total(long nowMillis) {
+        return own.size()
+                + hints.values().stream()
+                        .filter(h -> fresh(h, nowMillis))
+                        .mapToInt(Hint::running)
+                        .sum();
     }
 
     /**
-     * Counts the tokens that wait to be read.
+     * Predicts how long a request that is sent now waits until it is read.
      *
      * @param nowMillis the monotonic time
-     * @param usualNew the tokens that another router's waiting request usually brings
-     * @return the tokens
+     * @return milliseconds; grows while a request's first event is overdue
      */
-    public double waitingTokens(long nowMillis, double usualNew) {
-        int mine = own.values().stream().mapToInt(Work::newTokens).sum();
-        return mine + othersWaiting * usualNew * freshness(nowMillis);
+    public double waitMillis(long nowMillis) {
+        double overdue = own.values().stream()
+                .filter(Work::reading)
+                .mapToDouble(w -> nowMillis - w.expectedAt())
+                .max()
+                .orElse(0);
+        return Math.max(0, readUntil - nowMillis) + Math.max(0, overdue);
     }
 
     /**
-     * Counts the tokens that running and waiting requests take.
+     * Counts the tokens that requests take.
      *
      * @param nowMillis the monotonic time
-     * @param usualMemory the tokens that another router's request usually takes
-     * @return the tokens
+     * @return the tokens as far as known
      */
-    public double memoryTokens(long nowMillis, double usualMemory) {
-        int mine = own.values().stream().mapToInt(Work::memoryTokens).sum();
-        return mine + (othersRunning + othersWaiting) * usualMemory * freshness(nowMillis);
+    public int memoryTokens(long nowMillis) {
+        return ownMemoryTokens()
+                + hints.values().stream()
+                        .filter(h -> fresh(h, nowMillis))
+                        .mapToInt(Hint::memoryTokens)
+                        .sum();
     }
 
-    private double freshness(long nowMillis) {
-        return Math.max(0, 1 - (double) (nowMillis - reportedAt) / REPORT_LIFE_MILLIS);
+    private static boolean fresh(Hint h, long nowMillis) {
+        return nowMillis - h.at() < HINT_LIFE_MILLIS;
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/weights/RolloutPlan.java
+++ b/core/src/main/java/org/hornbeamhead/core/weights/RolloutPlan.java
@@ -5,12 +5,24 @@
 import java.util.Set;
 
 /**
- * Decides which replicas change their weights next: those with the least work first, and only so many at once that the
- * loads don't slow one another and the others can bear the traffic.
+ * Decides which replicas change their weights next: those with the least work first, as many at once as the others can
+ * stand in for.
+ *
+ * <p>Answers the load of weights that are named often. Answers on replaced weights are soon worth less, so that a
+ * change of all replicas has to be short; but each replica that changes takes no requests, waits for its runs, and
+ * comes back without cached prompts.
  *
  * @param atOnce the loads that run beside each other without slowing down; from the deployments' sheets
  */
 public record RolloutPlan(int atOnce) {
+    /**
+     * The part of an engine's memory that may be in use while others stand in for it. Beyond it requests wait for
+     * memory, which costs more than a change that takes longer.
+     */
+    private static final double BEARABLE_PART = 0.6;
+    /** However idle the replicas are, this part of them goes on serving: a crash beside a change must not stop all. */
+    private static final double SERVING_PART = 0.5;
+
     /** Checks the number. */
     public RolloutPlan {
         if (atOnce < 1) {
@@ -21,16 +33,24 @@
     /**
      * Chooses the next replicas.
      *
-     * @param replicas the replicas that take orders
+     * @param all the replicas that take orders, those included that are done
      * @param target the named version
-     * @param loading those that were ordered and have not finished
+     * @param changing those that were ordered and have not finished
      * @return the replicas to order now, in order
      */
-    public List<WeightsReplica> next(List<WeightsReplica> replicas, long target, Set<String> loading) {
-        return replicas.stream()
-                .filter(r -> r.version() < target && !loading.contains(r.id()))
-                .sorted(Comparator.comparingDouble(WeightsReplica::running).thenComparing(WeightsReplica::id))
-                .limit(Math.max(0, atOnce - loading.size()))
+    public List<WeightsReplica> next(List<WeightsReplica> all, long target, Set<String> changing) {
+        return all.stream()
+                .filter(r -> r.version() < target && !changing.contains(r.id()))
+                .sorted(Comparator.comparingDouble(WeightsReplica::used).thenComparing(WeightsReplica::id))
+                .limit(Math.max(0, width(all) - changing.size()))
                 .toList();
     }
+
+    /** How many of the replicas may change beside each other. */
+    private int width(List<WeightsReplica> all) {
+        double used = all.stream().mapToDouble(WeightsReplica::used).sum();
+        int needed = (int) Math.ceil(used / BEARABLE_PART);
+        int most = (int) Math.floor(all.size() * (1 - SERVING_PART));
+        return Math.max(atOnce, Math.min(most, all.size() - needed));
+    }
 }
--- a/core/src/main/java/org/hornbeamhead/core/weights/WeightsReplica.java
+++ b/core/src/main/java/org/hornbeamhead/core/weights/WeightsReplica.java
@@ -5,6 +5,6 @@
  *
  * @param id names one run of the replica
  * @param version the version that it serves
- * @param running the requests there
+ * @param used the part of its memory that requests take, 0 to 1, or above when they wait for it
  */
-public record WeightsReplica(String id, long version, double running) {}
+public record WeightsReplica(String id, long version, double used) {}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -34,6 +34,7 @@
 import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.StoreFollower;
 import org.hornbeamhead.gateway.state.WeightsView;
+import org.hornbeamhead.gateway.state.WorkHints;
 
 /** A router: all its parts, put together and run on one reactor. */
 public final class RouterProcess {
@@ -62,6 +63,7 @@
     private final PeerMirror peers;
     private final SteerNotice notice;
     private final Duties duties;
+    private final WorkHints hints;
     private final CallerFront front;
     private final Shutdown shutdown;
 
@@ -99,7 +101,8 @@
         duties = new Duties(
                 new Duties.Parts(reactor, clock, registry, weights, ports.orders(), ports.store(), mirror, notice),
                 settings,
-                routers);
+                routers,
+                state);
         Dispatcher dispatcher = new Dispatcher(new Dispatcher.Parts(
                 reactor,
                 clock,
@@ -112,6 +115,8 @@
                 settings.self().dataCentre(),
                 settings.budget(),
                 routers::count));
+        hints = new WorkHints(reactor, clock, registry, routers::hintAddresses, dispatcher::hinted);
+        dispatcher.tell(hints);
         front = new CallerFront(reactor, dispatcher, this::limits, metrics);
         shutdown = new Shutdown(daemon, front, presence, settings.grace());
         mirror.listen(this::changed);
@@ -140,6 +145,7 @@
         metrics.gauge("hornbeam_caller_connections", front::connections);
         metrics.gauge("hornbeam_replicas", () -> registry.all().size());
         metrics.gauge("hornbeam_store_away", () -> follower.away() ? 1 : 0);
+        hints.start(settings.hints());
         follower.start();
         peers.start();
         presence.start();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterSettings.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterSettings.java
@@ -12,6 +12,7 @@
  * @param self this router
  * @param callers where callers connect
  * @param peers where other routers connect
+ * @param hints where other routers send hints
  * @param metrics where metrics are read
  * @param seeds addresses of other routers, possibly stale
  * @param budget the budget of repeats that all routers share
@@ -24,6 +25,7 @@
         RouterEntry self,
         InetSocketAddress callers,
         InetSocketAddress peers,
+        InetSocketAddress hints,
         InetSocketAddress metrics,
         List<String> seeds,
         BudgetLimits budget,
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -7,7 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import org.hornbeamhead.core.engine.Prompt;
+import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.forward.AttemptEnd;
 import org.hornbeamhead.core.http.Header;
 import org.hornbeamhead.core.http.Headers;
@@ -90,10 +90,14 @@
 
     private void noteSent() {
         String id = exchange.subject().request().id();
-        Optional<Prompt> prompt = exchange.subject().request().prompt();
-        int fresh = prompt.map(p -> p.tokens() - p.sharedTokens()).orElse(0);
-        int memory = prompt.map(p -> p.tokens() + p.outputTokens()).orElse(0);
-        replica.load().sent(id, fresh, memory);
+        int memory = exchange.subject()
+                .request()
+                .prompt()
+                .map(p -> p.tokens() + p.outputTokens())
+                .orElse(0);
+        double read = target.choice().map(EngineChoice::readMillis).orElse(0.0);
+        replica.load().sent(id, read, memory, now());
+        target.choice().ifPresent(c -> exchange.dispatcher().sentToEngine(replica, c));
     }
 
     private void send(ReplicaConnection taken) {
@@ -114,7 +118,7 @@
 
     private String inputs(SendOrder order) {
         return "predictedMillis=" + Math.round(target.predictedMillis())
-                + " load=" + Math.round(replica.load().total(now()))
+                + " load=" + replica.load().total(now())
                 + " millisLeft=" + order.timeLeftMillis()
                 + order.engine().map(e -> " salt=" + e.salt()).orElse("");
     }
@@ -178,7 +182,6 @@
     public void head(ResponseHead came) {
         head = came;
         reply = exchange.dispatcher().dialect().reply(came, replica.entry().id());
-        reply.load().ifPresent(l -> replica.load().reported(l.running(), l.waiting(), now()));
         reply.weights().ifPresent(replica::sawWeights);
         boolean own = reply.fromReplica() || reply.notRun() || reply.otherReplica();
         if (!own || (came.ok() && reply.requestId().isEmpty())) {
@@ -212,7 +215,7 @@
     }
 
     private Promise<Void> relay(List<EventCutter.Event> events) {
-        replica.load().firstEvent(exchange.subject().request().id());
+        replica.load().firstEvent(exchange.subject().request().id(), now());
         armSilence(pauseLimit());
         ByteArrayOutputStream fresh = new ByteArrayOutputStream();
         events.stream().filter(e -> exchange.progress().advance(e.id())).forEach(e -> fresh.writeBytes(e.bytes()));
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.hornbeamhead.core.engine.EngineChoice;
+import org.hornbeamhead.core.engine.WorkHint;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.retry.SharedRetryBudget;
@@ -22,9 +24,11 @@
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.caller.CallerAnswer;
 import org.hornbeamhead.gateway.caller.CallerHandler;
+import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.WeightsView;
+import org.hornbeamhead.gateway.state.WorkHints;
 
 /** Answers callers: decodes, identifies, and hands each request to an exchange with replicas. */
 public final class Dispatcher implements CallerHandler {
@@ -46,6 +50,7 @@
     private final TargetPicker picker;
     private final BudgetLimits budgetLimits;
     private final IntSupplier routers;
+    private WorkHints hints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
 
     /**
@@ -159,6 +164,30 @@
         return budget(service).tryTake(clock.monotonicMillis(), routers.getAsInt());
     }
 
+    void sentToEngine(LiveReplica replica, EngineChoice choice) {
+        picker.sent(replica, choice.beginning());
+        hints.sent(replica, choice.beginning(), choice.readMillis());
+    }
+
+    /**
+     * Takes over that another router sent a request to an engine.
+     *
+     * @param replica the engine
+     * @param sent what it was sent
+     */
+    public void hinted(LiveReplica replica, WorkHint.Send sent) {
+        picker.sent(replica, sent.beginning());
+    }
+
+    /**
+     * Passes on what this router sends.
+     *
+     * @param to takes it
+     */
+    public void tell(WorkHints to) {
+        hints = to;
+    }
+
     /**
      * Denies what the configuration does not allow.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaReply.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaReply.java
@@ -1,6 +1,5 @@
 package org.hornbeamhead.gateway.dispatch;
 
-import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -10,21 +9,7 @@
  * @param fromReplica whether it bears the proof that a replica made it
  * @param notRun whether the replica states that it did not run the request
  * @param otherReplica whether another run of a replica answered than the one that was meant
- * @param load what the replica says of its load
  * @param weights the version of the weights that the answer is made with
  */
 public record ReplicaReply(
-        String requestId,
-        boolean fromReplica,
-        boolean notRun,
-        boolean otherReplica,
-        Optional<Load> load,
-        OptionalLong weights) {
-    /**
-     * The load that a replica states.
-     *
-     * @param running requests at work
-     * @param waiting requests before them
-     */
-    public record Load(int running, int waiting) {}
-}
+        String requestId, boolean fromReplica, boolean notRun, boolean otherReplica, OptionalLong weights) {}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Target.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Target.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.util.Optional;
+import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 
 /**
@@ -8,7 +9,12 @@
  *
  * @param replica the replica
  * @param engine what an engine is told; empty for a plain service
- * @param predictedMillis the predicted time to the first byte, in milliseconds; 0 when not predicted
+ * @param choice how an engine was chosen; empty for a plain service
  * @param why why it was chosen, for the log
  */
-record Target(LiveReplica replica, Optional<SendOrder.EngineOrder> engine, double predictedMillis, String why) {}
+record Target(LiveReplica replica, Optional<SendOrder.EngineOrder> engine, Optional<EngineChoice> choice, String why) {
+    /** The predicted time to the first event, in milliseconds; 0 when not predicted. */
+    double predictedMillis() {
+        return choice.map(EngineChoice::predictedMillis).orElse(0.0);
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -65,10 +65,10 @@
     private Optional<Target> plain(List<LiveReplica> usable) {
         long now = clock.monotonicMillis();
         return usable.stream()
-                .min(Comparator.comparingDouble((LiveReplica r) -> r.load().total(now))
+                .min(Comparator.comparingInt((LiveReplica r) -> r.load().total(now))
                         .thenComparing(r -> !r.entry().dataCentre().equals(dataCentre))
                         .thenComparingInt(r -> r.connections().open()))
-                .map(r -> new Target(r, Optional.empty(), 0, "least load"));
+                .map(r -> new Target(r, Optional.empty(), Optional.empty(), "least load"));
     }
 
     private Optional<Target> engine(
@@ -78,9 +78,8 @@
             Optional<KeyOwner> owner,
             List<LiveReplica> usable) {
         long now = clock.monotonicMillis();
-        long newest = weights.named(prompt.model());
         List<LiveReplica> allowed = usable.stream()
-                .filter(r -> r.weights(prompt.model()) >= newest || !weights.oldForbidden(prompt.model(), now))
+                .filter(r -> !weights.forbidden(prompt.model(), r.weights(prompt.model()), now))
                 .toList();
         Map<String, LiveReplica> byId = new HashMap<>();
         allowed.forEach(r -> byId.put(r.entry().id(), r));
@@ -91,27 +90,41 @@
                         r.weights(prompt.model()),
                         r.load(),
                         memory,
+                        weights.penalized(prompt.model(), r.weights(prompt.model()), now),
                         weights.steered(r.entry().id(), now)))
                 .toList();
         String wall = owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
-        EngineChooser.Ask ask = new EngineChooser.Ask(prompt, wall, newest, weights.oldPenalized(prompt.model(), now));
-        return choosers.computeIfAbsent(service.name(), s -> new EngineChooser())
-                .choose(ask, candidates, now)
+        return chooser(service.name())
+                .choose(prompt, c -> salt(prompt, wall, c.weights()).hashCode(), candidates, now)
                 .map(choice -> target(
                         config, prompt, wall, choice, byId.get(choice.engine().id())));
     }
 
+    private EngineChooser chooser(String service) {
+        return choosers.computeIfAbsent(service, s -> new EngineChooser());
+    }
+
+    /** A request went to an engine: of this router, or as another router tells. */
+    void sent(LiveReplica replica, long beginning) {
+        chooser(replica.entry().service()).sent(beginning, replica.entry().id(), clock.monotonicMillis());
+    }
+
+    /** Parts that were read for other weights, or for an isolated customer, are never found under this text. */
+    private static String salt(Prompt prompt, String wall, long version) {
+        return prompt.model() + '.' + version + (wall.isEmpty() ? "" : '.' + wall);
+    }
+
     private static Target target(
             RoutingConfig config, Prompt prompt, String wall, EngineChoice choice, LiveReplica replica) {
         long version = choice.engine().weights();
-        String salt = prompt.model() + '.' + version + (wall.isEmpty() ? "" : '.' + wall);
+        String salt = salt(prompt, wall, version);
         Optional<String> store =
                 config.promptStores().stream().map(PromptStore::address).findFirst();
         Optional<String> kept = store.filter(s -> prompt.sharedTokens() > 0);
         return new Target(
                 replica,
                 Optional.of(new SendOrder.EngineOrder(salt, version, kept, kept)),
-                choice.predictedMillis(),
-                choice.home() ? "home" : "shorter wait than home");
+                Optional.of(choice),
+                choice.why());
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/Duties.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/Duties.java
@@ -2,12 +2,15 @@
 
 import io.activej.reactor.nio.NioReactor;
 import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.route.EngineSpec;
+import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.weights.RolloutPlan;
 import org.hornbeamhead.gateway.RouterSettings;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.PlatformStore;
 import org.hornbeamhead.gateway.state.RouterList;
+import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.WeightsView;
 
 /** The work that one router does for all of them. */
@@ -42,8 +45,9 @@
      * @param p what they work with
      * @param settings this router's settings
      * @param routers the other routers
+     * @param state the configuration
      */
-    public Duties(Parts p, RouterSettings settings, RouterList routers) {
+    public Duties(Parts p, RouterSettings settings, RouterList routers, RoutingState state) {
         String self = settings.self().node();
         WeightsDuty.Parts parts = new WeightsDuty.Parts(
                 p.reactor(),
@@ -53,6 +57,11 @@
                 p.orders(),
                 new RolloutPlan(settings.loadsAtOnce()),
                 routers::rank,
+                service -> state.config()
+                        .flatMap(c -> c.service(service))
+                        .flatMap(ServiceSpec::engine)
+                        .map(EngineSpec::memoryTokens)
+                        .orElse(1L),
                 self,
                 settings.holderPause().toMillis());
         weightsDuty = new WeightsDuty(parts, new DutyLease(p.clock(), p.store(), p.mirror(), self), p.notice());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/DutyLease.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/DutyLease.java
@@ -27,11 +27,11 @@
     /**
      * Short, so that the duty moves on soon after its holder was killed; renewals are cheap and only made while held.
      */
-    private static final Duration TTL = Duration.ofMillis(1_500);
+    private static final Duration TTL = Duration.ofSeconds(1);
 
-    private static final long RENEW_MILLIS = 400;
+    private static final long RENEW_MILLIS = 250;
     /** The holder acts only while this much of the lease is left, for the order's way and for clocks that run apart. */
-    private static final long MARGIN_MILLIS = 400;
+    static final long MARGIN_MILLIS = 300;
 
     private final Clock clock;
     private final PlatformStore store;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import java.util.function.ToLongFunction;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.weights.RolloutPlan;
 import org.hornbeamhead.core.weights.WeightsReplica;
@@ -48,6 +49,7 @@
     private final SteerNotice notice;
     private final RolloutPlan plan;
     private final IntSupplier rank;
+    private final ToLongFunction<String> memoryTokens;
     private final String self;
     private final long pauseMillis;
     private final Map<String, Change> changes = new HashMap<>();
@@ -82,6 +84,7 @@
      * @param orders gives orders
      * @param plan which replicas come next
      * @param rank this router's place in the order in which routers try to take the duty, from 0
+     * @param memoryTokens the tokens that fit into an engine of a service
      * @param self this router's name
      * @param pauseMillis how long two holders must be apart, in milliseconds
      */
@@ -93,6 +96,7 @@
             ReplicaOrders orders,
             RolloutPlan plan,
             IntSupplier rank,
+            ToLongFunction<String> memoryTokens,
             String self,
             long pauseMillis) {}
 
@@ -111,6 +115,7 @@
         this.orders = parts.orders();
         this.plan = parts.plan();
         this.rank = parts.rank();
+        this.memoryTokens = parts.memoryTokens();
         this.self = parts.self();
         this.pauseMillis = parts.pauseMillis();
         this.lease = lease;
@@ -124,7 +129,8 @@
     }
 
     private void step() {
-        boolean needed = !behind().isEmpty() || !changes.isEmpty();
+        boolean needed =
+                !changes.isEmpty() || weights.all().entrySet().stream().anyMatch(e -> behind(e.getKey(), e.getValue()));
         neededSince = needed ? (neededSince < 0 ? now() : neededSince) : -1;
         if (lease.isHeld()) {
             lease.keep();
@@ -150,7 +156,7 @@
         absentSince = absentSince < 0 ? now() : absentSince;
         boolean longAbsent = now() - absentSince > pauseMillis + GUARD_MILLIS;
         if (needed && myTurn(Math.max(neededSince, absentSince))) {
-            take(absentSince + pauseMillis + GUARD_MILLIS);
+            take(absentSince + pauseMillis + GUARD_MILLIS - DutyLease.MARGIN_MILLIS);
         } else if (!needed && longAbsent && myTurn(absentSince + pauseMillis + GUARD_MILLIS)) {
             lease.markFree().subscribe((v, e) -> absentSince = -1);
         }
@@ -202,30 +208,27 @@
         }
     }
 
-    /** Replicas whose weights are older than the named ones, by model. */
-    private Map<String, List<WeightsReplica>> behind() {
-        Map<String, List<WeightsReplica>> behind = new HashMap<>();
-        weights.all().forEach((model, version) -> {
-            List<WeightsReplica> list = registry.all().stream()
-                    .filter(LiveReplica::takesWork)
-                    .filter(r -> r.weights(model) > 0 && r.weights(model) < version)
-                    .map(r -> new WeightsReplica(
-                            r.entry().id(), r.weights(model), r.load().total(now())))
-                    .toList();
-            if (!list.isEmpty()) {
-                behind.put(model, list);
-            }
-        });
-        return behind;
+    private boolean behind(String model, long version) {
+        return serving(model).stream().anyMatch(r -> r.weights(model) < version);
+    }
+
+    private List<LiveReplica> serving(String model) {
+        return registry.all().stream()
+                .filter(r -> r.takesWork() && r.weights(model) > 0)
+                .toList();
     }
 
     private void begin() {
         List<String> chosen = new ArrayList<>();
-        behind().forEach((model, list) -> plan.next(list, weights.named(model), changes.keySet())
-                .forEach(r -> {
-                    changes.put(r.id(), new Change(model, weights.named(model), now()));
-                    chosen.add(r.id());
-                }));
+        weights.all().forEach((model, version) -> {
+            List<WeightsReplica> all = serving(model).stream()
+                    .map(r -> new WeightsReplica(r.entry().id(), r.weights(model), used(r)))
+                    .toList();
+            plan.next(all, version, changes.keySet()).forEach(r -> {
+                changes.put(r.id(), new Change(model, version, now()));
+                chosen.add(r.id());
+            });
+        });
         if (!chosen.isEmpty()) {
             notice.tell(Set.copyOf(changes.keySet()), Map.of());
             reactor.delayBackground(
@@ -234,6 +237,11 @@
         }
     }
 
+    private double used(LiveReplica replica) {
+        return (double) replica.load().memoryTokens(now())
+                / memoryTokens.applyAsLong(replica.entry().service());
+    }
+
     private void follow(String id, Change c) {
         registry.get(id).ifPresent(replica -> {
             boolean known = ordersSeen.containsKey(id);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -22,6 +22,15 @@
         entry = newer;
     }
 
+    /**
+     * Names the replica in few bytes.
+     *
+     * @return a hash of its id
+     */
+    public int hash() {
+        return entry.id().hashCode();
+    }
+
     /**
      * Returns the registry's entry.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
@@ -20,6 +20,7 @@
     private final NioReactor reactor;
     private final Clock clock;
     private final Map<String, LiveReplica> replicas = new HashMap<>();
+    private final Map<Integer, LiveReplica> byHash = new HashMap<>();
 
     /**
      * Makes an empty registry.
@@ -57,7 +58,9 @@
                 .peekLeft(why -> logger.atWarning().log("replica %s is left out: %s", entry.id(), why))
                 .forEach(address -> {
                     ReplicaConnections connections = new ReplicaConnections(reactor, clock, address);
-                    replicas.put(entry.id(), new LiveReplica(entry, connections));
+                    LiveReplica live = new LiveReplica(entry, connections);
+                    replicas.put(entry.id(), live);
+                    byHash.put(live.hash(), live);
                     log("replica listed", entry, revision);
                 });
     }
@@ -71,6 +74,7 @@
     public void remove(String id, long revision) {
         LiveReplica gone = replicas.remove(id);
         if (gone != null) {
+            byHash.remove(gone.hash());
             gone.connections().retire();
             log("replica gone", gone.entry(), revision);
         }
@@ -96,6 +100,16 @@
         return Optional.ofNullable(replicas.get(id));
     }
 
+    /**
+     * Finds a replica by the hash of its id.
+     *
+     * @param hash the hash
+     * @return the replica, empty when none is listed
+     */
+    public Optional<LiveReplica> byHash(int hash) {
+        return Optional.ofNullable(byHash.get(hash));
+    }
+
     /**
      * Lists the replicas of a service that take work.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterEntry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterEntry.java
@@ -8,9 +8,10 @@
  * @param node the machine's name
  * @param caller the address for callers
  * @param peer the address for other routers
+ * @param hints the address for hints between routers
  * @param dataCentre where it stands
  */
-public record RouterEntry(String node, String caller, String peer, String dataCentre) {
+public record RouterEntry(String node, String caller, String peer, String hints, String dataCentre) {
     /** The beginning of the keys of routers. */
     public static final String PREFIX = "hornbeam/routers/";
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
@@ -81,6 +81,15 @@
                 .toList();
     }
 
+    /**
+     * Lists where other routers take hints.
+     *
+     * @return the addresses without this router's own
+     */
+    public List<String> hintAddresses() {
+        return others.values().stream().map(RouterEntry::hints).toList();
+    }
+
     /**
      * Counts the routers.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
@@ -3,7 +3,9 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** Which weights are named, and which replicas are about to change theirs. */
 public final class WeightsView {
@@ -11,18 +13,19 @@
      * Answers on older weights are worth less from this time after a newer version was named; from the users' pages.
      */
     private static final long OLD_PENALIZED_MILLIS = 1_500;
-    /** Begins this long before the bound, so that a request that was just sent still begins within it. */
-    private static final long FORBIDDEN_MARGIN_MILLIS = 400;
+    /**
+     * Begins this long before the bound, so that a request that was just sent, and waits at its engine, still begins
+     * within it.
+     */
+    private static final long FORBIDDEN_MARGIN_MILLIS = 900;
     /** A notice of a change that was not renewed for this long belongs to a holder that is gone. */
     private static final long STEER_LIFE_MILLIS = 3_000;
 
     private final long oldForbiddenMillis;
-    private final Map<String, Named> named = new HashMap<>();
+    private final Map<String, NavigableMap<Long, Long>> namedAt = new HashMap<>();
     private final Set<String> steered = new HashSet<>();
     private long steeredAt;
 
-    private record Named(long version, long sinceMillis) {}
-
     /**
      * Makes a view that knows nothing.
      *
@@ -40,10 +43,7 @@
      * @param nowMillis the monotonic time
      */
     public void name(String model, long version, long nowMillis) {
-        Named before = named.get(model);
-        if (before == null || before.version() < version) {
-            named.put(model, new Named(version, nowMillis));
-        }
+        namedAt.computeIfAbsent(model, m -> new TreeMap<>()).putIfAbsent(version, nowMillis);
     }
 
     /**
@@ -53,46 +53,50 @@
      * @return the version, 0 when none was named
      */
     public long named(String model) {
-        Named n = named.get(model);
-        return n == null ? 0 : n.version();
+        NavigableMap<Long, Long> versions = namedAt.get(model);
+        return versions == null ? 0 : versions.lastKey();
     }
 
     /**
-     * Returns all named versions.
+     * Returns the newest versions of all models.
      *
      * @return version by model
      */
     public Map<String, Long> all() {
         Map<String, Long> all = new HashMap<>();
-        named.forEach((m, n) -> all.put(m, n.version()));
+        namedAt.forEach((m, versions) -> all.put(m, versions.lastKey()));
         return all;
     }
 
     /**
-     * Tells whether answers on older weights are worth less.
+     * Tells whether answers on a version are worth less, since a newer one was named some time ago.
      *
      * @param model the model
+     * @param version the version
      * @param nowMillis the monotonic time
-     * @return whether the newest version was named some time ago
+     * @return whether other replicas should be preferred
      */
-    public boolean oldPenalized(String model, long nowMillis) {
-        return age(model, nowMillis) > OLD_PENALIZED_MILLIS;
+    public boolean penalized(String model, long version, long nowMillis) {
+        return replacedFor(model, version, nowMillis) > OLD_PENALIZED_MILLIS;
     }
 
     /**
-     * Tells whether no request may begin on older weights.
+     * Tells whether no request may begin on a version. Each named version has a bound of its own, so the one that
+     * followed counts, not the newest.
      *
      * @param model the model
+     * @param version the version
      * @param nowMillis the monotonic time
      * @return whether the bound is over
      */
-    public boolean oldForbidden(String model, long nowMillis) {
-        return age(model, nowMillis) > oldForbiddenMillis;
+    public boolean forbidden(String model, long version, long nowMillis) {
+        return replacedFor(model, version, nowMillis) > oldForbiddenMillis;
     }
 
-    private long age(String model, long nowMillis) {
-        Named n = named.get(model);
-        return n == null ? 0 : nowMillis - n.sinceMillis();
+    private long replacedFor(String model, long version, long nowMillis) {
+        NavigableMap<Long, Long> versions = namedAt.get(model);
+        Map.Entry<Long, Long> next = versions == null ? null : versions.higherEntry(version);
+        return next == null ? 0 : nowMillis - next.getValue();
     }
 
     /**
