--- /dev/null
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -0,0 +1,122 @@
+package org.hornbeamhead.core.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class EngineChooserTest {
+    private static final long NOW = 100_000;
+    private static final long MEMORY = 94_000;
+
+    private final Map<String, EngineLoad> loads = new HashMap<>();
+    private EngineChooser chooser;
+
+    @BeforeMethod
+    public void begin() {
+        chooser = new EngineChooser();
+        loads.clear();
+        IntStream.range(0, 8).forEach(i -> loads.put("e" + i, new EngineLoad()));
+    }
+
+    private static Prompt prompt(String dossier) {
+        return new Prompt(
+                "m",
+                List.of(new PromptPart("house", 2_520), new PromptPart(dossier, 3_780), new PromptPart("own", 2_890)),
+                9);
+    }
+
+    private EngineCandidate candidate(String id, boolean replaced, boolean steered) {
+        return new EngineCandidate(id, 1, loads.get(id), MEMORY, replaced, steered);
+    }
+
+    private List<EngineCandidate> candidates() {
+        return loads.keySet().stream()
+                .sorted()
+                .map(id -> candidate(id, false, false))
+                .toList();
+    }
+
+    private EngineChoice choose(Prompt prompt, List<EngineCandidate> from) {
+        return chooser.choose(prompt, c -> 0, from, NOW).orElseThrow();
+    }
+
+    /** The same beginning goes to the same engine from every router, without a word between them. */
+    @Test
+    public void allRoutersFindTheSameHome() {
+        for (int d = 0; d < 50; d++) {
+            String first = choose(prompt("d" + d), candidates()).engine().id();
+            begin();
+            assertEquals(choose(prompt("d" + d), candidates()).engine().id(), first);
+        }
+    }
+
+    @Test
+    public void beginningsAreSpreadOverEngines() {
+        long used = IntStream.range(0, 200)
+                .mapToObj(d -> choose(prompt("d" + d), candidates()).engine().id())
+                .distinct()
+                .count();
+        assertEquals(used, 8);
+    }
+
+    @DataProvider
+    public Object[][] hindrances() {
+        return new Object[][] {{"a long wait"}, {"full memory"}, {"a change of weights"}, {"replaced weights"}};
+    }
+
+    /** The home of a beginning is busy, full, or about to change its weights: another engine takes the request. */
+    @Test(dataProvider = "hindrances")
+    public void goesElsewhereWhenTheHomeWouldBeLate(String what) {
+        String home = choose(prompt("d"), candidates()).engine().id();
+        EngineLoad load = loads.get(home);
+        if (what.equals("a long wait")) {
+            load.hinted(600, NOW);
+        } else if (what.equals("full memory")) {
+            load.hinted("other", 12, 200_000, NOW);
+        }
+        List<EngineCandidate> from = candidates().stream()
+                .map(c -> c.id().equals(home)
+                        ? candidate(home, what.equals("replaced weights"), what.equals("a change of weights"))
+                        : c)
+                .toList();
+        assertNotEquals(choose(prompt("d"), from).engine().id(), home, what);
+    }
+
+    /**
+     * After a change of weights one engine is done first, and every router sends to it. Each must see what the others
+     * send within the time of a datagram, or streams there stand still for seconds.
+     */
+    @Test
+    public void hintsOfOtherRoutersCount() {
+        EngineChoice calm = choose(prompt("d"), candidates());
+        loads.get(calm.engine().id()).hinted(calm.readMillis() * 5, NOW);
+        EngineChoice after = choose(prompt("d"), candidates());
+        assertNotEquals(after.engine().id(), calm.engine().id());
+    }
+
+    /** Reading a beginning again that another engine has just read is dearer than a short wait at that engine. */
+    @Test
+    public void prefersAShortWaitToReadingAgain() {
+        EngineChoice first = choose(prompt("d"), candidates());
+        chooser.sent(first.beginning(), first.engine().id(), NOW);
+        loads.get(first.engine().id()).hinted(first.readMillis(), NOW);
+        assertEquals(
+                choose(prompt("d"), candidates()).engine().id(), first.engine().id());
+    }
+
+    @Test
+    public void predictsWhatReadingTakes() {
+        assertTrue(ReadingCost.readMillis(0, 6_300) > 140);
+        assertTrue(ReadingCost.readMillis(0, 39_600) > 1_000);
+        assertTrue(ReadingCost.fetchMillis(6_300) < 50);
+        assertTrue(choose(prompt("d"), candidates()).predictedMillis() > 200);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineLoadTest.java
@@ -0,0 +1,55 @@
+package org.hornbeamhead.core.engine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+public class EngineLoadTest {
+    private static final long NOW = 10_000;
+
+    @Test
+    public void workIsReadInTheOrderInWhichItWasSent() {
+        EngineLoad load = new EngineLoad();
+        load.sent("a", 100, 5_000, NOW);
+        load.hinted(50, NOW + 10);
+        assertEquals(load.waitMillis(NOW + 10), 140, 0.1);
+        assertEquals(load.waitMillis(NOW + 200), 100, 0.1, "its first event is overdue by 100 ms");
+        load.firstEvent("a", NOW + 200);
+        assertEquals(load.waitMillis(NOW + 200), 0, 0.1);
+    }
+
+    /** The engine was quicker than predicted: what was sent before the first event is read, what came after is not. */
+    @Test
+    public void aFirstEventCorrectsThePrediction() {
+        EngineLoad load = new EngineLoad();
+        load.sent("a", 1_000, 5_000, NOW);
+        load.sent("b", 300, 5_000, NOW + 50);
+        load.firstEvent("a", NOW + 100);
+        assertEquals(load.waitMillis(NOW + 100), 300, 0.1);
+    }
+
+    /**
+     * An engine has fallen silent without a sign. Its oldest request is more and more overdue, so that new requests
+     * avoid it long before the registry drops it.
+     */
+    @Test
+    public void aSilentEngineLooksBusierAndBusier() {
+        EngineLoad load = new EngineLoad();
+        load.sent("a", 50, 5_000, NOW);
+        assertTrue(load.waitMillis(NOW + 2_000) > 1_900);
+        load.ended("a");
+        assertEquals(load.waitMillis(NOW + 2_000), 0, 0.1);
+    }
+
+    @Test
+    public void whatAnotherRouterSaidRunsOut() {
+        EngineLoad load = new EngineLoad();
+        load.hinted("r", 4, 20_000, NOW);
+        assertEquals(load.total(NOW + 100), 4);
+        assertEquals(load.memoryTokens(NOW + 100), 20_000);
+        assertEquals(load.total(NOW + 2_000), 0);
+        load.hinted("r", 0, 0, NOW);
+        assertEquals(load.total(NOW), 0);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/hornbeamhead/core/route/RoutingConfigTest.java
@@ -0,0 +1,92 @@
+package org.hornbeamhead.core.route;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class RoutingConfigTest {
+    /** A route for tests. */
+    public static Route route(String name, String host, String prefix, RequestKind kind, boolean resumable, int tries) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                kind,
+                resumable,
+                false,
+                false,
+                new RouteLimits(1_000, 100, 0, tries),
+                1,
+                List.of(new WeightedService("s", 1)));
+    }
+
+    private static RoutingConfig config(boolean keysNeeded, Map<String, KeyOwner> keys) {
+        return new RoutingConfig(
+                1,
+                new CallerLimits(1, 1, 1, 1),
+                List.of(
+                        route("short", "h", "/a/", RequestKind.IDEMPOTENT, false, 1),
+                        route("long", "h", "/a/b/", RequestKind.IDEMPOTENT, false, 1),
+                        route("other", "i", "/", RequestKind.IDEMPOTENT, false, 1)),
+                List.of(),
+                List.of(),
+                keysNeeded,
+                keys);
+    }
+
+    @DataProvider
+    public Object[][] paths() {
+        return new Object[][] {
+            {"h", "/a/x", "short"},
+            {"H:80", "/a/", "short"},
+            {"h", "/a/b/c/d", "long"},
+            {"h", "/a/b", "short"},
+            {"h", "/a", "none"},
+            {"h", "/b/a/", "none"},
+            {"i", "/anything", "other"},
+            {"j", "/a/", "none"},
+        };
+    }
+
+    @Test(dataProvider = "paths")
+    public void takesTheLongestPrefixOfTheHost(String host, String path, String expected) {
+        assertEquals(config(false, Map.of()).route(host, path).map(Route::name).orElse("none"), expected);
+    }
+
+    /**
+     * Operators take the last key away. A configuration without keys must not look like one that needs none, or every
+     * caller would be let in.
+     */
+    @Test
+    public void keysStayNeededWhenTheLastOneIsTakenAway() {
+        assertTrue(config(true, Map.of()).needsKeys());
+        assertTrue(config(true, Map.of()).owner("k").isEmpty());
+        KeyOwner owner = new KeyOwner("c", OptionalInt.empty(), false);
+        assertEquals(config(true, Map.of("k", owner)).owner("k").orElseThrow(), owner);
+    }
+
+    @Test
+    public void spreadsRequestsByWeight() {
+        Route r = new Route(
+                "r",
+                "h",
+                "/",
+                RequestKind.IDEMPOTENT,
+                false,
+                false,
+                false,
+                new RouteLimits(1, 1, 0, 1),
+                0,
+                List.of(new WeightedService("a", 90), new WeightedService("b", 10)));
+        long b = IntStream.range(0, 1_000)
+                .filter(i -> r.serviceFor(i).equals("b"))
+                .count();
+        assertEquals(b, 100);
+    }
+}
