--- a/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
@@ -16,6 +16,21 @@
     /** Reading a beginning and sending it to the store takes about this long. */
     private static final long TO_STORE_MILLIS = 400;
 
+    /**
+     * How long a beginning is counted on to stay in the store. Each request that sends its parts there also sends its
+     * own, which nobody asks for again, and they push others out; the store at the sheets' size turns over in 20 s.
+     */
+    private static final long IN_STORE_MILLIS = 15_000;
+
+    private final Map<Long, Long> savedAt = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+            return size() > MAX_BEGINNINGS;
+        }
+    };
+
     private final Map<Long, Map<String, Long>> beginnings = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
@@ -34,6 +49,21 @@
      */
     public void sent(long beginning, String engine, long nowMillis) {
         beginnings.computeIfAbsent(beginning, b -> new HashMap<>(4)).put(engine, nowMillis);
+        if (saveNow(beginning, nowMillis)) {
+            savedAt.put(beginning, nowMillis);
+        }
+    }
+
+    /**
+     * Tells whether the next request should send its parts to the store.
+     *
+     * @param beginning the beginning
+     * @param nowMillis the monotonic time
+     * @return whether no request that is known did so lately
+     */
+    public boolean saveNow(long beginning, long nowMillis) {
+        Long at = savedAt.get(beginning);
+        return at == null || nowMillis - at > IN_STORE_MILLIS;
     }
 
     /**
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -34,6 +34,16 @@
     /** Answers on replaced weights are worth a fifth less, as if a fifth of them came late. */
     private static final double REPLACED_MILLIS = 400;
 
+    /**
+     * What reading costs the streams that run at the engine, for each of them: every step that reads takes up to 95 ms
+     * instead of 4, and six steps make an event. Keeps long prompts together, away from long answers.
+     */
+    private static final double HARM_PART = 0.02;
+    /** What the reading that waits at an engine costs a long answer besides its wait. */
+    private static final double PAUSE_PART = 1.0;
+    /** An answer of no more tokens than this has few events that could pause. */
+    private static final int SHORT_OUTPUT_TOKENS = 20;
+
     private final CachedParts cached = new CachedParts();
 
     /**
@@ -93,12 +103,17 @@
         double over = Math.max(0, memory / (c.memoryTokens() * MEMORY_PART) - 1) * USUAL_MILLIS;
         double predicted = wait + fetch + read + batch + over;
         boolean again = !here && !fetched && !cached.unknown(beginning);
+        double harm = c.load().total(nowMillis) * read * HARM_PART;
+        double pauses = prompt.outputTokens() > SHORT_OUTPUT_TOKENS ? wait * PAUSE_PART : 0;
         double cost = predicted
+                + harm
+                + pauses
                 + (home ? 0 : AWAY_MILLIS)
                 + (again ? shared * MILLIS_PER_TOKEN_AGAIN : 0)
                 + (c.steeredAway() ? STEERED_MILLIS : 0)
                 + (c.replaced() ? REPLACED_MILLIS : 0);
         String why = (home ? "home" : "away") + (here ? " cached" : fetched ? " fetched" : " read");
-        return new EngineChoice(c, beginning, predicted, read, cost, why);
+        boolean save = shared > 0 && cached.saveNow(beginning, nowMillis);
+        return new EngineChoice(c, beginning, wait, predicted, read, cost, save, why);
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -36,6 +36,8 @@
     private static final double SILENT_TARGETS = 1.5;
 
     private static final double SILENT_PREDICTIONS = 2.5;
+    /** How long past its predicted time an answer may be before the replica is probed; the wait is rarely off by more. */
+    private static final long DOUBT_MILLIS = 250;
     /** Two pauses that are still on time: a longer one is a replica that has stopped. */
     private static final double SILENT_PAUSES = 2;
 
@@ -45,6 +47,7 @@
     private final EventCutter cutter = new EventCutter();
     private ReplicaConnection connection;
     private ScheduledRunnable silence;
+    private ScheduledRunnable doubt;
     private ResponseHead head;
     private ReplicaReply reply;
     private BufferedAnswer buffered;
@@ -113,6 +116,7 @@
                 .with(Logs.INPUTS, inputs(order))
                 .log("sent");
         armSilence(firstByteLimit());
+        doubt = exchange.dispatcher().reactor().delayBackground(doubtAfterMillis(), this::doubtReplica);
         taken.send(message(request, order), request.whole().head().method(), this::belongs, this);
     }
 
@@ -161,6 +165,17 @@
                 : (long) (aim * SILENT_PART_OF_TARGET);
     }
 
+    private long doubtAfterMillis() {
+        return DOUBT_MILLIS + (long) target.predictedMillis();
+    }
+
+    /** Nothing has come for longer than predicted: the replica may be gone without a sign. */
+    private void doubtReplica() {
+        if (!over && head == null) {
+            replica.connections().probe(() -> replica.guard().unreachable(now()));
+        }
+    }
+
     private void armSilence(long millis) {
         disarm();
         if (millis != Long.MAX_VALUE) {
@@ -309,6 +324,9 @@
     private void stop() {
         over = true;
         disarm();
+        if (doubt != null) {
+            doubt.cancel();
+        }
         replica.load().ended(exchange.subject().request().id());
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.forward.AttemptEnd;
 import org.hornbeamhead.core.forward.FinalAnswer;
 import org.hornbeamhead.core.forward.Forwarding;
@@ -98,11 +99,24 @@
                     Optional.empty());
             return;
         }
+        OptionalLong comeBack = tried.isEmpty() ? admission(target.get()) : OptionalLong.empty();
+        if (comeBack.isPresent()) {
+            finish("REFUSED_FOR_LOAD");
+            dispatcher.refuseUnrun(
+                    subject.request(), answer, "the engines are behind: " + target.get(), comeBack.getAsLong());
+            return;
+        }
         tried.add(target.get().replica().entry().id());
         attempt = new Attempt(this, target.get());
         attempt.start();
     }
 
+    private OptionalLong admission(Target target) {
+        return target.choice()
+                .map(c -> EngineAdmission.refuse(c, subject.route().limits().targetMillis(), timeLeft()))
+                .orElse(OptionalLong.empty());
+    }
+
     SendOrder orderFor(Target target) {
         int priority = subject.owner()
                 .map(KeyOwner::priority)
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Target.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Target.java
@@ -17,4 +17,12 @@
     double predictedMillis() {
         return choice.map(EngineChoice::predictedMillis).orElse(0.0);
     }
+
+    @Override
+    public String toString() {
+        return replica.entry().id() + " " + why
+                + choice.map(c -> " waitMillis=" + Math.round(c.waitMillis()) + " predictedMillis="
+                                + Math.round(c.predictedMillis()))
+                        .orElse("");
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -123,7 +123,7 @@
         Optional<String> kept = store.filter(s -> prompt.sharedTokens() > 0);
         return new Target(
                 replica,
-                Optional.of(new SendOrder.EngineOrder(salt, version, kept, kept)),
+                Optional.of(new SendOrder.EngineOrder(salt, version, kept, kept.filter(s -> choice.save()))),
                 Optional.of(choice),
                 choice.why());
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnections.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnections.java
@@ -16,12 +16,15 @@
      */
     private static final Duration OPEN_TIMEOUT = Duration.ofMillis(250);
 
+    private static final long PROBE_EVERY_MILLIS = 1_000;
+
     private final NioReactor reactor;
     private final Clock clock;
     private final InetSocketAddress address;
     private final Deque<ReplicaConnection> idle = new ArrayDeque<>();
     private int open;
     private boolean retired;
+    private long probedAt = Long.MIN_VALUE / 2;
 
     ReplicaConnections(NioReactor reactor, Clock clock, InetSocketAddress address) {
         this.reactor = reactor;
@@ -58,6 +61,32 @@
                 .whenException(e -> open--);
     }
 
+    /**
+     * Finds out whether the replica still takes connections, at most once a second.
+     *
+     * <p>Failure: a replica lost its power. Symptom: kept connections to it stay open and silent, and requests go on
+     * being sent there until the registry drops it, three heartbeats later. A connection that cannot be opened is proof.
+     *
+     * @param unreachable called when no connection can be opened
+     */
+    public void probe(Runnable unreachable) {
+        long now = clock.monotonicMillis();
+        if (now - probedAt < PROBE_EVERY_MILLIS) {
+            return;
+        }
+        probedAt = now;
+        open++;
+        ReplicaConnection.open(reactor, address, OPEN_TIMEOUT, () -> open--).subscribe((connection, e) -> {
+            if (e == null) {
+                giveBack(connection);
+            } else {
+                open--;
+                distrustKept();
+                unreachable.run();
+            }
+        });
+    }
+
     /**
      * Gives a connection back after a whole answer.
      *
