--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineAdmission.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineAdmission.java
@@ -5,15 +5,15 @@
 /**
  * Decides on arrival whether a request goes to its engine now, or its caller is told to come back.
  *
- * <p>Answers the load of more prompts than the engines can read, as after a change of weights with two engines lost. When
- * every request is let in, all of them wait for seconds and all answers are late. A request that would be late because of
- * those that wait before it is given back at once; those that are let in are on time. A request that would be late by
- * itself, such as a very long prompt, is let in.
+ * <p>Answers the load of more prompts than the engines can read, as after a change of weights with two engines lost.
+ * When every request is let in, all of them wait for seconds and all answers are late. A request that would be late
+ * because of those that wait before it is given back at once; those that are let in are on time. A request that would
+ * be late by itself, such as a very long prompt, is let in.
  */
 public final class EngineAdmission {
     /**
-     * The part of the target that the wait for other requests may take. With less, engines idle between the requests that
-     * are let in; with more, streams under way pause for longer than is on time.
+     * The part of the target that the wait for other requests may take. With less, engines idle between the requests
+     * that are let in; with more, streams under way pause for longer than is on time.
      */
     private static final double WAIT_PART = 0.5;
     /** Prediction errs by about this; a request this much past its target is on time often enough. */
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
@@ -8,7 +8,14 @@
  * @param load the work there
  * @param memoryTokens the tokens that fit into its memory
  * @param replaced whether answers on these weights are worth less, since newer ones were named some time ago
+ * @param usableMillis how long requests may still begin on these weights, in milliseconds
  * @param steeredAway whether it is about to change its weights, so that new requests would be refused or delay it
  */
 public record EngineCandidate(
-        String id, long weights, EngineLoad load, long memoryTokens, boolean replaced, boolean steeredAway) {}
+        String id,
+        long weights,
+        EngineLoad load,
+        long memoryTokens,
+        boolean replaced,
+        long usableMillis,
+        boolean steeredAway) {}
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
@@ -13,4 +13,11 @@
  * @param why in words, for the log
  */
 public record EngineChoice(
-        EngineCandidate engine, long beginning, double waitMillis, double predictedMillis, double readMillis, double cost, boolean save, String why) {}
+        EngineCandidate engine,
+        long beginning,
+        double waitMillis,
+        double predictedMillis,
+        double readMillis,
+        double cost,
+        boolean save,
+        String why) {}
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -44,6 +44,8 @@
     /** An answer of no more tokens than this has few events that could pause. */
     private static final int SHORT_OUTPUT_TOKENS = 20;
 
+    private static final double BEGIN_FACTOR = 1.5;
+
     private final CachedParts cached = new CachedParts();
 
     /**
@@ -67,6 +69,7 @@
                         c,
                         home.orElseThrow().equals(c.id()),
                         nowMillis))
+                .filter(EngineChooser::beginsInTime)
                 .min(Comparator.comparingDouble(EngineChoice::cost));
     }
 
@@ -81,6 +84,14 @@
         cached.sent(beginning, engine, nowMillis);
     }
 
+    /**
+     * Failure: a request waits at an engine with replaced weights, and begins after the time until which that is
+     * allowed. Symptom: an answer on weights that should be out of use. Half as much again as predicted must fit.
+     */
+    private static boolean beginsInTime(EngineChoice choice) {
+        return choice.predictedMillis() * BEGIN_FACTOR < choice.engine().usableMillis();
+    }
+
     private static long rank(String key, String id) {
         return hash(key + '\0' + id) >>> 1;
     }
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -34,7 +34,7 @@
     }
 
     private EngineCandidate candidate(String id, boolean replaced, boolean steered) {
-        return new EngineCandidate(id, 1, loads.get(id), MEMORY, replaced, steered);
+        return new EngineCandidate(id, 1, loads.get(id), MEMORY, replaced, Long.MAX_VALUE, steered);
     }
 
     private List<EngineCandidate> candidates() {
@@ -112,6 +112,19 @@
                 choose(prompt("d"), candidates()).engine().id(), first.engine().id());
     }
 
+    /**
+     * New weights were named some seconds ago, and the only engine left has the old ones and a queue. A request sent
+     * there would begin after the old ones are out of use: it is not sent.
+     */
+    @Test
+    public void doesNotSendWhatWouldBeginTooLate() {
+        EngineLoad load = loads.get("e0");
+        EngineCandidate old = new EngineCandidate("e0", 1, load, MEMORY, true, 900, false);
+        assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), NOW).isPresent());
+        load.hinted(500, NOW);
+        assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), NOW).isEmpty());
+    }
+
     @Test
     public void predictsWhatReadingTakes() {
         assertTrue(ReadingCost.readMillis(0, 6_300) > 140);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -36,7 +36,9 @@
     private static final double SILENT_TARGETS = 1.5;
 
     private static final double SILENT_PREDICTIONS = 2.5;
-    /** How long past its predicted time an answer may be before the replica is probed; the wait is rarely off by more. */
+    /**
+     * How long past its predicted time an answer may be before the replica is probed; the wait is rarely off by more.
+     */
     private static final long DOUBT_MILLIS = 250;
     /** Two pauses that are still on time: a longer one is a replica that has stopped. */
     private static final double SILENT_PAUSES = 2;
@@ -115,7 +117,7 @@
                 .with(Logs.REASON, target.why())
                 .with(Logs.INPUTS, inputs(order))
                 .log("sent");
-        armSilence(firstByteLimit());
+        armSilence(Math.min(firstByteLimit(), weightsLimit(request)));
         doubt = exchange.dispatcher().reactor().delayBackground(doubtAfterMillis(), this::doubtReplica);
         taken.send(message(request, order), request.whole().head().method(), this::belongs, this);
     }
@@ -176,6 +178,19 @@
         }
     }
 
+    /**
+     * A request that still waits at an engine when its weights go out of use is taken back there, whatever it costs.
+     */
+    private long weightsLimit(CallerRequest request) {
+        if (target.choice().isEmpty() || request.prompt().isEmpty()) {
+            return Long.MAX_VALUE;
+        }
+        long version = target.choice().get().engine().weights();
+        long usable =
+                exchange.dispatcher().picker().usableMillis(request.prompt().get(), version);
+        return usable == Long.MAX_VALUE ? usable : Math.max(1, usable);
+    }
+
     private void armSilence(long millis) {
         disarm();
         if (millis != Long.MAX_VALUE) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -78,19 +78,17 @@
             Optional<KeyOwner> owner,
             List<LiveReplica> usable) {
         long now = clock.monotonicMillis();
-        List<LiveReplica> allowed = usable.stream()
-                .filter(r -> !weights.forbidden(prompt.model(), r.weights(prompt.model()), now))
-                .toList();
         Map<String, LiveReplica> byId = new HashMap<>();
-        allowed.forEach(r -> byId.put(r.entry().id(), r));
+        usable.forEach(r -> byId.put(r.entry().id(), r));
         long memory = service.engine().orElseThrow().memoryTokens();
-        List<EngineCandidate> candidates = allowed.stream()
+        List<EngineCandidate> candidates = usable.stream()
                 .map(r -> new EngineCandidate(
                         r.entry().id(),
                         r.weights(prompt.model()),
                         r.load(),
                         memory,
                         weights.penalized(prompt.model(), r.weights(prompt.model()), now),
+                        weights.usableMillis(prompt.model(), r.weights(prompt.model()), now),
                         weights.steered(r.entry().id(), now)))
                 .toList();
         String wall = owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
@@ -104,6 +102,11 @@
         return choosers.computeIfAbsent(service, s -> new EngineChooser());
     }
 
+    /** How long requests may still begin on an engine's weights, in milliseconds. */
+    long usableMillis(Prompt prompt, long version) {
+        return weights.usableMillis(prompt.model(), version, clock.monotonicMillis());
+    }
+
     /** A request went to an engine: of this router, or as another router tells. */
     void sent(LiveReplica replica, long beginning) {
         chooser(replica.entry().service()).sent(beginning, replica.entry().id(), clock.monotonicMillis());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnections.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnections.java
@@ -65,7 +65,8 @@
      * Finds out whether the replica still takes connections, at most once a second.
      *
      * <p>Failure: a replica lost its power. Symptom: kept connections to it stay open and silent, and requests go on
-     * being sent there until the registry drops it, three heartbeats later. A connection that cannot be opened is proof.
+     * being sent there until the registry drops it, three heartbeats later. A connection that cannot be opened is
+     * proof.
      *
      * @param unreachable called when no connection can be opened
      */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
@@ -13,11 +13,8 @@
      * Answers on older weights are worth less from this time after a newer version was named; from the users' pages.
      */
     private static final long OLD_PENALIZED_MILLIS = 1_500;
-    /**
-     * Begins this long before the bound, so that a request that was just sent, and waits at its engine, still begins
-     * within it.
-     */
-    private static final long FORBIDDEN_MARGIN_MILLIS = 900;
+    /** Ends this long before the bound: the names come with a delay, and closing a connection takes its time too. */
+    private static final long FORBIDDEN_MARGIN_MILLIS = 350;
     /** A notice of a change that was not renewed for this long belongs to a holder that is gone. */
     private static final long STEER_LIFE_MILLIS = 3_000;
 
@@ -81,16 +78,18 @@
     }
 
     /**
-     * Tells whether no request may begin on a version. Each named version has a bound of its own, so the one that
+     * Tells how long requests may still begin on a version. Each named version has a bound of its own, so the one that
      * followed counts, not the newest.
      *
      * @param model the model
      * @param version the version
      * @param nowMillis the monotonic time
-     * @return whether the bound is over
+     * @return milliseconds, not above zero once the bound is over; {@link Long#MAX_VALUE} while no newer one is named
      */
-    public boolean forbidden(String model, long version, long nowMillis) {
-        return replacedFor(model, version, nowMillis) > oldForbiddenMillis;
+    public long usableMillis(String model, long version, long nowMillis) {
+        NavigableMap<Long, Long> versions = namedAt.get(model);
+        Map.Entry<Long, Long> next = versions == null ? null : versions.higherEntry(version);
+        return next == null ? Long.MAX_VALUE : next.getValue() + oldForbiddenMillis - nowMillis;
     }
 
     private long replacedFor(String model, long version, long nowMillis) {
