A restart does not save every beginning to the store again

The seconds 34 to 40 did not get better: 125 requests come back in one second and most of them fetch over the store's one link; next.

--- a/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
@@ -11,8 +11,11 @@
 public final class CachedParts {
     /** Beginnings that are remembered, the least recently used dropped first; bounds the memory to some megabytes. */
     private static final int MAX_BEGINNINGS = 20_000;
-    /** An engine's memory turns over in about this time at the sheets' load; later, a fetch is counted on. */
-    private static final long AT_ENGINE_MILLIS = 10_000;
+    /**
+     * An engine's memory turns over in about this time: half of 94,000 tokens is left beside running requests, and
+     * about 15,000 new ones come a second on the sheets. Later, a fetch is counted on.
+     */
+    private static final long AT_ENGINE_MILLIS = 4_000;
     /** Reading a beginning and sending it to the store takes about this long. */
     private static final long TO_STORE_MILLIS = 400;
 
@@ -22,6 +25,9 @@
      */
     private static final long IN_STORE_MILLIS = 15_000;
 
+    private final boolean inherits;
+    private long inheritedWeights = -1;
+    private long startedAt;
     private final Map<Long, Long> savedAt = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
@@ -40,6 +46,36 @@
         }
     };
 
+    /**
+     * Makes a belief without any beginning.
+     *
+     * @param inherits whether other routers, or this one before a restart, have filled the store already
+     */
+    public CachedParts(boolean inherits) {
+        this.inherits = inherits;
+    }
+
+    /**
+     * Notes the newest weights that are served. Those of the first call were served before this router started.
+     *
+     * <p>Failure: all routers restart together, none knows what the store holds, and every request sends its parts
+     * there again. Symptom: the store's link is full for ten seconds, fetches wait for it, and answers are late long
+     * after the restart. What may have been saved before the start counts as saved.
+     *
+     * @param version the version
+     * @param nowMillis the monotonic time
+     */
+    public void serving(long version, long nowMillis) {
+        if (inheritedWeights < 0) {
+            inheritedWeights = version;
+            startedAt = nowMillis;
+        }
+    }
+
+    private boolean inherited(long version, long nowMillis) {
+        return inherits && version <= inheritedWeights && nowMillis - startedAt < IN_STORE_MILLIS;
+    }
+
     /**
      * Notes that a beginning was sent to an engine.
      *
@@ -49,7 +85,17 @@
      */
     public void sent(long beginning, String engine, long nowMillis) {
         beginnings.computeIfAbsent(beginning, b -> new HashMap<>(4)).put(engine, nowMillis);
-        if (saveNow(beginning, nowMillis)) {
+    }
+
+    /**
+     * Notes that a beginning was sent with the order to save its parts, or so that others would not save it again.
+     *
+     * @param beginning the beginning
+     * @param nowMillis the monotonic time
+     */
+    public void saved(long beginning, long nowMillis) {
+        Long at = savedAt.get(beginning);
+        if (at == null || nowMillis - at > IN_STORE_MILLIS) {
             savedAt.put(beginning, nowMillis);
         }
     }
@@ -58,12 +104,13 @@
      * Tells whether the next request should send its parts to the store.
      *
      * @param beginning the beginning
+     * @param version the version of the weights that it is read for
      * @param nowMillis the monotonic time
      * @return whether no request that is known did so lately
      */
-    public boolean saveNow(long beginning, long nowMillis) {
+    public boolean saveNow(long beginning, long version, long nowMillis) {
         Long at = savedAt.get(beginning);
-        return at == null || nowMillis - at > IN_STORE_MILLIS;
+        return (at == null || nowMillis - at > IN_STORE_MILLIS) && !inherited(version, nowMillis);
     }
 
     /**
@@ -83,12 +130,14 @@
      * Tells whether a beginning can be fetched.
      *
      * @param beginning the beginning
+     * @param version the version of the weights that it was read for
      * @param nowMillis the monotonic time
      * @return whether an engine had time to read it and to send it to the store
      */
-    public boolean kept(long beginning, long nowMillis) {
-        return beginnings.getOrDefault(beginning, Map.of()).values().stream()
-                .anyMatch(at -> nowMillis - at > TO_STORE_MILLIS);
+    public boolean kept(long beginning, long version, long nowMillis) {
+        return inherited(version, nowMillis)
+                || beginnings.getOrDefault(beginning, Map.of()).values().stream()
+                        .anyMatch(at -> nowMillis - at > TO_STORE_MILLIS);
     }
 
     /**
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -46,7 +46,16 @@
 
     private static final double BEGIN_FACTOR = 1.5;
 
-    private final CachedParts cached = new CachedParts();
+    private final CachedParts cached;
+
+    /**
+     * Makes a chooser that knows no beginnings.
+     *
+     * @param inherits whether the store beside the engines may have been filled before
+     */
+    public EngineChooser(boolean inherits) {
+        this.cached = new CachedParts(inherits);
+    }
 
     /**
      * Chooses.
@@ -60,6 +69,7 @@
     public Optional<EngineChoice> choose(
             Prompt prompt, ToLongFunction<EngineCandidate> salt, List<EngineCandidate> candidates, long nowMillis) {
         String shared = prompt.sharedKey();
+        candidates.stream().mapToLong(EngineCandidate::weights).max().ifPresent(v -> cached.serving(v, nowMillis));
         Optional<String> home =
                 candidates.stream().map(EngineCandidate::id).max(Comparator.comparingLong(id -> rank(shared, id)));
         return candidates.stream()
@@ -82,6 +92,7 @@
      */
     public void sent(long beginning, String engine, long nowMillis) {
         cached.sent(beginning, engine, nowMillis);
+        cached.saved(beginning, nowMillis);
     }
 
     /**
@@ -104,7 +115,7 @@
         int shared = prompt.sharedTokens();
         int fresh = prompt.tokens() - shared;
         boolean here = shared == 0 || cached.atEngine(beginning, c.id(), nowMillis);
-        boolean fetched = !here && cached.kept(beginning, nowMillis);
+        boolean fetched = !here && cached.kept(beginning, c.weights(), nowMillis);
         double read =
                 here || fetched ? ReadingCost.readMillis(shared, fresh) : ReadingCost.readMillis(0, shared + fresh);
         double fetch = fetched ? ReadingCost.fetchMillis(shared) : 0;
@@ -124,7 +135,7 @@
                 + (c.steeredAway() ? STEERED_MILLIS : 0)
                 + (c.replaced() ? REPLACED_MILLIS : 0);
         String why = (home ? "home" : "away") + (here ? " cached" : fetched ? " fetched" : " read");
-        boolean save = shared > 0 && cached.saveNow(beginning, nowMillis);
+        boolean save = shared > 0 && cached.saveNow(beginning, c.weights(), nowMillis);
         return new EngineChoice(c, beginning, wait, predicted, read, cost, save, why);
     }
 }
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.core.engine;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -21,7 +22,7 @@
 
     @BeforeMethod
     public void begin() {
-        chooser = new EngineChooser();
+        chooser = new EngineChooser(false);
         loads.clear();
         IntStream.range(0, 8).forEach(i -> loads.put("e" + i, new EngineLoad()));
     }
@@ -125,6 +126,27 @@
         assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), NOW).isEmpty());
     }
 
+    /**
+     * All routers restart together and know nothing. If each of them sent every beginning to the store again, its link
+     * would be full for seconds. Only what is read for weights that are newer than the restart is saved.
+     */
+    @Test
+    public void aRestartDoesNotSaveEverythingAgain() {
+        assertTrue(choose(prompt("d"), candidates()).save());
+        chooser = new EngineChooser(true);
+        assertFalse(choose(prompt("d"), candidates()).save());
+        assertTrue(choose(prompt("d"), candidates()).why().endsWith("fetched"));
+        EngineCandidate newer = new EngineCandidate("e9", 2, new EngineLoad(), MEMORY, false, Long.MAX_VALUE, false);
+        assertTrue(choose(prompt("d"), List.of(newer)).save());
+    }
+
+    @Test
+    public void savesABeginningOnce() {
+        EngineChoice first = choose(prompt("d"), candidates());
+        chooser.sent(first.beginning(), first.engine().id(), NOW);
+        assertFalse(choose(prompt("d"), candidates()).save());
+    }
+
     @Test
     public void predictsWhatReadingTakes() {
         assertTrue(ReadingCost.readMillis(0, 6_300) > 140);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -113,6 +113,7 @@
                 metrics,
                 random,
                 settings.self().dataCentre(),
+                !settings.firstStart(),
                 settings.budget(),
                 routers::count));
         hints = new WorkHints(reactor, clock, registry, routers::hintAddresses, dispatcher::hinted);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterSettings.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterSettings.java
@@ -15,6 +15,7 @@
  * @param hints where other routers send hints
  * @param metrics where metrics are read
  * @param seeds addresses of other routers, possibly stale
+ * @param firstStart whether the whole system starts for the first time
  * @param budget the budget of repeats that all routers share
  * @param grace how long the process may take to end after it was told to
  * @param holderPause how long two holders of a duty must be apart
@@ -28,6 +29,7 @@
         InetSocketAddress hints,
         InetSocketAddress metrics,
         List<String> seeds,
+        boolean firstStart,
         BudgetLimits budget,
         Duration grace,
         Duration holderPause,
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -74,6 +74,7 @@
      * @param metrics the process's metrics
      * @param random the source of randomness
      * @param dataCentre where this router stands
+     * @param inherits whether the system has served before this router started
      * @param budgetLimits the shared budget of repeats
      * @param routers counts the live routers, this one included
      */
@@ -87,6 +88,7 @@
             Metrics metrics,
             RandomGenerator random,
             String dataCentre,
+            boolean inherits,
             BudgetLimits budgetLimits,
             IntSupplier routers) {}
 
@@ -105,7 +107,7 @@
         this.random = parts.random();
         this.budgetLimits = parts.budgetLimits();
         this.routers = parts.routers();
-        this.picker = new TargetPicker(clock, registry, parts.weights(), parts.dataCentre());
+        this.picker = new TargetPicker(clock, registry, parts.weights(), parts.dataCentre(), parts.inherits());
     }
 
     @Override
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -25,13 +25,15 @@
     private final ReplicaRegistry registry;
     private final WeightsView weights;
     private final String dataCentre;
+    private final boolean inherits;
     private final Map<String, EngineChooser> choosers = new HashMap<>();
 
-    TargetPicker(Clock clock, ReplicaRegistry registry, WeightsView weights, String dataCentre) {
+    TargetPicker(Clock clock, ReplicaRegistry registry, WeightsView weights, String dataCentre, boolean inherits) {
         this.clock = clock;
         this.registry = registry;
         this.weights = weights;
         this.dataCentre = dataCentre;
+        this.inherits = inherits;
     }
 
     Optional<Target> pick(
@@ -99,7 +101,7 @@
     }
 
     private EngineChooser chooser(String service) {
-        return choosers.computeIfAbsent(service, s -> new EngineChooser());
+        return choosers.computeIfAbsent(service, s -> new EngineChooser(inherits));
     }
 
     /** How long requests may still begin on an engine's weights, in milliseconds. */
