--- a/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * What one router believes of cached shared beginnings: which engines read one lately, and whether any did, so that the
@@ -25,6 +26,10 @@
      */
     private static final long IN_STORE_MILLIS = 15_000;
 
+    /** Less than the time in which an engine's memory turns over: a fetch that finds nothing costs a second reading. */
+    private static final long HELD_MILLIS = 2_500;
+
+    private double linkUntil;
     private final boolean inherits;
     private long inheritedWeights = -1;
     private long startedAt;
@@ -126,6 +131,43 @@
         return at != null && nowMillis - at < AT_ENGINE_MILLIS;
     }
 
+    /**
+     * Finds an engine to fetch a beginning from. Its link is faster than the store's, which all engines share, and
+     * idle.
+     *
+     * @param beginning the beginning
+     * @param except the engine that wants it
+     * @param nowMillis the monotonic time
+     * @return the engine that read it last, if it has had time to read it and none to drop it
+     */
+    public Optional<String> holder(long beginning, String except, long nowMillis) {
+        return beginnings.getOrDefault(beginning, Map.of()).entrySet().stream()
+                .filter(e -> !e.getKey().equals(except))
+                .filter(e -> nowMillis - e.getValue() > TO_STORE_MILLIS && nowMillis - e.getValue() < HELD_MILLIS)
+                .max(Map.Entry.comparingByValue())
+                .map(Map.Entry::getKey);
+    }
+
+    /**
+     * Tells how long a fetch from the store waits for others.
+     *
+     * @param nowMillis the monotonic time
+     * @return milliseconds, as far as the fetches of all routers are known
+     */
+    public double storeWaitMillis(long nowMillis) {
+        return Math.max(0, linkUntil - nowMillis);
+    }
+
+    /**
+     * Notes a fetch from the store, of this router or another.
+     *
+     * @param millis how long the store's link is busy with it, in milliseconds
+     * @param nowMillis the monotonic time
+     */
+    public void fetching(double millis, long nowMillis) {
+        linkUntil = Math.max(linkUntil, (double) nowMillis) + millis;
+    }
+
     /**
      * Tells whether a beginning can be fetched.
      *
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
@@ -1,5 +1,7 @@
 package org.hornbeamhead.core.engine;
 
+import java.util.Optional;
+
 /**
  * The engine that a request goes to.
  *
@@ -9,6 +11,8 @@
  * @param predictedMillis the predicted time to the first event, in milliseconds
  * @param readMillis the predicted time that the engine reads for it, in milliseconds
  * @param cost what the choice was made by: the predicted time and what the choice costs besides, in milliseconds
+ * @param fetchFrom the engine to fetch the beginning from; empty for the store beside the engines
+ * @param storeMillis how long the store's link is busy with it, in milliseconds; 0 when nothing is fetched there
  * @param save whether the engine should send the parts to the store beside the engines
  * @param why in words, for the log
  */
@@ -19,5 +23,7 @@
         double predictedMillis,
         double readMillis,
         double cost,
+        Optional<String> fetchFrom,
+        double storeMillis,
         boolean save,
         String why) {}
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -88,10 +88,12 @@
      *
      * @param beginning a hash of the shared beginning with its salt
      * @param engine the engine
+     * @param storeMillis how long the store's link is busy with it, in milliseconds
      * @param nowMillis the monotonic time
      */
-    public void sent(long beginning, String engine, long nowMillis) {
+    public void sent(long beginning, String engine, double storeMillis, long nowMillis) {
         cached.sent(beginning, engine, nowMillis);
+        cached.fetching(storeMillis, nowMillis);
         cached.saved(beginning, nowMillis);
     }
 
@@ -114,19 +116,17 @@
     private EngineChoice weigh(Prompt prompt, long beginning, EngineCandidate c, boolean home, long nowMillis) {
         int shared = prompt.sharedTokens();
         int fresh = prompt.tokens() - shared;
-        boolean here = shared == 0 || cached.atEngine(beginning, c.id(), nowMillis);
-        boolean fetched = !here && cached.kept(beginning, c.weights(), nowMillis);
+        Source source = source(prompt, beginning, c, home, nowMillis);
         double read =
-                here || fetched ? ReadingCost.readMillis(shared, fresh) : ReadingCost.readMillis(0, shared + fresh);
-        double fetch = fetched ? ReadingCost.fetchMillis(shared) : 0;
+                source.reads() ? ReadingCost.readMillis(0, shared + fresh) : ReadingCost.readMillis(shared, fresh);
         double wait = c.load().waitMillis(nowMillis);
         double batch = c.load().total(nowMillis) * MILLIS_PER_REQUEST;
         double memory = c.load().memoryTokens(nowMillis) + prompt.tokens() + prompt.outputTokens();
         double over = Math.max(0, memory / (c.memoryTokens() * MEMORY_PART) - 1) * USUAL_MILLIS;
-        double predicted = wait + fetch + read + batch + over;
-        boolean again = !here && !fetched && !cached.unknown(beginning);
+        double predicted = wait + source.millis() + read + batch + over;
         double harm = c.load().total(nowMillis) * read * HARM_PART;
         double pauses = prompt.outputTokens() > SHORT_OUTPUT_TOKENS ? wait * PAUSE_PART : 0;
+        boolean again = source.reads() && !cached.unknown(beginning);
         double cost = predicted
                 + harm
                 + pauses
@@ -134,8 +134,33 @@
                 + (again ? shared * MILLIS_PER_TOKEN_AGAIN : 0)
                 + (c.steeredAway() ? STEERED_MILLIS : 0)
                 + (c.replaced() ? REPLACED_MILLIS : 0);
-        String why = (home ? "home" : "away") + (here ? " cached" : fetched ? " fetched" : " read");
         boolean save = shared > 0 && cached.saveNow(beginning, c.weights(), nowMillis);
-        return new EngineChoice(c, beginning, wait, predicted, read, cost, save, why);
+        String why = (home ? "home " : "away ") + source.name();
+        return new EngineChoice(
+                c, beginning, wait, predicted, read, cost, source.engine(), source.storeMillis(), save, why);
+    }
+
+    /** Where an engine gets a shared beginning from, and how long that takes. */
+    private record Source(String name, double millis, boolean reads, Optional<String> engine, double storeMillis) {}
+
+    private Source source(Prompt prompt, long beginning, EngineCandidate c, boolean home, long nowMillis) {
+        boolean kept = cached.kept(beginning, c.weights(), nowMillis);
+        boolean here = prompt.sharedTokens() == 0
+                || cached.atEngine(beginning, c.id(), nowMillis)
+                || (home && kept && cached.unknown(beginning));
+        if (here) {
+            return new Source("cached", 0, false, Optional.empty(), 0);
+        }
+        // The first part is shared by so many prompts that every engine holds it.
+        int tokens = prompt.sharedTokens() - prompt.parts().get(0).tokens();
+        Optional<String> holder = cached.holder(beginning, c.id(), nowMillis);
+        if (holder.isPresent()) {
+            return new Source("from engine", ReadingCost.fetchMillis(tokens), false, holder, 0);
+        }
+        if (!kept) {
+            return new Source("read", 0, true, Optional.empty(), 0);
+        }
+        double link = ReadingCost.fetchMillis(tokens);
+        return new Source("from store", cached.storeWaitMillis(nowMillis) + link, false, Optional.empty(), link);
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/engine/WorkHint.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/WorkHint.java
@@ -15,9 +15,9 @@
     /** What fits into one datagram on any path. */
     private static final int MAX_ENTRIES = 60;
 
-    private static final byte FORMAT = 1;
+    private static final byte FORMAT = 2;
     private static final int TOTAL_BYTES = 8;
-    private static final int SEND_BYTES = 14;
+    private static final int SEND_BYTES = 16;
     /** Memory is told in blocks, so that two bytes hold it. */
     private static final int BLOCK_TOKENS = 16;
 
@@ -38,8 +38,9 @@
      * @param replica a hash of the replica's id
      * @param beginning a hash of the shared beginning with its salt
      * @param readMillis the predicted time that the engine reads for it, in milliseconds
+     * @param storeMillis how long the link of the store beside the engines is busy with it, in milliseconds
      */
-    public record Send(int replica, long beginning, int readMillis) {}
+    public record Send(int replica, long beginning, int readMillis, int storeMillis) {}
 
     /** Keeps what fits into one datagram. */
     public WorkHint {
@@ -58,7 +59,10 @@
         totals.forEach(t -> out.putInt(t.replica())
                 .putShort(unsigned(t.running()))
                 .putShort(unsigned(t.memoryTokens() / BLOCK_TOKENS)));
-        sends.forEach(s -> out.putInt(s.replica()).putLong(s.beginning()).putShort(unsigned(s.readMillis())));
+        sends.forEach(s -> out.putInt(s.replica())
+                .putLong(s.beginning())
+                .putShort(unsigned(s.readMillis()))
+                .putShort(unsigned(s.storeMillis())));
         return out.array();
     }
 
@@ -88,7 +92,7 @@
         }
         List<Send> s = new ArrayList<>(sends);
         for (int i = 0; i < sends; i++) {
-            s.add(new Send(in.getInt(), in.getLong(), in.getShort() & MAX_SHORT));
+            s.add(new Send(in.getInt(), in.getLong(), in.getShort() & MAX_SHORT, in.getShort() & MAX_SHORT));
         }
         return Optional.of(new WorkHint(t, s));
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -167,8 +167,8 @@
     }
 
     void sentToEngine(LiveReplica replica, EngineChoice choice) {
-        picker.sent(replica, choice.beginning());
-        hints.sent(replica, choice.beginning(), choice.readMillis());
+        picker.sent(replica, choice.beginning(), choice.storeMillis());
+        hints.sent(replica, choice);
     }
 
     /**
@@ -178,7 +178,7 @@
      * @param sent what it was sent
      */
     public void hinted(LiveReplica replica, WorkHint.Send sent) {
-        picker.sent(replica, sent.beginning());
+        picker.sent(replica, sent.beginning(), sent.storeMillis());
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -110,8 +110,8 @@
     }
 
     /** A request went to an engine: of this router, or as another router tells. */
-    void sent(LiveReplica replica, long beginning) {
-        chooser(replica.entry().service()).sent(beginning, replica.entry().id(), clock.monotonicMillis());
+    void sent(LiveReplica replica, long beginning, double storeMillis) {
+        chooser(replica.entry().service()).sent(beginning, replica.entry().id(), storeMillis, clock.monotonicMillis());
     }
 
     /** Parts that were read for other weights, or for an isolated customer, are never found under this text. */
@@ -119,16 +119,18 @@
         return prompt.model() + '.' + version + (wall.isEmpty() ? "" : '.' + wall);
     }
 
-    private static Target target(
-            RoutingConfig config, Prompt prompt, String wall, EngineChoice choice, LiveReplica replica) {
+    private Target target(RoutingConfig config, Prompt prompt, String wall, EngineChoice choice, LiveReplica replica) {
         long version = choice.engine().weights();
         String salt = salt(prompt, wall, version);
-        Optional<String> store =
-                config.promptStores().stream().map(PromptStore::address).findFirst();
-        Optional<String> kept = store.filter(s -> prompt.sharedTokens() > 0);
+        Optional<String> store = prompt.sharedTokens() == 0
+                ? Optional.empty()
+                : config.promptStores().stream().map(PromptStore::address).findFirst();
+        Optional<String> from =
+                choice.fetchFrom().flatMap(registry::get).map(r -> r.entry().address());
         return new Target(
                 replica,
-                Optional.of(new SendOrder.EngineOrder(salt, version, kept, kept.filter(s -> choice.save()))),
+                Optional.of(new SendOrder.EngineOrder(
+                        salt, version, from.or(() -> store), store.filter(s -> choice.save()))),
                 Optional.of(choice),
                 choice.why());
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.WorkHint;
 import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.core.time.Clock;
@@ -82,11 +83,12 @@
      * Notes a request that this router sent.
      *
      * @param replica the replica
-     * @param beginning a hash of its shared beginning with its salt
-     * @param readMillis the predicted time that the engine reads for it, in milliseconds
+     * @param choice how it was chosen
      */
-    public void sent(LiveReplica replica, long beginning, double readMillis) {
-        sends.add(new WorkHint.Send(replica.hash(), beginning, (int) Math.round(readMillis)));
+    public void sent(LiveReplica replica, EngineChoice choice) {
+        int read = (int) Math.round(choice.readMillis());
+        int store = (int) Math.round(choice.storeMillis());
+        sends.add(new WorkHint.Send(replica.hash(), choice.beginning(), read, store));
     }
 
     private void flush() {
