--- a/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * What one router believes of cached shared beginnings: which engines read one lately, and whether any did, so that the
@@ -92,6 +93,20 @@
         beginnings.computeIfAbsent(beginning, b -> new HashMap<>(4)).put(engine, nowMillis);
     }
 
+    /**
+     * Notes that an engine did not take a request, so that it neither read the beginning nor sent it to the store.
+     *
+     * @param beginning the beginning
+     * @param engine the engine
+     */
+    public void refused(long beginning, String engine) {
+        Map<String, Long> engines = beginnings.get(beginning);
+        if (engines != null && engines.remove(engine) != null && engines.isEmpty()) {
+            beginnings.remove(beginning);
+            savedAt.remove(beginning);
+        }
+    }
+
     /**
      * Notes that a beginning was sent with the order to save its parts, or so that others would not save it again.
      *
@@ -136,13 +151,13 @@
      * idle.
      *
      * @param beginning the beginning
-     * @param except the engine that wants it
+     * @param usable tells whether an engine may be asked
      * @param nowMillis the monotonic time
      * @return the engine that read it last, if it has had time to read it and none to drop it
      */
-    public Optional<String> holder(long beginning, String except, long nowMillis) {
+    public Optional<String> holder(long beginning, Predicate<String> usable, long nowMillis) {
         return beginnings.getOrDefault(beginning, Map.of()).entrySet().stream()
-                .filter(e -> !e.getKey().equals(except))
+                .filter(e -> usable.test(e.getKey()))
                 .filter(e -> nowMillis - e.getValue() > TO_STORE_MILLIS && nowMillis - e.getValue() < HELD_MILLIS)
                 .max(Map.Entry.comparingByValue())
                 .map(Map.Entry::getKey);
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -3,8 +3,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import net.openhft.hashing.LongHashFunction;
 
 /**
@@ -72,12 +76,15 @@
         candidates.stream().mapToLong(EngineCandidate::weights).max().ifPresent(v -> cached.serving(v, nowMillis));
         Optional<String> home =
                 candidates.stream().map(EngineCandidate::id).max(Comparator.comparingLong(id -> rank(shared, id)));
+        Map<String, EngineCandidate> byId =
+                candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
         return candidates.stream()
                 .map(c -> weigh(
                         prompt,
                         hash(shared) ^ salt.applyAsLong(c),
                         c,
                         home.orElseThrow().equals(c.id()),
+                        id -> holds(byId.get(id), c),
                         nowMillis))
                 .filter(EngineChooser::beginsInTime)
                 .min(Comparator.comparingDouble(EngineChoice::cost));
@@ -105,6 +112,24 @@
         return choice.predictedMillis() * BEGIN_FACTOR < choice.engine().usableMillis();
     }
 
+    /**
+     * Notes that an engine did not take a request.
+     *
+     * @param beginning a hash of the shared beginning with its salt
+     * @param engine the engine
+     */
+    public void refused(long beginning, String engine) {
+        cached.refused(beginning, engine);
+    }
+
+    /** An engine that has changed its weights, or is about to, has dropped what it held. */
+    private static boolean holds(EngineCandidate holder, EngineCandidate wants) {
+        return holder != null
+                && !holder.id().equals(wants.id())
+                && holder.weights() == wants.weights()
+                && !holder.steeredAway();
+    }
+
     private static long rank(String key, String id) {
         return hash(key + '\0' + id) >>> 1;
     }
@@ -113,10 +138,11 @@
         return LongHashFunction.xx3().hashBytes(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private EngineChoice weigh(Prompt prompt, long beginning, EngineCandidate c, boolean home, long nowMillis) {
+    private EngineChoice weigh(
+            Prompt prompt, long beginning, EngineCandidate c, boolean home, Predicate<String> holds, long nowMillis) {
         int shared = prompt.sharedTokens();
         int fresh = prompt.tokens() - shared;
-        Source source = source(prompt, beginning, c, home, nowMillis);
+        Source source = source(prompt, beginning, c, home, holds, nowMillis);
         double read =
                 source.reads() ? ReadingCost.readMillis(0, shared + fresh) : ReadingCost.readMillis(shared, fresh);
         double wait = c.load().waitMillis(nowMillis);
@@ -143,7 +169,8 @@
     /** Where an engine gets a shared beginning from, and how long that takes. */
     private record Source(String name, double millis, boolean reads, Optional<String> engine, double storeMillis) {}
 
-    private Source source(Prompt prompt, long beginning, EngineCandidate c, boolean home, long nowMillis) {
+    private Source source(
+            Prompt prompt, long beginning, EngineCandidate c, boolean home, Predicate<String> holds, long nowMillis) {
         boolean kept = cached.kept(beginning, c.weights(), nowMillis);
         boolean here = prompt.sharedTokens() == 0
                 || cached.atEngine(beginning, c.id(), nowMillis)
@@ -153,7 +180,7 @@
         }
         // The first part is shared by so many prompts that every engine holds it.
         int tokens = prompt.sharedTokens() - prompt.parts().get(0).tokens();
-        Optional<String> holder = cached.holder(beginning, c.id(), nowMillis);
+        Optional<String> holder = cached.holder(beginning, holds, nowMillis);
         if (holder.isPresent()) {
             return new Source("from engine", ReadingCost.fetchMillis(tokens), false, holder, 0);
         }
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -156,6 +157,34 @@
                 choose(prompt("d"), candidates()).engine().id(), calm.engine().id());
     }
 
+    /**
+     * New weights are named every two seconds. An engine that read a beginning has changed its weights since, and
+     * dropped it. Another that still has the old ones must not be told to fetch it there: it would find nothing and
+     * read again.
+     */
+    @Test
+    public void fetchesOnlyFromEnginesThatStillHoldIt() {
+        EngineCandidate reader = candidate("e0", false, false);
+        EngineCandidate other = candidate("e1", false, false);
+        EngineChoice first = choose(prompt("d"), List.of(reader));
+        chooser.sent(first.beginning(), "e0", 0, NOW - 1_000);
+        loads.get("e0").hinted(2_000, NOW);
+        assertEquals(choose(prompt("d"), List.of(reader, other)).fetchFrom(), Optional.of("e0"));
+        EngineCandidate changed = new EngineCandidate("e0", 2, loads.get("e0"), MEMORY, false, Long.MAX_VALUE, false);
+        assertEquals(choose(prompt("d"), List.of(changed, other)).fetchFrom(), Optional.empty());
+        EngineCandidate changing = candidate("e0", false, true);
+        assertEquals(choose(prompt("d"), List.of(changing, other)).fetchFrom(), Optional.empty());
+    }
+
+    /** The engine that should have read a beginning and saved it was full: the next one must do both. */
+    @Test
+    public void aRefusedRequestHasSavedNothing() {
+        EngineChoice first = choose(prompt("d"), candidates());
+        chooser.sent(first.beginning(), first.engine().id(), 0, NOW);
+        chooser.refused(first.beginning(), first.engine().id());
+        assertTrue(choose(prompt("d"), candidates()).save());
+    }
+
     @Test
     public void savesABeginningOnce() {
         EngineChoice first = choose(prompt("d"), candidates());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -99,7 +99,8 @@
         peers = new PeerMirror(reactor, clock, random, mirror, state, follower, this::peerAddresses);
         notice = new SteerNotice(reactor, clock, this::peerAddresses, weights, registry);
         duties = new Duties(
-                new Duties.Parts(reactor, clock, registry, weights, ports.orders(), ports.store(), mirror, notice),
+                new Duties.Parts(
+                        daemon.timers(), clock, registry, weights, ports.orders(), ports.store(), mirror, notice),
                 settings,
                 routers,
                 state);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -325,6 +325,9 @@
 
     private void end(AttemptEnd how, String why, Optional<BufferedAnswer> failure) {
         stop();
+        if (!how.mayHaveRun()) {
+            target.choice().ifPresent(c -> exchange.dispatcher().picker().refused(replica, c));
+        }
         exchange.attemptEnded(how, why, failure);
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -114,6 +114,12 @@
         chooser(replica.entry().service()).sent(beginning, replica.entry().id(), storeMillis, clock.monotonicMillis());
     }
 
+    /** An engine did not take a request of this router. */
+    void refused(LiveReplica replica, EngineChoice choice) {
+        chooser(replica.entry().service())
+                .refused(choice.beginning(), replica.entry().id());
+    }
+
     /** Parts that were read for other weights, or for an isolated customer, are never found under this text. */
     private static String salt(Prompt prompt, String wall, long version) {
         return prompt.model() + '.' + version + (wall.isEmpty() ? "" : '.' + wall);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/Duties.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/Duties.java
@@ -1,10 +1,10 @@
 package org.hornbeamhead.gateway.duty;
 
-import io.activej.reactor.nio.NioReactor;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.core.weights.RolloutPlan;
 import org.hornbeamhead.gateway.RouterSettings;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
@@ -20,7 +20,7 @@
     /**
      * What duties work with.
      *
-     * @param reactor the thread's reactor
+     * @param timers the thread's timers
      * @param clock the clock
      * @param registry the replicas
      * @param weights the named weights
@@ -30,7 +30,7 @@
      * @param notice tells other routers
      */
     public record Parts(
-            NioReactor reactor,
+            Timers timers,
             Clock clock,
             ReplicaRegistry registry,
             WeightsView weights,
@@ -50,7 +50,7 @@
     public Duties(Parts p, RouterSettings settings, RouterList routers, RoutingState state) {
         String self = settings.self().node();
         WeightsDuty.Parts parts = new WeightsDuty.Parts(
-                p.reactor(),
+                p.timers(),
                 p.clock(),
                 p.registry(),
                 p.weights(),
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/SteerNotice.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/SteerNotice.java
@@ -29,7 +29,7 @@
  * <p>Failure: a replica that waits for its runs to end refuses new requests, and routers learn of it one refusal at a
  * time. Symptom: each change of weights uses up the budget of repeats. A notice that is lost costs only such refusals.
  */
-public final class SteerNotice {
+public final class SteerNotice implements ChangeNotice {
     /** The path at which routers take notices. */
     public static final String PATH = "/v1/weights";
 
@@ -64,7 +64,8 @@
         this.registry = registry;
     }
 
-    void tell(Set<String> changing, Map<String, Long> changed) {
+    @Override
+    public void tell(Set<String> changing, Map<String, Long> changed) {
         weights.steerAway(changing, clock.monotonicMillis());
         ObjectNode tree = Json.object();
         ArrayNode list = tree.putArray("changing");
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
@@ -1,7 +1,6 @@
 package org.hornbeamhead.gateway.duty;
 
 import com.google.common.flogger.FluentLogger;
-import io.activej.reactor.nio.NioReactor;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,6 +12,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.ToLongFunction;
 import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.core.weights.RolloutPlan;
 import org.hornbeamhead.core.weights.WeightsReplica;
 import org.hornbeamhead.daemon.Logs;
@@ -40,13 +40,13 @@
 
     private static final long GUARD_MILLIS = 300;
 
-    private final NioReactor reactor;
+    private final Timers timers;
     private final Clock clock;
     private final ReplicaRegistry registry;
     private final WeightsView weights;
     private final ReplicaOrders orders;
     private final DutyLease lease;
-    private final SteerNotice notice;
+    private final ChangeNotice notice;
     private final RolloutPlan plan;
     private final IntSupplier rank;
     private final ToLongFunction<String> memoryTokens;
@@ -77,7 +77,7 @@
     /**
      * What the duty works with.
      *
-     * @param reactor the thread's reactor
+     * @param timers the thread's timers
      * @param clock the clock
      * @param registry the replicas
      * @param weights the named weights
@@ -89,7 +89,7 @@
      * @param pauseMillis how long two holders must be apart, in milliseconds
      */
     public record Parts(
-            NioReactor reactor,
+            Timers timers,
             Clock clock,
             ReplicaRegistry registry,
             WeightsView weights,
@@ -107,8 +107,8 @@
      * @param lease the right to order
      * @param notice tells other routers
      */
-    WeightsDuty(Parts parts, DutyLease lease, SteerNotice notice) {
-        this.reactor = parts.reactor();
+    WeightsDuty(Parts parts, DutyLease lease, ChangeNotice notice) {
+        this.timers = parts.timers();
         this.clock = parts.clock();
         this.registry = parts.registry();
         this.weights = parts.weights();
@@ -125,7 +125,7 @@
     /** Looks after the duty until the process ends. */
     public void start() {
         step();
-        reactor.delayBackground(TICK_MILLIS, this::start);
+        timers.schedule(TICK_MILLIS, this::start);
     }
 
     private void step() {
@@ -231,7 +231,7 @@
         });
         if (!chosen.isEmpty()) {
             notice.tell(Set.copyOf(changes.keySet()), Map.of());
-            reactor.delayBackground(
+            timers.schedule(
                     NOTICE_MILLIS,
                     () -> chosen.stream().filter(changes::containsKey).forEach(id -> changes.get(id).noticed = true));
         }
--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
@@ -0,0 +1,69 @@
+package org.hornbeamhead.gateway.duty;
+
+import io.activej.promise.Promise;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.hornbeamhead.core.mirror.StoreChanges;
+import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.gateway.state.PlatformStore;
+
+/** A store of one mirror that answers at once, and whose leases end when the test says so. */
+final class FakePlatformStore implements PlatformStore {
+    private final StoreMirror mirror;
+    private final Set<String> leases = new HashSet<>();
+    private long revision = 1;
+    private int nextLease = 1;
+
+    FakePlatformStore(StoreMirror mirror) {
+        this.mirror = mirror;
+    }
+
+    void lapse(String key) {
+        leases.clear();
+        mirror.apply(new StoreChanges(List.of(new StoreItem(key, ++revision, "", true)), revision, false));
+    }
+
+    @Override
+    public Promise<StoreChanges> readAll() {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Promise<StoreChanges> watch(long after, Duration wait) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
+        long now = mirror.get(key).map(StoreItem::revision).orElse(0L);
+        if (expected.isPresent() && expected.getAsLong() != now) {
+            return Promise.of(new WriteReply.Conflict(mirror.get(key)));
+        }
+        StoreItem item = new StoreItem(key, ++revision, value, false);
+        mirror.apply(new StoreChanges(List.of(item), revision, false));
+        return Promise.of(new WriteReply.Written(revision));
+    }
+
+    @Override
+    public Promise<String> grant(Duration ttl) {
+        String lease = "l" + nextLease++;
+        leases.add(lease);
+        return Promise.of(lease);
+    }
+
+    @Override
+    public Promise<Boolean> renew(String lease) {
+        return Promise.of(leases.contains(lease));
+    }
+
+    @Override
+    public Promise<Void> end(String lease) {
+        leases.remove(lease);
+        return Promise.complete();
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
@@ -0,0 +1,49 @@
+package org.hornbeamhead.gateway.state;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Set;
+import org.testng.annotations.Test;
+
+public class WeightsViewTest {
+    private static final long BOUND = 6_000;
+
+    /**
+     * Versions are named every two seconds. Each has a bound of its own: a request must not begin on version 1 later
+     * than the bound after version 2, however often newer ones are named.
+     */
+    @Test
+    public void newerNamesDoNotProlongTheUseOfOldWeights() {
+        WeightsView view = new WeightsView(BOUND);
+        view.name("m", 1, 0);
+        assertEquals(view.usableMillis("m", 1, 1_000), Long.MAX_VALUE);
+        view.name("m", 2, 10_000);
+        view.name("m", 3, 12_000);
+        view.name("m", 4, 14_000);
+        assertEquals(view.named("m"), 4);
+        assertTrue(view.usableMillis("m", 1, 10_000) < BOUND);
+        assertTrue(view.usableMillis("m", 1, 16_000) <= 0);
+        assertTrue(view.usableMillis("m", 2, 16_000) > 0);
+        assertEquals(view.usableMillis("m", 4, 16_000), Long.MAX_VALUE);
+    }
+
+    @Test
+    public void oldWeightsAreFineForAMoment() {
+        WeightsView view = new WeightsView(BOUND);
+        view.name("m", 2, 10_000);
+        assertFalse(view.penalized("m", 1, 11_000));
+        assertTrue(view.penalized("m", 1, 12_000));
+        assertFalse(view.penalized("m", 2, 12_000));
+    }
+
+    /** The router that changes weights was killed. Its last notice must not keep a replica out of use for good. */
+    @Test
+    public void aNoticeRunsOut() {
+        WeightsView view = new WeightsView(BOUND);
+        view.steerAway(Set.of("r"), 1_000);
+        assertTrue(view.steered("r", 2_000));
+        assertFalse(view.steered("r", 5_000));
+    }
+}
