--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -96,7 +96,7 @@
         routers = new RouterList(settings.self(), this::ready);
         presence = new RouterPresence(reactor, ports.store(), settings.self());
         follower = new StoreFollower(reactor, clock, random, ports.store(), mirror, state);
-        peers = new PeerMirror(reactor, clock, random, mirror, state, follower, this::peerAddresses);
+        peers = new PeerMirror(reactor, clock, random, mirror, state, weights, follower, this::peerAddresses);
         notice = new SteerNotice(reactor, clock, this::peerAddresses, weights, registry);
         duties = new Duties(
                 new Duties.Parts(
@@ -192,7 +192,11 @@
                 .with(Logs.DECISION, "weights named")
                 .with(Logs.INPUTS, "model=" + w.model() + " version=" + w.version() + " revision=" + revision)
                 .log("weights named: %d", w.version());
-        weights.name(w.model(), w.version(), clock.monotonicMillis());
+        if (mirrorIsFirst() && !settings.firstStart()) {
+            weights.found(w.model(), w.version(), clock.monotonicMillis());
+        } else {
+            weights.name(w.model(), w.version(), clock.monotonicMillis());
+        }
     }
 
     private static void unreadable(StoreItem item, String why) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
@@ -38,6 +38,9 @@
     /** How often a router that the store does not answer asks others; a quarter of the bound, and 1 KB/s. */
     private static final long POLL_MILLIS = 200;
 
+    /** Routers that are asked at a start; when all were restarted together, none knows more than the store. */
+    private static final int MAX_INTRODUCTIONS = 5;
+
     private static final Duration TIMEOUT = Duration.ofMillis(700);
 
     private final NioReactor reactor;
@@ -46,8 +49,11 @@
     private final HttpCaller caller;
     private final StoreMirror mirror;
     private final RoutingState state;
+    private final WeightsView weights;
     private final StoreFollower follower;
     private final Supplier<List<String>> peers;
+    private boolean introduced;
+    private int asked;
 
     /**
      * Makes a reader that does not read yet.
@@ -57,6 +63,7 @@
      * @param random the source of randomness
      * @param mirror the mirror to keep up
      * @param state told when the mirror is confirmed to be the newest
+     * @param weights told when versions were named
      * @param follower tells whether the store answers
      * @param peers the addresses at which other routers may be asked
      */
@@ -66,6 +73,7 @@
             RandomGenerator random,
             StoreMirror mirror,
             RoutingState state,
+            WeightsView weights,
             StoreFollower follower,
             Supplier<List<String>> peers) {
         this.reactor = reactor;
@@ -74,17 +82,21 @@
         this.caller = HttpCaller.connectingAnew(reactor);
         this.mirror = mirror;
         this.state = state;
+        this.weights = weights;
         this.follower = follower;
         this.peers = peers;
     }
 
-    /** Starts to read whenever the store does not answer. */
+    /**
+     * Reads once from another router, which knows what the store does not tell, and then whenever the store does not
+     * answer.
+     */
     public void start() {
         reactor.delayBackground(POLL_MILLIS, this::poll);
     }
 
     private void poll() {
-        List<String> addresses = follower.away() ? peers.get() : List.of();
+        List<String> addresses = follower.away() || !introduced ? peers.get() : List.of();
         if (addresses.isEmpty()) {
             reactor.delayBackground(POLL_MILLIS, this::poll);
             return;
@@ -106,6 +118,14 @@
                 .forEach(tree -> {
                     mirror.apply(decode(tree));
                     state.confirmed(sent - tree.path("ageMillis").asLong(Long.MAX_VALUE / 4));
+                    tree.path("namedMillisAgo").fields().forEachRemaining(model -> model.getValue()
+                            .fields()
+                            .forEachRemaining(v -> weights.told(
+                                    model.getKey(),
+                                    Long.parseLong(v.getKey()),
+                                    sent - v.getValue().asLong())));
+                    asked++;
+                    introduced = !tree.path("namedMillisAgo").isEmpty() || asked >= MAX_INTRODUCTIONS;
                 });
     }
 
@@ -145,6 +165,11 @@
         tree.put("revision", changes.revision());
         tree.put("whole", changes.whole());
         tree.put("ageMillis", clock.monotonicMillis() - state.confirmedAt());
+        ObjectNode named = tree.putObject("namedMillisAgo");
+        weights.ages(clock.monotonicMillis()).forEach((model, versions) -> {
+            ObjectNode ages = named.putObject(model);
+            versions.forEach((version, age) -> ages.put(Long.toString(version), age));
+        });
         ArrayNode items = tree.putArray("items");
         changes.items().forEach(i -> items.addObject()
                 .put("key", i.key())
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
@@ -18,11 +18,18 @@
     /** A notice of a change that was not renewed for this long belongs to a holder that is gone. */
     private static final long STEER_LIFE_MILLIS = 3_000;
 
+    /**
+     * What is left of old weights when nobody tells since when they are old; a change of all replicas takes about 3 s.
+     */
+    private static final long FOUND_LEFT_MILLIS = 1_500;
+
     private final long oldForbiddenMillis;
-    private final Map<String, NavigableMap<Long, Long>> namedAt = new HashMap<>();
+    private final Map<String, NavigableMap<Long, Named>> names = new HashMap<>();
     private final Set<String> steered = new HashSet<>();
     private long steeredAt;
 
+    private record Named(long at, boolean guessed) {}
+
     /**
      * Makes a view that knows nothing.
      *
@@ -40,7 +47,58 @@
      * @param nowMillis the monotonic time
      */
     public void name(String model, long version, long nowMillis) {
-        namedAt.computeIfAbsent(model, m -> new TreeMap<>()).putIfAbsent(version, nowMillis);
+        versions(model).putIfAbsent(version, new Named(nowMillis, false));
+    }
+
+    /**
+     * Takes over a version that was named some time before this router started.
+     *
+     * <p>Failure: a router that was restarted counts the bound from its own start. Symptom: it goes on sending requests
+     * to replicas with old weights long after the bound. Until another router tells when the version was named, it is
+     * taken as named so long ago that only a moment is left.
+     *
+     * @param model the model
+     * @param version the version
+     * @param nowMillis the monotonic time
+     */
+    public void found(String model, long version, long nowMillis) {
+        versions(model).putIfAbsent(version, new Named(nowMillis - oldForbiddenMillis + FOUND_LEFT_MILLIS, true));
+    }
+
+    /**
+     * Takes over another router's word of when a version was named.
+     *
+     * @param model the model
+     * @param version the version
+     * @param atMillis the monotonic time of this router at which the other one heard of it
+     */
+    public void told(String model, long version, long atMillis) {
+        versions(model).merge(version, new Named(atMillis, false), WeightsView::better);
+    }
+
+    /** A guess yields to what another router knows; of two that know, the one that heard first is right. */
+    private static Named better(Named known, Named told) {
+        return known.guessed() || told.at() < known.at() ? told : known;
+    }
+
+    private NavigableMap<Long, Named> versions(String model) {
+        return names.computeIfAbsent(model, m -> new TreeMap<>());
+    }
+
+    /**
+     * Tells other routers when versions were named, as far as this router knows it.
+     *
+     * @param nowMillis the monotonic time
+     * @return how long ago, in milliseconds, by model and version
+     */
+    public Map<String, Map<Long, Long>> ages(long nowMillis) {
+        Map<String, Map<Long, Long>> ages = new HashMap<>();
+        names.forEach((model, versions) -> versions.forEach((version, n) -> {
+            if (!n.guessed()) {
+                ages.computeIfAbsent(model, m -> new HashMap<>()).put(version, nowMillis - n.at());
+            }
+        }));
+        return ages;
     }
 
     /**
@@ -50,7 +108,7 @@
      * @return the version, 0 when none was named
      */
     public long named(String model) {
-        NavigableMap<Long, Long> versions = namedAt.get(model);
+        NavigableMap<Long, Named> versions = names.get(model);
         return versions == null ? 0 : versions.lastKey();
     }
 
@@ -61,7 +119,7 @@
      */
     public Map<String, Long> all() {
         Map<String, Long> all = new HashMap<>();
-        namedAt.forEach((m, versions) -> all.put(m, versions.lastKey()));
+        names.forEach((m, versions) -> all.put(m, versions.lastKey()));
         return all;
     }
 
@@ -87,15 +145,15 @@
      * @return milliseconds, not above zero once the bound is over; {@link Long#MAX_VALUE} while no newer one is named
      */
     public long usableMillis(String model, long version, long nowMillis) {
-        NavigableMap<Long, Long> versions = namedAt.get(model);
-        Map.Entry<Long, Long> next = versions == null ? null : versions.higherEntry(version);
-        return next == null ? Long.MAX_VALUE : next.getValue() + oldForbiddenMillis - nowMillis;
+        NavigableMap<Long, Named> versions = names.get(model);
+        Map.Entry<Long, Named> next = versions == null ? null : versions.higherEntry(version);
+        return next == null ? Long.MAX_VALUE : next.getValue().at() + oldForbiddenMillis - nowMillis;
     }
 
     private long replacedFor(String model, long version, long nowMillis) {
-        NavigableMap<Long, Long> versions = namedAt.get(model);
-        Map.Entry<Long, Long> next = versions == null ? null : versions.higherEntry(version);
-        return next == null ? 0 : nowMillis - next.getValue();
+        NavigableMap<Long, Named> versions = names.get(model);
+        Map.Entry<Long, Named> next = versions == null ? null : versions.higherEntry(version);
+        return next == null ? 0 : nowMillis - next.getValue().at();
     }
 
     /**
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
@@ -29,6 +29,23 @@
         assertEquals(view.usableMillis("m", 4, 16_000), Long.MAX_VALUE);
     }
 
+    /**
+     * A router is restarted five seconds after version 3 was named, while a replica still has version 2. It must not
+     * count the bound from its own start: it takes another router's word, and without one leaves only a moment.
+     */
+    @Test
+    public void aRestartDoesNotProlongTheUseOfOldWeights() {
+        WeightsView old = new WeightsView(BOUND);
+        old.name("m", 3, 10_000);
+        old.name("m", 4, 13_000);
+        WeightsView restarted = new WeightsView(BOUND);
+        restarted.found("m", 4, 15_000);
+        assertTrue(restarted.usableMillis("m", 2, 15_000) <= 1_500);
+        old.ages(15_000).get("m").forEach((version, age) -> restarted.told("m", version, 15_000 - age));
+        assertEquals(restarted.usableMillis("m", 2, 15_000), old.usableMillis("m", 2, 15_000));
+        assertEquals(restarted.usableMillis("m", 3, 15_000), old.usableMillis("m", 3, 15_000));
+    }
+
     @Test
     public void oldWeightsAreFineForAMoment() {
         WeightsView view = new WeightsView(BOUND);
