--- a/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
@@ -32,8 +32,7 @@
 
     private double linkUntil;
     private final boolean inherits;
-    private long inheritedWeights = -1;
-    private long startedAt;
+    private long startedAt = -1;
     private final Map<Long, Long> savedAt = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1;
 
@@ -62,24 +61,18 @@
     }
 
     /**
-     * Notes the newest weights that are served. Those of the first call were served before this router started.
+     * Tells whether what is not known may be taken as kept.
      *
      * <p>Failure: all routers restart together, none knows what the store holds, and every request sends its parts
      * there again. Symptom: the store's link is full for ten seconds, fetches wait for it, and answers are late long
-     * after the restart. What may have been saved before the start counts as saved.
-     *
-     * @param version the version
-     * @param nowMillis the monotonic time
+     * after the restart. What may have been saved before the start counts as saved, but not what belongs to weights
+     * that were named just before: that is not there yet.
      */
-    public void serving(long version, long nowMillis) {
-        if (inheritedWeights < 0) {
-            inheritedWeights = version;
+    private boolean inherited(boolean settled, long nowMillis) {
+        if (startedAt < 0) {
             startedAt = nowMillis;
         }
-    }
-
-    private boolean inherited(long version, long nowMillis) {
-        return inherits && version <= inheritedWeights && nowMillis - startedAt < IN_STORE_MILLIS;
+        return inherits && settled && nowMillis - startedAt < IN_STORE_MILLIS;
     }
 
     /**
@@ -124,13 +117,13 @@
      * Tells whether the next request should send its parts to the store.
      *
      * @param beginning the beginning
-     * @param version the version of the weights that it is read for
+     * @param settled whether its weights were named some time ago
      * @param nowMillis the monotonic time
      * @return whether no request that is known did so lately
      */
-    public boolean saveNow(long beginning, long version, long nowMillis) {
+    public boolean saveNow(long beginning, boolean settled, long nowMillis) {
         Long at = savedAt.get(beginning);
-        return (at == null || nowMillis - at > IN_STORE_MILLIS) && !inherited(version, nowMillis);
+        return (at == null || nowMillis - at > IN_STORE_MILLIS) && !inherited(settled, nowMillis);
     }
 
     /**
@@ -187,12 +180,12 @@
      * Tells whether a beginning can be fetched.
      *
      * @param beginning the beginning
-     * @param version the version of the weights that it was read for
+     * @param settled whether its weights were named some time ago
      * @param nowMillis the monotonic time
      * @return whether an engine had time to read it and to send it to the store
      */
-    public boolean kept(long beginning, long version, long nowMillis) {
-        return inherited(version, nowMillis)
+    public boolean kept(long beginning, boolean settled, long nowMillis) {
+        return inherited(settled, nowMillis)
                 || beginnings.getOrDefault(beginning, Map.of()).values().stream()
                         .anyMatch(at -> nowMillis - at > TO_STORE_MILLIS);
     }
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
@@ -5,6 +5,7 @@
  *
  * @param id names one run of the engine
  * @param weights the version of the model's weights that it serves
+ * @param settled whether the weights were named so long ago that the store beside the engines holds what is in use
  * @param load the work there
  * @param memoryTokens the tokens that fit into its memory
  * @param replaced whether answers on these weights are worth less, since newer ones were named some time ago
@@ -14,6 +15,7 @@
 public record EngineCandidate(
         String id,
         long weights,
+        boolean settled,
         EngineLoad load,
         long memoryTokens,
         boolean replaced,
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -73,7 +73,6 @@
     public Optional<EngineChoice> choose(
             Prompt prompt, ToLongFunction<EngineCandidate> salt, List<EngineCandidate> candidates, long nowMillis) {
         String shared = prompt.sharedKey();
-        candidates.stream().mapToLong(EngineCandidate::weights).max().ifPresent(v -> cached.serving(v, nowMillis));
         Optional<String> home =
                 candidates.stream().map(EngineCandidate::id).max(Comparator.comparingLong(id -> rank(shared, id)));
         Map<String, EngineCandidate> byId =
@@ -160,7 +159,7 @@
                 + (again ? shared * MILLIS_PER_TOKEN_AGAIN : 0)
                 + (c.steeredAway() ? STEERED_MILLIS : 0)
                 + (c.replaced() ? REPLACED_MILLIS : 0);
-        boolean save = shared > 0 && cached.saveNow(beginning, c.weights(), nowMillis);
+        boolean save = shared > 0 && cached.saveNow(beginning, c.settled(), nowMillis);
         String why = (home ? "home " : "away ") + source.name();
         return new EngineChoice(
                 c, beginning, wait, predicted, read, cost, source.engine(), source.storeMillis(), save, why);
@@ -171,7 +170,7 @@
 
     private Source source(
             Prompt prompt, long beginning, EngineCandidate c, boolean home, Predicate<String> holds, long nowMillis) {
-        boolean kept = cached.kept(beginning, c.weights(), nowMillis);
+        boolean kept = cached.kept(beginning, c.settled(), nowMillis);
         boolean here = prompt.sharedTokens() == 0
                 || cached.atEngine(beginning, c.id(), nowMillis)
                 || (home && kept && cached.unknown(beginning));
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -36,7 +36,7 @@
     }
 
     private EngineCandidate candidate(String id, boolean replaced, boolean steered) {
-        return new EngineCandidate(id, 1, loads.get(id), MEMORY, replaced, Long.MAX_VALUE, steered);
+        return new EngineCandidate(id, 1, true, loads.get(id), MEMORY, replaced, Long.MAX_VALUE, steered);
     }
 
     private List<EngineCandidate> candidates() {
@@ -121,7 +121,7 @@
     @Test
     public void doesNotSendWhatWouldBeginTooLate() {
         EngineLoad load = loads.get("e0");
-        EngineCandidate old = new EngineCandidate("e0", 1, load, MEMORY, true, 900, false);
+        EngineCandidate old = new EngineCandidate("e0", 1, true, load, MEMORY, true, 900, false);
         assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), NOW).isPresent());
         load.hinted(500, NOW);
         assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), NOW).isEmpty());
@@ -137,7 +137,8 @@
         chooser = new EngineChooser(true);
         assertFalse(choose(prompt("d"), candidates()).save());
         assertTrue(choose(prompt("d"), candidates()).why().equals("home cached"));
-        EngineCandidate newer = new EngineCandidate("e9", 2, new EngineLoad(), MEMORY, false, Long.MAX_VALUE, false);
+        EngineCandidate newer =
+                new EngineCandidate("e9", 2, false, new EngineLoad(), MEMORY, false, Long.MAX_VALUE, false);
         assertTrue(choose(prompt("d"), List.of(newer)).save());
     }
 
@@ -170,7 +171,8 @@
         chooser.sent(first.beginning(), "e0", 0, NOW - 1_000);
         loads.get("e0").hinted(2_000, NOW);
         assertEquals(choose(prompt("d"), List.of(reader, other)).fetchFrom(), Optional.of("e0"));
-        EngineCandidate changed = new EngineCandidate("e0", 2, loads.get("e0"), MEMORY, false, Long.MAX_VALUE, false);
+        EngineCandidate changed =
+                new EngineCandidate("e0", 2, true, loads.get("e0"), MEMORY, false, Long.MAX_VALUE, false);
         assertEquals(choose(prompt("d"), List.of(changed, other)).fetchFrom(), Optional.empty());
         EngineCandidate changing = candidate("e0", false, true);
         assertEquals(choose(prompt("d"), List.of(changing, other)).fetchFrom(), Optional.empty());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -87,6 +87,7 @@
                 .map(r -> new EngineCandidate(
                         r.entry().id(),
                         r.weights(prompt.model()),
+                        weights.settled(prompt.model(), r.weights(prompt.model()), now),
                         r.load(),
                         memory,
                         weights.penalized(prompt.model(), r.weights(prompt.model()), now),
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
@@ -23,6 +23,9 @@
      */
     private static final long FOUND_LEFT_MILLIS = 1_500;
 
+    /** A change of all replicas and one round of the dossiers at the sheets' rates take about this long. */
+    private static final long SETTLED_MILLIS = 8_000;
+
     private final long oldForbiddenMillis;
     private final Map<String, NavigableMap<Long, Named>> names = new HashMap<>();
     private final Set<String> steered = new HashSet<>();
@@ -150,6 +153,20 @@
         return next == null ? Long.MAX_VALUE : next.getValue().at() + oldForbiddenMillis - nowMillis;
     }
 
+    /**
+     * Tells whether a version was named so long ago that what is in use was read for it.
+     *
+     * @param model the model
+     * @param version the version
+     * @param nowMillis the monotonic time
+     * @return false for some seconds after the version was named
+     */
+    public boolean settled(String model, long version, long nowMillis) {
+        NavigableMap<Long, Named> versions = names.get(model);
+        Named named = versions == null ? null : versions.get(version);
+        return named == null || named.guessed() || nowMillis - named.at() > SETTLED_MILLIS;
+    }
+
     private long replacedFor(String model, long version, long nowMillis) {
         NavigableMap<Long, Named> versions = names.get(model);
         Map.Entry<Long, Named> next = versions == null ? null : versions.higherEntry(version);
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
@@ -46,6 +46,16 @@
         assertEquals(restarted.usableMillis("m", 3, 15_000), old.usableMillis("m", 3, 15_000));
     }
 
+    @Test
+    public void newWeightsSettleAfterSomeSeconds() {
+        WeightsView view = new WeightsView(BOUND);
+        assertTrue(view.settled("m", 1, 10_000));
+        view.name("m", 2, 10_000);
+        assertFalse(view.settled("m", 2, 12_000));
+        assertTrue(view.settled("m", 2, 20_000));
+        assertTrue(view.settled("m", 1, 12_000));
+    }
+
     @Test
     public void oldWeightsAreFineForAMoment() {
         WeightsView view = new WeightsView(BOUND);
