--- a/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
@@ -18,8 +18,10 @@
      * about 15,000 new ones come a second on the sheets. Later, a fetch is counted on.
      */
     private static final long AT_ENGINE_MILLIS = 4_000;
-    /** Reading a beginning and sending it to the store takes about this long. */
-    private static final long TO_STORE_MILLIS = 400;
+    /**
+     * From the end of reading a beginning until another engine can fetch it; sending it to the store takes some 40 ms.
+     */
+    private static final long TO_STORE_MILLIS = 150;
 
     /**
      * How long a beginning is counted on to stay in the store. Each request that sends its parts there also sends its
@@ -78,12 +80,16 @@
     /**
      * Notes that a beginning was sent to an engine.
      *
+     * <p>Failure: a beginning counts as readable elsewhere from the moment it was sent, while the engine has a queue.
+     * Symptom: others fetch it, find nothing, and read it again. It counts from the time at which it will have been
+     * read.
+     *
      * @param beginning a hash of the beginning with its salt
      * @param engine the engine
-     * @param nowMillis the monotonic time
+     * @param readyMillis the monotonic time at which the engine will have read it, as predicted
      */
-    public void sent(long beginning, String engine, long nowMillis) {
-        beginnings.computeIfAbsent(beginning, b -> new HashMap<>(4)).put(engine, nowMillis);
+    public void sent(long beginning, String engine, long readyMillis) {
+        beginnings.computeIfAbsent(beginning, b -> new HashMap<>(4)).put(engine, readyMillis);
     }
 
     /**
@@ -132,7 +138,7 @@
      * @param beginning the beginning
      * @param engine the engine
      * @param nowMillis the monotonic time
-     * @return whether it read it lately
+     * @return whether it read it lately, or will before it comes to another request
      */
     public boolean atEngine(long beginning, String engine, long nowMillis) {
         Long at = beginnings.getOrDefault(beginning, Map.of()).get(engine);
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -94,11 +94,12 @@
      *
      * @param beginning a hash of the shared beginning with its salt
      * @param engine the engine
+     * @param readyAfterMillis when the engine will have read it, as predicted, in milliseconds from now
      * @param storeMillis how long the store's link is busy with it, in milliseconds
      * @param nowMillis the monotonic time
      */
-    public void sent(long beginning, String engine, double storeMillis, long nowMillis) {
-        cached.sent(beginning, engine, nowMillis);
+    public void sent(long beginning, String engine, double readyAfterMillis, double storeMillis, long nowMillis) {
+        cached.sent(beginning, engine, nowMillis + Math.round(readyAfterMillis));
         cached.fetching(storeMillis, nowMillis);
         cached.saved(beginning, nowMillis);
     }
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -108,7 +108,7 @@
     @Test
     public void prefersAShortWaitToReadingAgain() {
         EngineChoice first = choose(prompt("d"), candidates());
-        chooser.sent(first.beginning(), first.engine().id(), 0, NOW);
+        chooser.sent(first.beginning(), first.engine().id(), 0, 0, NOW);
         loads.get(first.engine().id()).hinted(first.readMillis(), NOW);
         assertEquals(
                 choose(prompt("d"), candidates()).engine().id(), first.engine().id());
@@ -153,7 +153,7 @@
         loads.get(calm.engine().id()).hinted(150, NOW);
         assertNotEquals(
                 choose(prompt("d"), candidates()).engine().id(), calm.engine().id());
-        IntStream.range(0, 20).forEach(i -> chooser.sent(i, "e1", 25, NOW));
+        IntStream.range(0, 20).forEach(i -> chooser.sent(i, "e1", 0, 25, NOW));
         assertEquals(
                 choose(prompt("d"), candidates()).engine().id(), calm.engine().id());
     }
@@ -168,7 +168,7 @@
         EngineCandidate reader = candidate("e0", false, false);
         EngineCandidate other = candidate("e1", false, false);
         EngineChoice first = choose(prompt("d"), List.of(reader));
-        chooser.sent(first.beginning(), "e0", 0, NOW - 1_000);
+        chooser.sent(first.beginning(), "e0", 0, 0, NOW - 1_000);
         loads.get("e0").hinted(2_000, NOW);
         assertEquals(choose(prompt("d"), List.of(reader, other)).fetchFrom(), Optional.of("e0"));
         EngineCandidate changed =
@@ -178,11 +178,24 @@
         assertEquals(choose(prompt("d"), List.of(changing, other)).fetchFrom(), Optional.empty());
     }
 
+    /**
+     * An engine with a queue has been sent a beginning a second ago and has not come to it. Another engine that fetched
+     * it now would find nothing and read it again.
+     */
+    @Test
+    public void fetchesOnlyWhatHasBeenRead() {
+        EngineChoice first = choose(prompt("d"), List.of(candidate("e0", false, false)));
+        loads.get("e0").hinted(2_000, NOW);
+        chooser.sent(first.beginning(), "e0", 1_500, 0, NOW - 1_000);
+        EngineChoice elsewhere = choose(prompt("d"), List.of(candidate("e1", false, false)));
+        assertEquals(elsewhere.why(), "home read");
+    }
+
     /** The engine that should have read a beginning and saved it was full: the next one must do both. */
     @Test
     public void aRefusedRequestHasSavedNothing() {
         EngineChoice first = choose(prompt("d"), candidates());
-        chooser.sent(first.beginning(), first.engine().id(), 0, NOW);
+        chooser.sent(first.beginning(), first.engine().id(), 0, 0, NOW);
         chooser.refused(first.beginning(), first.engine().id());
         assertTrue(choose(prompt("d"), candidates()).save());
     }
@@ -190,7 +203,7 @@
     @Test
     public void savesABeginningOnce() {
         EngineChoice first = choose(prompt("d"), candidates());
-        chooser.sent(first.beginning(), first.engine().id(), 0, NOW);
+        chooser.sent(first.beginning(), first.engine().id(), 0, 0, NOW);
         assertFalse(choose(prompt("d"), candidates()).save());
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -112,7 +112,9 @@
 
     /** A request went to an engine: of this router, or as another router tells. */
     void sent(LiveReplica replica, long beginning, double storeMillis) {
-        chooser(replica.entry().service()).sent(beginning, replica.entry().id(), storeMillis, clock.monotonicMillis());
+        long now = clock.monotonicMillis();
+        chooser(replica.entry().service())
+                .sent(beginning, replica.entry().id(), replica.load().waitMillis(now), storeMillis, now);
     }
 
     /** An engine did not take a request of this router. */
