--- a/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CachedParts.java
@@ -65,10 +65,10 @@
     /**
      * Tells whether what is not known may be taken as kept.
      *
-     * <p>Failure: all routers restart together, none knows what the store holds, and every request sends its parts
-     * there again. Symptom: the store's link is full for ten seconds, fetches wait for it, and answers are late long
-     * after the restart. What may have been saved before the start counts as saved, but not what belongs to weights
-     * that were named just before: that is not there yet.
+     * <p>Failure: all routers restart together, none knows what the store holds, and beginnings are read wherever there
+     * is room. Symptom: engines read for seconds what lies in the store. What was in use before the start counts as
+     * kept, but not what belongs to weights that were named just before: that is not there yet. It is saved all the
+     * same, once for each beginning, since what was not kept would otherwise be read again by each engine that gets it.
      */
     private boolean inherited(boolean settled, long nowMillis) {
         if (startedAt < 0) {
@@ -123,13 +123,12 @@
      * Tells whether the next request should send its parts to the store.
      *
      * @param beginning the beginning
-     * @param settled whether its weights were named some time ago
      * @param nowMillis the monotonic time
      * @return whether no request that is known did so lately
      */
-    public boolean saveNow(long beginning, boolean settled, long nowMillis) {
+    public boolean saveNow(long beginning, long nowMillis) {
         Long at = savedAt.get(beginning);
-        return (at == null || nowMillis - at > IN_STORE_MILLIS) && !inherited(settled, nowMillis);
+        return at == null || nowMillis - at > IN_STORE_MILLIS;
     }
 
     /**
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -160,7 +160,7 @@
                 + (again ? shared * MILLIS_PER_TOKEN_AGAIN : 0)
                 + (c.steeredAway() ? STEERED_MILLIS : 0)
                 + (c.replaced() ? REPLACED_MILLIS : 0);
-        boolean save = shared > 0 && cached.saveNow(beginning, c.settled(), nowMillis);
+        boolean save = shared > 0 && cached.saveNow(beginning, nowMillis);
         String why = (home ? "home " : "away ") + source.name();
         return new EngineChoice(
                 c, beginning, wait, predicted, read, cost, source.engine(), source.storeMillis(), save, why);
