A stopping router gives new requests back once the last address answers have run out

New requests were taken as long as others still ran. Ruled out: a replica that broke off (it was still at work).

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.route.CallerLimits;
@@ -19,6 +20,7 @@
 import org.hornbeamhead.daemon.HttpAnswers;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.caller.CallerAnswer;
 import org.hornbeamhead.gateway.caller.CallerFront;
 import org.hornbeamhead.gateway.dispatch.Dispatcher;
 import org.hornbeamhead.gateway.dispatch.WireDialect;
@@ -119,11 +121,20 @@
                 routers::count));
         hints = new WorkHints(reactor, clock, registry, routers::hintAddresses, dispatcher::hinted);
         dispatcher.tell(hints);
-        front = new CallerFront(reactor, dispatcher, this::limits, metrics);
+        front = new CallerFront(
+                reactor, (request, answer) -> handle(dispatcher, request, answer), this::limits, metrics);
         shutdown = new Shutdown(daemon, front, presence, settings.grace());
         mirror.listen(this::changed);
     }
 
+    private void handle(Dispatcher dispatcher, WholeRequest request, CallerAnswer answer) {
+        if (shutdown.givesBack()) {
+            dispatcher.giveBack(request, answer, "the router is about to end");
+        } else {
+            dispatcher.handle(request, answer);
+        }
+    }
+
     private CallerLimits limits() {
         return state.config().map(RoutingConfig::limits).orElse(FIRST_LIMITS);
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
@@ -18,6 +18,11 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Three times the second for which address answers may be kept, and the way there. */
     private static final long LISTEN_MILLIS = 3_500;
+    /**
+     * After this time new requests are given back. The last address answers have run out by then, and what begins later
+     * may not be done when the grace is over.
+     */
+    private static final long TAKE_MILLIS = 2_700;
     /** Left of the grace when the process ends whatever still runs. */
     private static final long LAST_MILLIS = 400;
 
@@ -40,6 +45,17 @@
         return begunAt >= 0;
     }
 
+    /**
+     * Tells whether new requests are given back.
+     *
+     * <p>Failure: a caller that kept an old answer sends a long request just before the process ends. Symptom: its
+     * stream is cut in the middle. A request that is given back at once has not run, and its caller goes to another
+     * router.
+     */
+    boolean givesBack() {
+        return begun() && daemon.clock().monotonicMillis() - begunAt > TAKE_MILLIS;
+    }
+
     void begin() {
         if (begun()) {
             return;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -40,6 +40,9 @@
     /** A router that knows no configuration yet has one within a second or so of its start. */
     private static final long NOT_READY_RETRY_MILLIS = 500;
 
+    /** Another router is ready at once; a moment lets the caller's next answer name it. */
+    private static final long ELSEWHERE_RETRY_MILLIS = 20;
+
     private final NioReactor reactor;
     private final Clock clock;
     private final WireDialect dialect;
@@ -136,6 +139,17 @@
         forward(config, route.get(), owner, request, answer);
     }
 
+    /**
+     * Answers that a request has not run and may be sent to another router at once.
+     *
+     * @param whole the request
+     * @param answer takes the answer
+     * @param why for the caller
+     */
+    public void giveBack(WholeRequest whole, CallerAnswer answer, String why) {
+        refuseUnrun(dialect.read(whole), answer, why, ELSEWHERE_RETRY_MILLIS);
+    }
+
     private void forward(
             RoutingConfig config, Route route, Optional<KeyOwner> owner, CallerRequest request, CallerAnswer answer) {
         String name = route.serviceFor(draw(request.id()));
