Long answers and long prompts are kept apart when engines are short

Engines that read without a break take 95 ms and more a step, 570 ms an event of six tokens; what an engine had to read was weighed only by its queue, not by how much of its time reading took.

--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineAdmission.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineAdmission.java
@@ -15,7 +15,7 @@
      * The part of the target that the wait for other requests may take. With less, engines idle between the requests
      * that are let in; with more, streams under way pause for longer than is on time.
      */
-    private static final double WAIT_PART = 0.5;
+    private static final double WAIT_PART = 0.4;
     /** Prediction errs by about this; a request this much past its target is on time often enough. */
     private static final double LATE_FACTOR = 1.0;
     /** The shortest time to come back after: a queue grows or shrinks by this in a few requests. */
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -38,18 +38,16 @@
     /** Answers on replaced weights are worth a fifth less, as if a fifth of them came late. */
     private static final double REPLACED_MILLIS = 400;
 
-    /**
-     * What reading costs the streams that run at the engine, for each of them: every step that reads takes up to 95 ms
-     * instead of 4, and six steps make an event. Keeps long prompts together, away from long answers.
-     */
+    /** What reading costs a stream that runs at the engine, by the steps that it makes longer. */
     private static final double HARM_PART = 0.02;
     /** What the reading that waits at an engine costs a long answer besides its wait. */
     private static final double PAUSE_PART = 1.0;
-    /** An answer of no more tokens than this has few events that could pause. */
-    private static final int SHORT_OUTPUT_TOKENS = 20;
 
     private static final double BEGIN_FACTOR = 1.5;
 
+    /** Orders the engines for long answers. */
+    private static final String LANES = "long answers";
+
     private final CachedParts cached;
 
     /**
@@ -77,12 +75,14 @@
                 candidates.stream().map(EngineCandidate::id).max(Comparator.comparingLong(id -> rank(shared, id)));
         Map<String, EngineCandidate> byId =
                 candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
+        AnswerLanes lanes = AnswerLanes.of(candidates, id -> rank(LANES, id), nowMillis);
         return candidates.stream()
                 .map(c -> weigh(
                         prompt,
                         hash(shared) ^ salt.applyAsLong(c),
                         c,
                         home.orElseThrow().equals(c.id()),
+                        lanes,
                         id -> holds(byId.get(id), c),
                         nowMillis))
                 .filter(EngineChooser::beginsInTime)
@@ -139,7 +139,13 @@
     }
 
     private EngineChoice weigh(
-            Prompt prompt, long beginning, EngineCandidate c, boolean home, Predicate<String> holds, long nowMillis) {
+            Prompt prompt,
+            long beginning,
+            EngineCandidate c,
+            boolean home,
+            AnswerLanes lanes,
+            Predicate<String> holds,
+            long nowMillis) {
         int shared = prompt.sharedTokens();
         int fresh = prompt.tokens() - shared;
         Source source = source(prompt, beginning, c, home, holds, nowMillis);
@@ -150,8 +156,8 @@
         double memory = c.load().memoryTokens(nowMillis) + prompt.tokens() + prompt.outputTokens();
         double over = Math.max(0, memory / (c.memoryTokens() * MEMORY_PART) - 1) * USUAL_MILLIS;
         double predicted = wait + source.millis() + read + batch + over;
-        double harm = c.load().total(nowMillis) * read * HARM_PART;
-        double pauses = prompt.outputTokens() > SHORT_OUTPUT_TOKENS ? wait * PAUSE_PART : 0;
+        double harm = c.load().total(nowMillis) * read * HARM_PART + lanes.harmMillis(c, read, nowMillis);
+        double pauses = prompt.hasLongAnswer() ? wait * PAUSE_PART + lanes.placeMillis(c, nowMillis) : 0;
         boolean again = source.reads() && !cached.unknown(beginning);
         double cost = predicted
                 + harm
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineLoad.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineLoad.java
@@ -33,9 +33,9 @@
     private final Deque<Sent> sent = new ArrayDeque<>();
     private double readUntil;
 
-    private record Work(long sentAt, double expectedAt, int memoryTokens, boolean reading) {}
+    private record Work(long sentAt, double expectedAt, int memoryTokens, boolean longAnswer, boolean reading) {}
 
-    private record Hint(int running, int memoryTokens, long at) {}
+    private record Hint(int running, int longAnswers, int memoryTokens, long at) {}
 
     private record Sent(long at, double millis) {}
 
@@ -45,11 +45,12 @@
      * @param id the request
      * @param readMillis the predicted time that the engine reads for it, in milliseconds
      * @param memoryTokens the tokens that the request takes in the engine's memory
+     * @param longAnswer whether the answer is long enough for its pauses to matter
      * @param nowMillis the monotonic time
      */
-    public void sent(String id, double readMillis, int memoryTokens, long nowMillis) {
+    public void sent(String id, double readMillis, int memoryTokens, boolean longAnswer, long nowMillis) {
         queue(readMillis, nowMillis);
-        own.put(id, new Work(nowMillis, readUntil, memoryTokens, true));
+        own.put(id, new Work(nowMillis, readUntil, memoryTokens, longAnswer, true));
     }
 
     /**
@@ -76,14 +77,15 @@
      *
      * @param router the other router
      * @param running its requests that have not ended
+     * @param longAnswers those of them with long answers
      * @param memoryTokens the tokens that they take
      * @param nowMillis the monotonic time
      */
-    public void hinted(String router, int running, int memoryTokens, long nowMillis) {
+    public void hinted(String router, int running, int longAnswers, int memoryTokens, long nowMillis) {
         if (running == 0) {
             hints.remove(router);
         } else {
-            hints.put(router, new Hint(running, memoryTokens, nowMillis));
+            hints.put(router, new Hint(running, longAnswers, memoryTokens, nowMillis));
         }
     }
 
@@ -98,7 +100,7 @@
         if (w == null || !w.reading()) {
             return;
         }
-        own.put(id, new Work(w.sentAt(), w.expectedAt(), w.memoryTokens(), false));
+        own.put(id, new Work(w.sentAt(), w.expectedAt(), w.memoryTokens(), w.longAnswer(), false));
         double after = sent.stream()
                 .filter(s -> s.at() > w.sentAt())
                 .mapToDouble(Sent::millis)
@@ -133,6 +135,29 @@
         return own.values().stream().mapToInt(Work::memoryTokens).sum();
     }
 
+    /**
+     * Counts this router's requests with long answers.
+     *
+     * @return those that have not ended
+     */
+    public int ownLongAnswers() {
+        return (int) own.values().stream().filter(Work::longAnswer).count();
+    }
+
+    /**
+     * Counts the requests with long answers of all routers.
+     *
+     * @param nowMillis the monotonic time
+     * @return the number as far as known
+     */
+    public int longAnswers(long nowMillis) {
+        return ownLongAnswers()
+                + hints.values().stream()
+                        .filter(h -> fresh(h, nowMillis))
+                        .mapToInt(Hint::longAnswers)
+                        .sum();
+    }
+
     /**
      * Counts the requests of all routers.
      *
@@ -162,6 +187,21 @@
         return Math.max(0, readUntil - nowMillis) + Math.max(0, overdue);
     }
 
+    /**
+     * Tells how much the engine was given to read lately, whether it has read it or not.
+     *
+     * @param windowMillis how far back, in milliseconds
+     * @param nowMillis the monotonic time
+     * @return the reading that was sent, in milliseconds of the engine's work
+     */
+    public double recentReadMillis(long windowMillis, long nowMillis) {
+        return sent.stream()
+                        .filter(s -> s.at() > nowMillis - windowMillis)
+                        .mapToDouble(Sent::millis)
+                        .sum()
+                / SPACING;
+    }
+
     /**
      * Counts the tokens that requests take.
      *
--- a/core/src/main/java/org/hornbeamhead/core/engine/WorkHint.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/WorkHint.java
@@ -13,14 +13,17 @@
  */
 public record WorkHint(List<Total> totals, List<Send> sends) {
     /** What fits into one datagram on any path. */
-    private static final int MAX_ENTRIES = 60;
+    private static final int MAX_TOTALS = 60;
 
-    private static final byte FORMAT = 2;
-    private static final int TOTAL_BYTES = 8;
+    private static final int MAX_SENDS = 55;
+
+    private static final byte FORMAT = 3;
+    private static final int TOTAL_BYTES = 9;
     private static final int SEND_BYTES = 16;
     /** Memory is told in blocks, so that two bytes hold it. */
     private static final int BLOCK_TOKENS = 16;
 
+    private static final int MAX_BYTE = 255;
     private static final int MAX_SHORT = 65_535;
 
     /**
@@ -28,9 +31,10 @@
      *
      * @param replica a hash of its id
      * @param running requests that have not ended
+     * @param longAnswers those of them with long answers
      * @param memoryTokens the tokens that they take
      */
-    public record Total(int replica, int running, int memoryTokens) {}
+    public record Total(int replica, int running, int longAnswers, int memoryTokens) {}
 
     /**
      * A request that was sent.
@@ -44,8 +48,8 @@
 
     /** Keeps what fits into one datagram. */
     public WorkHint {
-        totals = totals.stream().limit(MAX_ENTRIES).toList();
-        sends = sends.stream().limit(MAX_ENTRIES).toList();
+        totals = totals.stream().limit(MAX_TOTALS).toList();
+        sends = sends.stream().limit(MAX_SENDS).toList();
     }
 
     /**
@@ -58,6 +62,7 @@
         out.put(FORMAT).put((byte) totals.size()).put((byte) sends.size());
         totals.forEach(t -> out.putInt(t.replica())
                 .putShort(unsigned(t.running()))
+                .put((byte) Math.min(MAX_BYTE, t.longAnswers()))
                 .putShort(unsigned(t.memoryTokens() / BLOCK_TOKENS)));
         sends.forEach(s -> out.putInt(s.replica())
                 .putLong(s.beginning())
@@ -88,7 +93,11 @@
         }
         List<Total> t = new ArrayList<>(totals);
         for (int i = 0; i < totals; i++) {
-            t.add(new Total(in.getInt(), in.getShort() & MAX_SHORT, (in.getShort() & MAX_SHORT) * BLOCK_TOKENS));
+            t.add(new Total(
+                    in.getInt(),
+                    in.getShort() & MAX_SHORT,
+                    in.get() & MAX_BYTE,
+                    (in.getShort() & MAX_SHORT) * BLOCK_TOKENS));
         }
         List<Send> s = new ArrayList<>(sends);
         for (int i = 0; i < sends; i++) {
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -82,7 +82,7 @@
         if (what.equals("a long wait")) {
             load.hinted(600, NOW);
         } else if (what.equals("full memory")) {
-            load.hinted("other", 12, 200_000, NOW);
+            load.hinted("other", 12, 0, 200_000, NOW);
         }
         List<EngineCandidate> from = candidates().stream()
                 .map(c -> c.id().equals(home)
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineLoadTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineLoadTest.java
@@ -11,7 +11,7 @@
     @Test
     public void workIsReadInTheOrderInWhichItWasSent() {
         EngineLoad load = new EngineLoad();
-        load.sent("a", 100, 5_000, NOW);
+        load.sent("a", 100, 5_000, false, NOW);
         load.hinted(50, NOW + 10);
         assertEquals(load.waitMillis(NOW + 10), 185, 0.1);
         assertEquals(load.waitMillis(NOW + 200), 70, 0.1, "its first event is overdue by 70 ms");
@@ -23,8 +23,8 @@
     @Test
     public void aFirstEventCorrectsThePrediction() {
         EngineLoad load = new EngineLoad();
-        load.sent("a", 1_000, 5_000, NOW);
-        load.sent("b", 300, 5_000, NOW + 50);
+        load.sent("a", 1_000, 5_000, false, NOW);
+        load.sent("b", 300, 5_000, false, NOW + 50);
         load.firstEvent("a", NOW + 100);
         assertEquals(load.waitMillis(NOW + 100), 390, 0.1);
     }
@@ -55,7 +55,7 @@
     @Test
     public void aSilentEngineLooksBusierAndBusier() {
         EngineLoad load = new EngineLoad();
-        load.sent("a", 50, 5_000, NOW);
+        load.sent("a", 50, 5_000, false, NOW);
         assertTrue(load.waitMillis(NOW + 2_000) > 1_900);
         load.ended("a");
         assertEquals(load.waitMillis(NOW + 2_000), 0, 0.1);
@@ -64,11 +64,11 @@
     @Test
     public void whatAnotherRouterSaidRunsOut() {
         EngineLoad load = new EngineLoad();
-        load.hinted("r", 4, 20_000, NOW);
+        load.hinted("r", 4, 3, 20_000, NOW);
         assertEquals(load.total(NOW + 100), 4);
         assertEquals(load.memoryTokens(NOW + 100), 20_000);
         assertEquals(load.total(NOW + 2_000), 0);
-        load.hinted("r", 0, 0, NOW);
+        load.hinted("r", 0, 0, 0, NOW);
         assertEquals(load.total(NOW), 0);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EnginePlay.java
@@ -0,0 +1,221 @@
+package org.hornbeamhead.core.engine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Plays a load on engines in virtual time: chooser and admission decide, and engines read prompts in pieces between the
+ * tokens of running answers, with the figures of the sheets. The same seed gives the same play.
+ */
+final class EnginePlay {
+    /** A kind of request: how many come a second, how long prompts and answers are, and when they are late. */
+    record Kind(
+            String name,
+            double perSecond,
+            int sharedTokens,
+            int dossiers,
+            int ownTokens,
+            int output,
+            double outputSpread,
+            int target) {}
+
+    /** What callers of one kind got. */
+    record Served(int asked, int onTime, int late, int refused) {
+        double onTimePart() {
+            return (double) onTime / Math.max(1, asked);
+        }
+    }
+
+    private static final int CHUNK_TOKENS = 4_096;
+    private static final double STEP_MILLIS = 3.4;
+    private static final double STEP_MILLIS_PER_REQUEST = 0.017;
+    private static final int EVENT_TOKENS = 6;
+    private static final int PAUSE_MILLIS = 500;
+    private static final int MEMORY_TOKENS = 94_571;
+    private static final long TIME_LEFT = 5_000;
+    private static final double OWN_SPREAD = 1.0;
+    private static final double OUTPUT_MAX = 4.0;
+
+    private final Random random;
+    private final List<Kind> kinds;
+    private final EngineChooser chooser = new EngineChooser(false);
+    private final List<Engine> engines = new ArrayList<>();
+    private final Map<Kind, int[]> counts = new HashMap<>();
+    private int nextId;
+
+    private static final class Running {
+        private final String id;
+        private final Kind kind;
+        private final long arrived;
+        private final int output;
+        private final int tokens;
+        private int toRead;
+        private int read;
+        private int made;
+        private double lastEvent;
+        private boolean late;
+
+        Running(String id, Kind kind, long arrived, int output, int read, int toRead) {
+            this.id = id;
+            this.kind = kind;
+            this.arrived = arrived;
+            this.output = output;
+            this.read = read;
+            this.toRead = toRead;
+            this.tokens = read + toRead + output;
+            this.lastEvent = arrived;
+        }
+    }
+
+    private final class Engine {
+        private final String id;
+        private final EngineLoad load = new EngineLoad();
+        private final Set<String> held = new HashSet<>();
+        private final List<Running> waiting = new ArrayList<>();
+        private final List<Running> running = new ArrayList<>();
+        private double now;
+
+        Engine(String id) {
+            this.id = id;
+        }
+
+        /** Works until the time given. */
+        void workUntil(double end) {
+            while (now < end) {
+                admit();
+                if (running.isEmpty()) {
+                    now = end;
+                    return;
+                }
+                step();
+            }
+        }
+
+        private void admit() {
+            int used = running.stream().mapToInt(r -> r.tokens).sum();
+            while (!waiting.isEmpty() && used + waiting.get(0).tokens <= MEMORY_TOKENS) {
+                used += waiting.get(0).tokens;
+                running.add(waiting.remove(0));
+            }
+        }
+
+        private void step() {
+            double millis = STEP_MILLIS + STEP_MILLIS_PER_REQUEST * running.size();
+            int budget = CHUNK_TOKENS;
+            List<Running> making = new ArrayList<>();
+            for (Running r : running) {
+                int piece = Math.min(budget, r.toRead);
+                millis += ReadingCost.readMillis(r.read, piece);
+                r.read += piece;
+                r.toRead -= piece;
+                budget -= piece;
+                if (r.toRead == 0) {
+                    making.add(r);
+                }
+            }
+            now += millis;
+            making.forEach(this::token);
+            running.removeIf(r -> r.made >= r.output);
+        }
+
+        private void token(Running r) {
+            r.made++;
+            if (r.made == 1) {
+                load.firstEvent(r.id, Math.round(now));
+                r.late = now - r.arrived > r.kind.target();
+                r.lastEvent = now;
+            } else if (r.made % EVENT_TOKENS == 0 || r.made == r.output) {
+                r.late |= now - r.lastEvent > PAUSE_MILLIS;
+                r.lastEvent = now;
+            }
+            if (r.made >= r.output) {
+                load.ended(r.id);
+                counts.get(r.kind)[r.late ? 2 : 1]++;
+            }
+        }
+    }
+
+    EnginePlay(int engineCount, List<Kind> kinds, long seed) {
+        this.kinds = kinds;
+        this.random = new Random(seed);
+        for (int i = 0; i < engineCount; i++) {
+            engines.add(new Engine("e" + i));
+        }
+        kinds.forEach(k -> counts.put(k, new int[4]));
+    }
+
+    /** Plays for a time and tells what the callers of each kind got. */
+    Map<String, Served> play(long millis) {
+        Map<Kind, Double> next = new HashMap<>();
+        kinds.forEach(k -> next.put(k, gap(k)));
+        for (long now = 0; now < millis; now++) {
+            long at = now;
+            engines.forEach(e -> e.workUntil((double) at));
+            for (Kind k : kinds) {
+                while (next.get(k) <= now) {
+                    next.merge(k, gap(k), Double::sum);
+                    arrive(k, now);
+                }
+            }
+        }
+        engines.forEach(e -> e.workUntil((double) (millis + 2 * TIME_LEFT)));
+        Map<String, Served> served = new HashMap<>();
+        counts.forEach((k, c) -> served.put(k.name(), new Served(c[0], c[1], c[2], c[3])));
+        return served;
+    }
+
+    private double gap(Kind k) {
+        return -Math.log(1 - random.nextDouble()) * 1_000 / k.perSecond();
+    }
+
+    /** A value around a mean whose logarithm is spread like a bell. */
+    private double drawn(double mean, double spread) {
+        return mean * Math.exp(random.nextGaussian() * spread - spread * spread / 2);
+    }
+
+    private void arrive(Kind k, long now) {
+        counts.get(k)[0]++;
+        int dossier = random.nextInt(k.dossiers());
+        int own = 1 + (int) drawn(k.ownTokens(), OWN_SPREAD);
+        int output = (int) Math.max(1, Math.min(k.output() * OUTPUT_MAX, drawn(k.output(), k.outputSpread())));
+        String shared = k.name() + dossier;
+        Prompt prompt = new Prompt(
+                "m",
+                List.of(
+                        new PromptPart(k.name(), k.sharedTokens() / 3),
+                        new PromptPart(shared, k.sharedTokens() - k.sharedTokens() / 3),
+                        new PromptPart("own", own)),
+                k.output());
+        List<EngineCandidate> candidates = engines.stream()
+                .map(e -> new EngineCandidate(e.id, 1, true, e.load, MEMORY_TOKENS, false, Long.MAX_VALUE, false))
+                .toList();
+        Optional<EngineChoice> choice = chooser.choose(prompt, c -> 0, candidates, now);
+        OptionalLong back = EngineAdmission.refuse(choice.orElseThrow(), k.target(), TIME_LEFT);
+        if (back.isPresent()) {
+            counts.get(k)[3]++;
+        } else {
+            send(k, prompt, choice.get(), shared, output, now);
+        }
+    }
+
+    private void send(Kind k, Prompt prompt, EngineChoice choice, String shared, int output, long now) {
+        Engine engine = engines.stream()
+                .filter(e -> e.id.equals(choice.engine().id()))
+                .findFirst()
+                .orElseThrow();
+        String id = "r" + nextId++;
+        engine.load.sent(id, choice.readMillis(), prompt.memoryTokens(), prompt.hasLongAnswer(), now);
+        chooser.sent(choice.beginning(), choice.engine().id(), engine.load.waitMillis(now), choice.storeMillis(), now);
+        boolean holds = !engine.held.add(shared) || choice.fetchFrom().isPresent();
+        int read = holds ? prompt.sharedTokens() : 0;
+        Running r = new Running(id, k, now, output, read, prompt.tokens() - read);
+        engine.waiting.add(r);
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hornbeamhead.core.engine.EngineChoice;
+import org.hornbeamhead.core.engine.Prompt;
 import org.hornbeamhead.core.forward.AttemptEnd;
 import org.hornbeamhead.core.http.Header;
 import org.hornbeamhead.core.http.Headers;
@@ -95,13 +96,11 @@
 
     private void noteSent() {
         String id = exchange.subject().request().id();
-        int memory = exchange.subject()
-                .request()
-                .prompt()
-                .map(p -> p.tokens() + p.outputTokens())
-                .orElse(0);
+        Optional<Prompt> prompt = exchange.subject().request().prompt();
+        int memory = prompt.map(Prompt::memoryTokens).orElse(0);
+        boolean longAnswer = prompt.map(Prompt::hasLongAnswer).orElse(false);
         double read = target.choice().map(EngineChoice::readMillis).orElse(0.0);
-        replica.load().sent(id, read, memory, now());
+        replica.load().sent(id, read, memory, longAnswer, now());
         target.choice().ifPresent(c -> exchange.dispatcher().sentToEngine(replica, c));
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
@@ -96,7 +96,11 @@
         long now = clock.monotonicMillis();
         List<WorkHint.Total> totals = registry.all().stream()
                 .filter(r -> r.load().own() > 0)
-                .map(r -> new WorkHint.Total(r.hash(), r.load().own(), r.load().ownMemoryTokens()))
+                .map(r -> new WorkHint.Total(
+                        r.hash(),
+                        r.load().own(),
+                        r.load().ownLongAnswers(),
+                        r.load().ownMemoryTokens()))
                 .toList();
         boolean news = !sends.isEmpty() || !totals.equals(told);
         if (news || (!totals.isEmpty() && now - toldAt > REPEAT_MILLIS)) {
@@ -116,7 +120,7 @@
         List<WorkHint.Total> all = new ArrayList<>(totals);
         told.stream()
                 .filter(t -> totals.stream().noneMatch(n -> n.replica() == t.replica()))
-                .forEach(t -> all.add(new WorkHint.Total(t.replica(), 0, 0)));
+                .forEach(t -> all.add(new WorkHint.Total(t.replica(), 0, 0, 0)));
         return all;
     }
 
@@ -131,7 +135,7 @@
     private void take(String from, WorkHint hint) {
         long now = clock.monotonicMillis();
         hint.totals().forEach(t -> registry.byHash(t.replica())
-                .ifPresent(r -> r.load().hinted(from, t.running(), t.memoryTokens(), now)));
+                .ifPresent(r -> r.load().hinted(from, t.running(), t.longAnswers(), t.memoryTokens(), now)));
         hint.sends().forEach(s -> registry.byHash(s.replica()).ifPresent(r -> {
             r.load().hinted(s.readMillis(), now);
             onSend.accept(r, s);
