--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -65,6 +65,7 @@
     private final PeerMirror peers;
     private final SteerNotice notice;
     private final Duties duties;
+    private final Dispatcher dispatcher;
     private final WorkHints hints;
     private final CallerFront front;
     private final Shutdown shutdown;
@@ -106,7 +107,7 @@
                 settings,
                 routers,
                 state);
-        Dispatcher dispatcher = new Dispatcher(new Dispatcher.Parts(
+        dispatcher = new Dispatcher(new Dispatcher.Parts(
                 reactor,
                 clock,
                 ports.dialect(),
@@ -121,13 +122,12 @@
                 routers::count));
         hints = new WorkHints(reactor, clock, registry, routers::hintAddresses, dispatcher::hinted);
         dispatcher.tell(hints);
-        front = new CallerFront(
-                reactor, (request, answer) -> handle(dispatcher, request, answer), this::limits, metrics);
+        front = new CallerFront(reactor, this::handle, this::limits, metrics);
         shutdown = new Shutdown(daemon, front, presence, settings.grace());
         mirror.listen(this::changed);
     }
 
-    private void handle(Dispatcher dispatcher, WholeRequest request, CallerAnswer answer) {
+    private void handle(WholeRequest request, CallerAnswer answer) {
         if (shutdown.givesBack()) {
             dispatcher.giveBack(request, answer, "the router is about to end");
         } else {
@@ -188,7 +188,7 @@
             case CONFIGURATION -> documents
                     .configuration(item)
                     .peekLeft(why -> unreadable(item, why))
-                    .forEach(c -> state.accept(c, item.revision()));
+                    .forEach(c -> configured(c, item.revision()));
             case WEIGHTS -> documents
                     .weights(item)
                     .peekLeft(why -> unreadable(item, why))
@@ -198,6 +198,14 @@
         }
     }
 
+    private void configured(RoutingConfig config, long revision) {
+        boolean first = state.config().isEmpty();
+        state.accept(config, revision);
+        if (first) {
+            dispatcher.configured();
+        }
+    }
+
     private void named(PlatformDocuments.NamedWeights w, long revision) {
         logger.atInfo()
                 .with(Logs.DECISION, "weights named")
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -37,8 +37,10 @@
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
-    /** A router that knows no configuration yet has one within a second or so of its start. */
-    private static final long NOT_READY_RETRY_MILLIS = 500;
+    /** A router that has waited for its first configuration in vain may have one soon; others may have it now. */
+    private static final long NOT_READY_RETRY_MILLIS = 100;
+    /** A view that may be old is renewed by the next waiting read, or by another router. */
+    private static final long UNSURE_RETRY_MILLIS = 500;
 
     /** Another router is ready at once; a moment lets the caller's next answer name it. */
     private static final long ELSEWHERE_RETRY_MILLIS = 20;
@@ -51,6 +53,7 @@
     private final Metrics metrics;
     private final RandomGenerator random;
     private final TargetPicker picker;
+    private final EarlyRequests early;
     private final BudgetLimits budgetLimits;
     private final IntSupplier routers;
     private WorkHints hints;
@@ -110,19 +113,31 @@
         this.random = parts.random();
         this.budgetLimits = parts.budgetLimits();
         this.routers = parts.routers();
+        this.early = new EarlyRequests((delay, action) -> reactor.delayBackground(delay, action));
         this.picker = new TargetPicker(clock, registry, parts.weights(), parts.dataCentre(), parts.inherits());
     }
 
     @Override
     public void handle(WholeRequest whole, CallerAnswer answer) {
         CallerRequest request = dialect.read(whole);
-        Optional<RoutingConfig> known = state.config();
-        if (known.isEmpty()) {
-            refuseUnrun(request, answer, "no configuration yet", NOT_READY_RETRY_MILLIS);
-            return;
+        long arrivedAt = clock.monotonicMillis();
+        if (state.config().isPresent()) {
+            route(state.config().get(), request, answer, arrivedAt);
+        } else {
+            early.hold(
+                    () -> route(state.config().orElseThrow(), request, answer, arrivedAt),
+                    () -> refuseUnrun(request, answer, "no configuration yet", NOT_READY_RETRY_MILLIS));
         }
-        RoutingConfig config = known.get();
-        Optional<Route> route = config.route(request.host(), whole.head().path());
+    }
+
+    /** The first configuration is known. */
+    public void configured() {
+        early.release();
+    }
+
+    private void route(RoutingConfig config, CallerRequest request, CallerAnswer answer, long arrivedAt) {
+        Optional<Route> route =
+                config.route(request.host(), request.whole().head().path());
         if (route.isEmpty()) {
             deny(request, answer, NOT_FOUND, "no route");
             return;
@@ -136,7 +151,7 @@
             answer(request, answer, BAD_REQUEST, "the request names no id", Headers.NONE);
             return;
         }
-        forward(config, route.get(), owner, request, answer);
+        forward(new Exchange.Asked(config, route.get(), owner, request, arrivedAt), answer);
     }
 
     /**
@@ -150,16 +165,15 @@
         refuseUnrun(dialect.read(whole), answer, why, ELSEWHERE_RETRY_MILLIS);
     }
 
-    private void forward(
-            RoutingConfig config, Route route, Optional<KeyOwner> owner, CallerRequest request, CallerAnswer answer) {
-        String name = route.serviceFor(draw(request.id()));
-        Optional<ServiceSpec> service = config.service(name);
+    private void forward(Exchange.Asked asked, CallerAnswer answer) {
+        String name = asked.route().serviceFor(draw(asked.request().id()));
+        Optional<ServiceSpec> service = asked.config().service(name);
         if (service.isEmpty()) {
-            refuseUnrun(request, answer, "service " + name + " is not configured", NOT_READY_RETRY_MILLIS);
+            refuseUnrun(asked.request(), answer, "service " + name + " is not configured", UNSURE_RETRY_MILLIS);
             return;
         }
         budget(name).requested(clock.monotonicMillis());
-        new Exchange(this, new Exchange.Subject(config, route, service.get(), owner, request), answer).start();
+        new Exchange(this, new Exchange.Subject(asked, service.get()), answer).start();
     }
 
     /** Spreads ids over all values, since their own bits may be a counter. */
@@ -214,7 +228,7 @@
         if (state.surelyFresh(clock.monotonicMillis())) {
             answer(request, answer, status, why, Headers.NONE);
         } else {
-            refuseUnrun(request, answer, why + " in a configuration that may be old", NOT_READY_RETRY_MILLIS);
+            refuseUnrun(request, answer, why + " in a configuration that may be old", UNSURE_RETRY_MILLIS);
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -35,16 +35,39 @@
     private static final long NO_DEADLINE_MILLIS = 60_000;
 
     /**
-     * What is to be done.
+     * What a caller asks for, as the configuration reads it.
      *
      * @param config the configuration under which the request was read
      * @param route its route
-     * @param service its service
      * @param owner the customer, empty on open routes
      * @param request the request
+     * @param arrivedAt the monotonic time at which it came, in milliseconds
      */
-    record Subject(
-            RoutingConfig config, Route route, ServiceSpec service, Optional<KeyOwner> owner, CallerRequest request) {}
+    record Asked(RoutingConfig config, Route route, Optional<KeyOwner> owner, CallerRequest request, long arrivedAt) {}
+
+    /**
+     * What is to be done.
+     *
+     * @param asked what the caller asks for
+     * @param service the service that does it
+     */
+    record Subject(Asked asked, ServiceSpec service) {
+        RoutingConfig config() {
+            return asked.config();
+        }
+
+        Route route() {
+            return asked.route();
+        }
+
+        Optional<KeyOwner> owner() {
+            return asked.owner();
+        }
+
+        CallerRequest request() {
+            return asked.request();
+        }
+    }
 
     private final Dispatcher dispatcher;
     private final Subject subject;
@@ -64,7 +87,7 @@
         this.subject = subject;
         this.answer = answer;
         this.forwarding = new Forwarding(subject.route());
-        this.arrivedAt = dispatcher.clock().monotonicMillis();
+        this.arrivedAt = subject.asked().arrivedAt();
         this.deadline = arrivedAt + allowedMillis(subject);
         this.progress = new StreamProgress(subject.request().lastEvent());
     }
