Beginnings are fetched or read by what each takes; link speeds come from the configuration

Long answers had a home by their beginning, while they are kept in lanes. Ruled out: the start of the process itself (0.18 s of a core to listening, nearly all of it the virtual machine's). A deployment without a store beside its engines is no longer predicted to fetch from one.

--- a/core/src/main/java/org/hornbeamhead/core/engine/AnswerLanes.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/AnswerLanes.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.ToLongFunction;
 
 /**
@@ -62,6 +63,15 @@
         return new AnswerLanes(order, all);
     }
 
+    /**
+     * Returns the engine that long answers fill first.
+     *
+     * @return its id, empty without engines
+     */
+    Optional<String> first() {
+        return order.stream().findFirst();
+    }
+
     /**
      * Weighs what reading costs the long answers that run at an engine, or that the order leads there.
      *
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
@@ -4,6 +4,7 @@
  * An engine that a request may go to.
  *
  * @param id names one run of the engine
+ * @param dataCentre where it stands
  * @param weights the version of the model's weights that it serves
  * @param settled whether the weights were named so long ago that the store beside the engines holds what is in use
  * @param load the work there
@@ -14,6 +15,7 @@
  */
 public record EngineCandidate(
         String id,
+        String dataCentre,
         long weights,
         boolean settled,
         EngineLoad load,
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
@@ -13,6 +13,7 @@
  * @param cost what the choice was made by: the predicted time and what the choice costs besides, in milliseconds
  * @param fetchFrom the engine to fetch the beginning from; empty for the store beside the engines
  * @param storeMillis how long the store's link is busy with it, in milliseconds; 0 when nothing is fetched there
+ * @param askStore whether the engine asks the store for what it should hold and does not
  * @param save whether the engine should send the parts to the store beside the engines
  * @param why in words, for the log
  */
@@ -25,5 +26,6 @@
         double cost,
         Optional<String> fetchFrom,
         double storeMillis,
+        boolean askStore,
         boolean save,
         String why) {}
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import net.openhft.hashing.LongHashFunction;
@@ -28,11 +27,6 @@
     private static final double USUAL_MILLIS = 500;
     /** Work at another engine counts this much more than the home's, so that small differences move nothing. */
     private static final double AWAY_MILLIS = 10;
-    /**
-     * Reading a beginning again that another engine has read: a thousand tokens cost a fifth of a long request's worth,
-     * which is what about 200 ms of lateness would.
-     */
-    private static final double MILLIS_PER_TOKEN_AGAIN = 0.05;
     /** An engine about to change its weights refuses, or delays its change. */
     private static final double STEERED_MILLIS = 5_000;
     /** Answers on replaced weights are worth a fifth less, as if a fifth of them came late. */
@@ -65,26 +59,29 @@
      * @param prompt the prompt
      * @param salt gives what separates an engine's cached parts from those of other customers and weights, by version
      * @param candidates the usable engines
+     * @param links how cached parts come to an engine
      * @param nowMillis the monotonic time
      * @return the choice, empty without candidates
      */
     public Optional<EngineChoice> choose(
-            Prompt prompt, ToLongFunction<EngineCandidate> salt, List<EngineCandidate> candidates, long nowMillis) {
+            Prompt prompt,
+            ToLongFunction<EngineCandidate> salt,
+            List<EngineCandidate> candidates,
+            CacheLinks links,
+            long nowMillis) {
         String shared = prompt.sharedKey();
-        Optional<String> home =
-                candidates.stream().map(EngineCandidate::id).max(Comparator.comparingLong(id -> rank(shared, id)));
+        long beginning = hash(shared);
         Map<String, EngineCandidate> byId =
                 candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
+        BeginningSources sources =
+                new BeginningSources(cached, links, id -> Optional.ofNullable(byId.get(id)), nowMillis);
         AnswerLanes lanes = AnswerLanes.of(candidates, id -> rank(LANES, id), nowMillis);
+        Optional<String> home = prompt.hasLongAnswer()
+                ? lanes.first()
+                : candidates.stream().map(EngineCandidate::id).max(Comparator.comparingLong(id -> rank(shared, id)));
         return candidates.stream()
                 .map(c -> weigh(
-                        prompt,
-                        hash(shared) ^ salt.applyAsLong(c),
-                        c,
-                        home.orElseThrow().equals(c.id()),
-                        lanes,
-                        id -> holds(byId.get(id), c),
-                        nowMillis))
+                        prompt, beginning ^ salt.applyAsLong(c), c, home.orElseThrow(), lanes, sources, nowMillis))
                 .filter(EngineChooser::beginsInTime)
                 .min(Comparator.comparingDouble(EngineChoice::cost));
     }
@@ -122,14 +119,6 @@
         cached.refused(beginning, engine);
     }
 
-    /** An engine that has changed its weights, or is about to, has dropped what it held. */
-    private static boolean holds(EngineCandidate holder, EngineCandidate wants) {
-        return holder != null
-                && !holder.id().equals(wants.id())
-                && holder.weights() == wants.weights()
-                && !holder.steeredAway();
-    }
-
     private static long rank(String key, String id) {
         return hash(key + '\0' + id) >>> 1;
     }
@@ -142,58 +131,31 @@
             Prompt prompt,
             long beginning,
             EngineCandidate c,
-            boolean home,
+            String homeId,
             AnswerLanes lanes,
-            Predicate<String> holds,
+            BeginningSources sources,
             long nowMillis) {
-        int shared = prompt.sharedTokens();
-        int fresh = prompt.tokens() - shared;
-        Source source = source(prompt, beginning, c, home, holds, nowMillis);
-        double read =
-                source.reads() ? ReadingCost.readMillis(0, shared + fresh) : ReadingCost.readMillis(shared, fresh);
+        boolean home = homeId.equals(c.id());
+        BeginningSources.Source source = sources.best(prompt, beginning, c, home);
+        double read = BeginningSources.readMillis(source, prompt);
         double wait = c.load().waitMillis(nowMillis);
         double batch = c.load().total(nowMillis) * MILLIS_PER_REQUEST;
-        double memory = c.load().memoryTokens(nowMillis) + prompt.tokens() + prompt.outputTokens();
+        double memory = c.load().memoryTokens(nowMillis) + prompt.memoryTokens();
         double over = Math.max(0, memory / (c.memoryTokens() * MEMORY_PART) - 1) * USUAL_MILLIS;
-        double predicted = wait + source.millis() + read + batch + over;
+        double predicted = wait + source.fetchMillis() + read + batch + over;
         double harm = c.load().total(nowMillis) * read * HARM_PART + lanes.harmMillis(c, read, nowMillis);
         double pauses = prompt.hasLongAnswer() ? wait * PAUSE_PART + lanes.placeMillis(c, nowMillis) : 0;
-        boolean again = source.reads() && !cached.unknown(beginning);
         double cost = predicted
                 + harm
                 + pauses
                 + (home ? 0 : AWAY_MILLIS)
-                + (again ? shared * MILLIS_PER_TOKEN_AGAIN : 0)
+                + source.againMillis()
                 + (c.steeredAway() ? STEERED_MILLIS : 0)
                 + (c.replaced() ? REPLACED_MILLIS : 0);
-        boolean save = shared > 0 && cached.saveNow(beginning, nowMillis);
+        boolean save = prompt.sharedTokens() > 0 && cached.saveNow(beginning, nowMillis);
         String why = (home ? "home " : "away ") + source.name();
+        boolean ask = source.storeMillis() > 0 || BeginningSources.worthAsking(prompt);
         return new EngineChoice(
-                c, beginning, wait, predicted, read, cost, source.engine(), source.storeMillis(), save, why);
-    }
-
-    /** Where an engine gets a shared beginning from, and how long that takes. */
-    private record Source(String name, double millis, boolean reads, Optional<String> engine, double storeMillis) {}
-
-    private Source source(
-            Prompt prompt, long beginning, EngineCandidate c, boolean home, Predicate<String> holds, long nowMillis) {
-        boolean kept = cached.kept(beginning, c.settled(), nowMillis);
-        boolean here = prompt.sharedTokens() == 0
-                || cached.atEngine(beginning, c.id(), nowMillis)
-                || (home && kept && cached.unknown(beginning));
-        if (here) {
-            return new Source("cached", 0, false, Optional.empty(), 0);
-        }
-        // The first part is shared by so many prompts that every engine holds it.
-        int tokens = prompt.sharedTokens() - prompt.parts().get(0).tokens();
-        Optional<String> holder = cached.holder(beginning, holds, nowMillis);
-        if (holder.isPresent()) {
-            return new Source("from engine", ReadingCost.fetchMillis(tokens), false, holder, 0);
-        }
-        if (!kept) {
-            return new Source("read", 0, true, Optional.empty(), 0);
-        }
-        double link = ReadingCost.fetchMillis(tokens);
-        return new Source("from store", cached.storeWaitMillis(nowMillis) + link, false, Optional.empty(), link);
+                c, beginning, wait, predicted, read, cost, source.engine(), source.storeMillis(), ask, save, why);
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/engine/ReadingCost.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/ReadingCost.java
@@ -6,10 +6,6 @@
     private static final double TOKENS_PER_MILLI = 44.2;
     /** Milliseconds for each million pairs of a token that is read and a token before it. */
     private static final double MILLIS_PER_MILLION_PAIRS = 0.737;
-    /** Cached tokens that come over a link in a millisecond, at 164 KB a token and 230 Gbit/s. */
-    private static final double FETCHED_PER_MILLI = 175;
-    /** Asking a source for parts, whether it has them or not. */
-    private static final double FETCH_SETUP_MILLIS = 2;
 
     private static final double MILLION = 1e6;
 
@@ -26,14 +22,4 @@
         double pairs = fresh * (before + fresh / 2.0) / MILLION;
         return fresh / TOKENS_PER_MILLI + pairs * MILLIS_PER_MILLION_PAIRS;
     }
-
-    /**
-     * Predicts how long fetching takes. Links carry it beside the engine's work.
-     *
-     * @param tokens the tokens to fetch
-     * @return milliseconds
-     */
-    public static double fetchMillis(int tokens) {
-        return FETCH_SETUP_MILLIS + tokens / FETCHED_PER_MILLI;
-    }
 }
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineAdmissionTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineAdmissionTest.java
@@ -14,7 +14,7 @@
     private static final long TIME_LEFT = 5_000;
 
     private static EngineChoice choice(double wait, double predicted) {
-        return new EngineChoice(null, 0, wait, predicted, 0, predicted, Optional.empty(), 0, false, "");
+        return new EngineChoice(null, 0, wait, predicted, 0, predicted, Optional.empty(), 0, false, false, "");
     }
 
     @DataProvider
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -17,6 +17,10 @@
 public class EngineChooserTest {
     private static final long NOW = 100_000;
     private static final long MEMORY = 94_000;
+    private static final long TOKEN_BYTES = 163_840;
+    private static final CacheLinks LINKS = new CacheLinks(
+            CacheLinks.tokensPerMilli(530_000, TOKEN_BYTES),
+            Optional.of(new CacheLinks.Store("z", CacheLinks.tokensPerMilli(230_000, TOKEN_BYTES))));
 
     private final Map<String, EngineLoad> loads = new HashMap<>();
     private EngineChooser chooser;
@@ -36,7 +40,7 @@
     }
 
     private EngineCandidate candidate(String id, boolean replaced, boolean steered) {
-        return new EngineCandidate(id, 1, true, loads.get(id), MEMORY, replaced, Long.MAX_VALUE, steered);
+        return new EngineCandidate(id, "z", 1, true, loads.get(id), MEMORY, replaced, Long.MAX_VALUE, steered);
     }
 
     private List<EngineCandidate> candidates() {
@@ -47,7 +51,7 @@
     }
 
     private EngineChoice choose(Prompt prompt, List<EngineCandidate> from) {
-        return chooser.choose(prompt, c -> 0, from, NOW).orElseThrow();
+        return chooser.choose(prompt, c -> 0, from, LINKS, NOW).orElseThrow();
     }
 
     /** The same beginning goes to the same engine from every router, without a word between them. */
@@ -121,10 +125,10 @@
     @Test
     public void doesNotSendWhatWouldBeginTooLate() {
         EngineLoad load = loads.get("e0");
-        EngineCandidate old = new EngineCandidate("e0", 1, true, load, MEMORY, true, 900, false);
-        assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), NOW).isPresent());
+        EngineCandidate old = new EngineCandidate("e0", "z", 1, true, load, MEMORY, true, 900, false);
+        assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), LINKS, NOW).isPresent());
         load.hinted(500, NOW);
-        assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), NOW).isEmpty());
+        assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), LINKS, NOW).isEmpty());
     }
 
     /**
@@ -142,7 +146,7 @@
         chooser.sent(first.beginning(), first.engine().id(), 0, 0, NOW);
         assertFalse(choose(prompt("d"), candidates()).save());
         EngineCandidate newer =
-                new EngineCandidate("e9", 2, false, new EngineLoad(), MEMORY, false, Long.MAX_VALUE, false);
+                new EngineCandidate("e9", "z", 2, false, new EngineLoad(), MEMORY, false, Long.MAX_VALUE, false);
         assertEquals(choose(prompt("d"), List.of(newer)).why(), "home read");
     }
 
@@ -176,7 +180,7 @@
         loads.get("e0").hinted(2_000, NOW);
         assertEquals(choose(prompt("d"), List.of(reader, other)).fetchFrom(), Optional.of("e0"));
         EngineCandidate changed =
-                new EngineCandidate("e0", 2, true, loads.get("e0"), MEMORY, false, Long.MAX_VALUE, false);
+                new EngineCandidate("e0", "z", 2, true, loads.get("e0"), MEMORY, false, Long.MAX_VALUE, false);
         assertEquals(choose(prompt("d"), List.of(changed, other)).fetchFrom(), Optional.empty());
         EngineCandidate changing = candidate("e0", false, true);
         assertEquals(choose(prompt("d"), List.of(changing, other)).fetchFrom(), Optional.empty());
@@ -195,6 +199,24 @@
         assertEquals(elsewhere.why(), "home read");
     }
 
+    /**
+     * All routers restart together, and callers of short prompts wait behind hundreds of fetches of long ones, at the
+     * store's one link. What an engine reads faster than it comes over the link is read.
+     */
+    @Test
+    public void readsWhatIsSoonerReadThanFetched() {
+        chooser = new EngineChooser(true);
+        Prompt query = new Prompt(
+                "m", List.of(new PromptPart("house", 119), new PromptPart("q", 79), new PromptPart("own", 628)), 49);
+        IntStream.range(0, 20).forEach(i -> chooser.sent(i, "e1", 0, 25, NOW));
+        List<EngineCandidate> two = List.of(candidate("e0", false, false), candidate("e1", false, false));
+        String first = choose(query, two).engine().id();
+        loads.get(first).hinted(200, NOW);
+        EngineChoice away = choose(query, two);
+        assertEquals(away.why(), "away read");
+        assertFalse(away.askStore());
+    }
+
     /** The engine that should have read a beginning and saved it was full: the next one must do both. */
     @Test
     public void aRefusedRequestHasSavedNothing() {
@@ -215,7 +237,9 @@
     public void predictsWhatReadingTakes() {
         assertTrue(ReadingCost.readMillis(0, 6_300) > 140);
         assertTrue(ReadingCost.readMillis(0, 39_600) > 1_000);
-        assertTrue(ReadingCost.fetchMillis(6_300) < 50);
+        assertEquals(LINKS.engineMillis(6_300, "z", "z"), 17.6, 0.1);
+        assertEquals(LINKS.storeMillis(6_300, "z").orElseThrow(), 37.9, 0.1);
+        assertEquals(LINKS.storeMillis(6_300, "other").orElseThrow(), 73.8, 0.1);
         assertTrue(choose(prompt("d"), candidates()).predictedMillis() > 200);
     }
 }
--- a/core/src/test/java/org/hornbeamhead/core/engine/EnginePlay.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EnginePlay.java
@@ -39,6 +39,9 @@
     private static final int EVENT_TOKENS = 6;
     private static final int PAUSE_MILLIS = 500;
     private static final int MEMORY_TOKENS = 94_571;
+    private static final long TOKEN_BYTES = 163_840;
+    private static final CacheLinks LINKS =
+            new CacheLinks(CacheLinks.tokensPerMilli(530_000, TOKEN_BYTES), Optional.empty());
     private static final long TIME_LEFT = 5_000;
     private static final double OWN_SPREAD = 1.0;
     private static final double OUTPUT_MAX = 4.0;
@@ -194,9 +197,9 @@
                         new PromptPart("own", own)),
                 k.output());
         List<EngineCandidate> candidates = engines.stream()
-                .map(e -> new EngineCandidate(e.id, 1, true, e.load, MEMORY_TOKENS, false, Long.MAX_VALUE, false))
+                .map(e -> new EngineCandidate(e.id, "z", 1, true, e.load, MEMORY_TOKENS, false, Long.MAX_VALUE, false))
                 .toList();
-        Optional<EngineChoice> choice = chooser.choose(prompt, c -> 0, candidates, now);
+        Optional<EngineChoice> choice = chooser.choose(prompt, c -> 0, candidates, LINKS, now);
         OptionalLong back = EngineAdmission.refuse(choice.orElseThrow(), k.target(), TIME_LEFT);
         if (back.isPresent()) {
             counts.get(k)[3]++;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.hornbeamhead.core.engine.CacheLinks;
 import org.hornbeamhead.core.engine.EngineCandidate;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.EngineChooser;
 import org.hornbeamhead.core.engine.Prompt;
+import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.PromptStore;
 import org.hornbeamhead.core.route.RoutingConfig;
@@ -82,25 +84,35 @@
         long now = clock.monotonicMillis();
         Map<String, LiveReplica> byId = new HashMap<>();
         usable.forEach(r -> byId.put(r.entry().id(), r));
-        long memory = service.engine().orElseThrow().memoryTokens();
+        EngineSpec spec = service.engine().orElseThrow();
         List<EngineCandidate> candidates = usable.stream()
                 .map(r -> new EngineCandidate(
                         r.entry().id(),
+                        r.entry().dataCentre(),
                         r.weights(prompt.model()),
                         weights.settled(prompt.model(), r.weights(prompt.model()), now),
                         r.load(),
-                        memory,
+                        spec.memoryTokens(),
                         weights.penalized(prompt.model(), r.weights(prompt.model()), now),
                         weights.usableMillis(prompt.model(), r.weights(prompt.model()), now),
                         weights.steered(r.entry().id(), now)))
                 .toList();
         String wall = owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
         return chooser(service.name())
-                .choose(prompt, c -> salt(prompt, wall, c.weights()).hashCode(), candidates, now)
+                .choose(prompt, c -> salt(prompt, wall, c.weights()).hashCode(), candidates, links(spec, config), now)
                 .map(choice -> target(
                         config, prompt, wall, choice, byId.get(choice.engine().id())));
     }
 
+    private static CacheLinks links(EngineSpec engine, RoutingConfig config) {
+        return new CacheLinks(
+                CacheLinks.tokensPerMilli(engine.linkMbps(), engine.tokenBytes()),
+                config.promptStores().stream()
+                        .findFirst()
+                        .map(s -> new CacheLinks.Store(
+                                s.dataCentre(), CacheLinks.tokensPerMilli(s.linkMbps(), engine.tokenBytes()))));
+    }
+
     private EngineChooser chooser(String service) {
         return choosers.computeIfAbsent(service, s -> new EngineChooser(inherits));
     }
@@ -131,15 +143,17 @@
     private Target target(RoutingConfig config, Prompt prompt, String wall, EngineChoice choice, LiveReplica replica) {
         long version = choice.engine().weights();
         String salt = salt(prompt, wall, version);
-        Optional<String> store = prompt.sharedTokens() == 0
-                ? Optional.empty()
-                : config.promptStores().stream().map(PromptStore::address).findFirst();
+        Optional<String> store =
+                config.promptStores().stream().map(PromptStore::address).findFirst();
         Optional<String> from =
                 choice.fetchFrom().flatMap(registry::get).map(r -> r.entry().address());
         return new Target(
                 replica,
                 Optional.of(new SendOrder.EngineOrder(
-                        salt, version, from.or(() -> store), store.filter(s -> choice.save()))),
+                        salt,
+                        version,
+                        from.or(() -> store.filter(s -> choice.askStore())),
+                        store.filter(s -> choice.save()))),
                 Optional.of(choice),
                 choice.why());
     }
