--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -4,15 +4,11 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.Prompt;
 import org.hornbeamhead.core.forward.AttemptEnd;
-import org.hornbeamhead.core.http.Header;
-import org.hornbeamhead.core.http.Headers;
-import org.hornbeamhead.core.http.RequestHead;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.stream.CorruptStreamException;
@@ -31,18 +27,6 @@
     private static final long REPEATABLE_IDLE_MILLIS = 5_000;
     /** A replica's own failures are 5xx. */
     private static final int FIRST_FAILURE = 500;
-    /** An idempotent request that has taken this part of its target is better off elsewhere. */
-    private static final double SILENT_PART_OF_TARGET = 0.7;
-    /** A stream's first event may take this many targets, or predicted times, before another replica is tried. */
-    private static final double SILENT_TARGETS = 1.5;
-
-    private static final double SILENT_PREDICTIONS = 2.5;
-    /**
-     * How long past its predicted time an answer may be before the replica is probed; the wait is rarely off by more.
-     */
-    private static final long DOUBT_MILLIS = 250;
-    /** Two pauses that are still on time: a longer one is a replica that has stopped. */
-    private static final double SILENT_PAUSES = 2;
 
     private final Exchange exchange;
     private final Target target;
@@ -116,9 +100,11 @@
                 .with(Logs.REASON, target.why())
                 .with(Logs.INPUTS, inputs(order))
                 .log("sent");
-        armSilence(Math.min(firstByteLimit(), weightsLimit(request)));
-        doubt = exchange.dispatcher().reactor().delayBackground(doubtAfterMillis(), this::doubtReplica);
-        taken.send(message(request, order), request.whole().head().method(), this::belongs, this);
+        armSilence(Math.min(patience().firstByteMillis(), weightsLimit(request)));
+        doubt = exchange.dispatcher().reactor().delayBackground(patience().doubtMillis(), this::doubtReplica);
+        byte[] message = RequestMessage.of(
+                request.whole(), exchange.dispatcher().dialect().toReplica(request, order));
+        taken.send(message, request.whole().head().method(), this::belongs, this);
     }
 
     private String inputs(SendOrder order) {
@@ -128,22 +114,12 @@
                 + order.engine().map(e -> " salt=" + e.salt()).orElse("");
     }
 
-    private byte[] message(CallerRequest request, SendOrder order) {
-        RequestHead from = request.whole().head();
-        byte[] body = request.whole().body();
-        Headers headers = exchange.dispatcher().dialect().toReplica(request, order);
-        StringBuilder text = new StringBuilder(512);
-        text.append(from.method()).append(' ').append(from.target()).append(" HTTP/1.1\r\n");
-        for (Header h : headers.lines()) {
-            text.append(h.name()).append(": ").append(h.value()).append("\r\n");
-        }
-        boolean bodiless = body.length == 0
-                && (from.method().equals("GET") || from.method().equals("HEAD"));
-        text.append(bodiless ? "\r\n" : "Content-Length: " + body.length + "\r\n\r\n");
-        ByteArrayOutputStream all = new ByteArrayOutputStream(text.length() + body.length);
-        all.writeBytes(text.toString().getBytes(StandardCharsets.ISO_8859_1));
-        all.writeBytes(body);
-        return all.toByteArray();
+    private Patience patience() {
+        return new Patience(
+                exchange.subject().route().limits(),
+                exchange.streams(),
+                exchange.mayTryAgain(),
+                target.predictedMillis());
     }
 
     /** Only an answer that names another request surely belongs to that one. */
@@ -155,21 +131,6 @@
         return id.isEmpty() || id.equals(exchange.subject().request().id());
     }
 
-    private long firstByteLimit() {
-        Route route = exchange.subject().route();
-        if (!exchange.mayTryAgain()) {
-            return Long.MAX_VALUE;
-        }
-        long aim = route.limits().targetMillis();
-        return exchange.streams()
-                ? (long) Math.max(aim * SILENT_TARGETS, target.predictedMillis() * SILENT_PREDICTIONS)
-                : (long) (aim * SILENT_PART_OF_TARGET);
-    }
-
-    private long doubtAfterMillis() {
-        return DOUBT_MILLIS + (long) target.predictedMillis();
-    }
-
     /** Nothing has come for longer than predicted: the replica may be gone without a sign. */
     private void doubtReplica() {
         if (!over && head == null) {
@@ -182,17 +143,17 @@
      */
     private long weightsLimit(CallerRequest request) {
         if (target.choice().isEmpty() || request.prompt().isEmpty()) {
-            return Long.MAX_VALUE;
+            return Patience.UNLIMITED;
         }
         long version = target.choice().get().engine().weights();
         long usable =
                 exchange.dispatcher().picker().usableMillis(request.prompt().get(), version);
-        return usable == Long.MAX_VALUE ? usable : Math.max(1, usable);
+        return usable == Long.MAX_VALUE ? Patience.UNLIMITED : Math.max(1, usable);
     }
 
     private void armSilence(long millis) {
         disarm();
-        if (millis != Long.MAX_VALUE) {
+        if (millis != Patience.UNLIMITED) {
             silence = exchange.dispatcher().reactor().delayBackground(millis, () -> {
                 replica.connections().distrustKept();
                 closeAndEnd(AttemptEnd.SILENT, "silent for " + millis + " ms");
@@ -245,7 +206,7 @@
 
     private Promise<Void> relay(List<EventCutter.Event> events) {
         replica.load().firstEvent(exchange.subject().request().id(), now());
-        armSilence(pauseLimit());
+        armSilence(patience().pauseMillis());
         ByteArrayOutputStream fresh = new ByteArrayOutputStream();
         events.stream().filter(e -> exchange.progress().advance(e.id())).forEach(e -> fresh.writeBytes(e.bytes()));
         if (fresh.size() == 0) {
@@ -255,11 +216,6 @@
         return exchange.answer().write(fresh.toByteArray());
     }
 
-    private long pauseLimit() {
-        long pause = exchange.subject().route().limits().pauseMillis();
-        return exchange.mayTryAgain() && pause > 0 ? (long) (pause * SILENT_PAUSES) : Long.MAX_VALUE;
-    }
-
     @Override
     public void whole() {
         if (over) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.gateway.state;
 
+import com.google.common.flogger.FluentLogger;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.udp.UdpPacket;
 import io.activej.net.socket.udp.UdpSocket;
@@ -23,6 +24,10 @@
  * a lost datagram costs a worse choice, nothing else.
  */
 public final class WorkHints {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** After a failed receive; one line of the log a second at most. */
+    private static final long RECEIVE_AGAIN_MILLIS = 1_000;
+
     /** How soon others hear of a request. A replica reads a long prompt in about this time. */
     private static final long FLUSH_MILLIS = 40;
     /** With more routers than this, hints go out less often, so that their bytes grow with the routers, not faster. */
@@ -125,7 +130,12 @@
     }
 
     private void receive() {
-        socket.receive().whenResult(packet -> {
+        socket.receive().subscribe((packet, e) -> {
+            if (e != null) {
+                logger.atWarning().withCause(e).log("a hint could not be received");
+                reactor.delayBackground(RECEIVE_AGAIN_MILLIS, this::receive);
+                return;
+            }
             String from = packet.getSocketAddress().getAddress().getHostAddress();
             WorkHint.decode(packet.getBuf().asArray()).ifPresent(hint -> take(from, hint));
             receive();
