When none of the engines weighed first can begin in time, all that stay are looked at

Cause, found in reading the diff: of a large service eight engines are weighed for a prompt. Near the bound of replaced weights none of these may begin any more while others have the new weights: the caller was refused with engines free. Before: EngineChooserTest.findsTheOneEngineWhereARequestMayBegin red (no choice); after: green.

--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -84,12 +84,24 @@
         AnswerLanes lanes = AnswerLanes.of(candidates, id -> rank(LANES, id), nowMillis);
         Stream<String> homes = prompt.hasLongAnswer() ? lanes.lanes().stream() : byId.keySet().stream();
         Optional<String> home = homes.max(Comparator.comparingLong(id -> rank(shared, id)));
-        List<EngineChoice> choices = considered(prompt, shared, candidates, lanes)
-                .map(c -> weigh(
-                        prompt, beginning ^ salt.applyAsLong(c), c, home.orElseThrow(), lanes, sources, nowMillis))
+        Function<EngineCandidate, EngineChoice> weigh =
+                c -> weigh(prompt, beginning ^ salt.applyAsLong(c), c, home.orElseThrow(), lanes, sources, nowMillis);
+        return best(considered(prompt, shared, candidates, lanes), weigh)
+                .or(() -> best(staying(candidates).stream(), weigh));
+    }
+
+    private static Optional<EngineChoice> best(
+            Stream<EngineCandidate> engines, Function<EngineCandidate, EngineChoice> weigh) {
+        return engines.map(weigh)
                 .filter(EngineChooser::beginsInTime)
-                .toList();
-        return choices.stream().min(Comparator.comparingDouble(EngineChoice::cost));
+                .min(Comparator.comparingDouble(EngineChoice::cost));
+    }
+
+    /** Those that are not about to change their weights, as long as there are any. */
+    private static List<EngineCandidate> staying(List<EngineCandidate> candidates) {
+        List<EngineCandidate> staying =
+                candidates.stream().filter(c -> !c.steeredAway()).toList();
+        return staying.isEmpty() ? candidates : staying;
     }
 
     /**
@@ -97,20 +109,18 @@
      *
      * <p>Failure: hints are a tenth of a second old with many routers, and all of them see the same engine idle.
      * Symptom: twenty requests go there at once and wait for a second. Each beginning has a few engines of its own, so
-     * that two requests rarely look at the same; its copies stay on these, too.
+     * that two requests rarely look at the same; its copies stay on these, too. When none of these can begin in time,
+     * all are looked at: near the bound of replaced weights only a few engines may have the new ones.
      */
     private static Stream<EngineCandidate> considered(
             Prompt prompt, String shared, List<EngineCandidate> candidates, AnswerLanes lanes) {
         if (prompt.hasLongAnswer()) {
             return candidates.stream().filter(lanes::open);
         }
-        List<EngineCandidate> usable = candidates.stream()
-                .filter(c -> !c.steeredAway() && !c.replaced())
-                .toList();
-        return (usable.size() < MAX_CONSIDERED ? candidates : usable)
-                .stream()
-                        .sorted(Comparator.comparingLong((EngineCandidate c) -> -rank(shared, c.id())))
-                        .limit(Math.max(MAX_CONSIDERED, candidates.size() / CONSIDERED_PART));
+        List<EngineCandidate> usable = candidates.size() <= MAX_CONSIDERED ? candidates : staying(candidates);
+        return usable.stream()
+                .sorted(Comparator.comparingLong((EngineCandidate c) -> -rank(shared, c.id())))
+                .limit(Math.max(MAX_CONSIDERED, candidates.size() / CONSIDERED_PART));
     }
 
     /**
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -202,6 +203,24 @@
         assertEquals(elsewhere.why(), "home read");
     }
 
+    /**
+     * New weights were named long ago, and of forty engines one has them; on the others nothing may begin any more. A
+     * caller whose beginning belongs to eight of those is served all the same, by the one.
+     */
+    @Test
+    public void findsTheOneEngineWhereARequestMayBegin() {
+        EngineCandidate newest =
+                new EngineCandidate("new", "z", 2, true, new EngineLoad(), MEMORY, false, Long.MAX_VALUE, false);
+        List<EngineCandidate> all = Stream.concat(
+                        Stream.of(newest),
+                        IntStream.range(0, 39)
+                                .mapToObj(i -> new EngineCandidate(
+                                        "old" + i, "z", 1, true, new EngineLoad(), MEMORY, true, 10, false)))
+                .toList();
+        IntStream.range(0, 50)
+                .forEach(d -> assertEquals(choose(prompt("d" + d), all).engine().id(), "new"));
+    }
+
     /**
      * New weights are named, and the engines that long answers usually go to change theirs first. Callers of long
      * answers are served by the engines that stay.
