A link of which the configuration says nothing has a speed all the same

Cause, found in reading the diff: a speed and a token size of 0 make a predicted time that is no number, and the choice of an engine by its cost undefined.

--- a/core/src/main/java/org/hornbeamhead/core/engine/CacheLinks.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/CacheLinks.java
@@ -19,6 +19,9 @@
     /** Asking a source for parts, whether it has them or not. */
     private static final double SETUP_MILLIS = 2;
 
+    /** A link of which the configuration says nothing is taken for as fast as the slowest of the sheets. */
+    private static final double UNSTATED_TOKENS_PER_MILLI = 175;
+
     private static final double BITS_PER_BYTE = 8;
     private static final double BITS_PER_MEGABIT_MILLI = 1_000;
 
@@ -62,12 +65,14 @@
     /**
      * Tells how fast a link carries cached tokens.
      *
-     * @param megabits its speed, in megabits a second
-     * @param tokenBytes the bytes of a cached token
+     * @param megabits its speed, in megabits a second; 0 when it is not known
+     * @param tokenBytes the bytes of a cached token; 0 when it is not known
      * @return tokens in a millisecond
      */
     public static double tokensPerMilli(double megabits, long tokenBytes) {
-        return megabits * BITS_PER_MEGABIT_MILLI / (tokenBytes * BITS_PER_BYTE);
+        return megabits > 0 && tokenBytes > 0
+                ? megabits * BITS_PER_MEGABIT_MILLI / (tokenBytes * BITS_PER_BYTE)
+                : UNSTATED_TOKENS_PER_MILLI;
     }
 
     /**
--- a/core/src/test/java/org/hornbeamhead/core/engine/CacheLinksTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/CacheLinksTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class CacheLinksTest {
@@ -31,6 +32,18 @@
         assertEquals(links.store(-7), links.store(-7));
     }
 
+    @DataProvider
+    public Object[][] speeds() {
+        return new Object[][] {{530_000.0, 163_840L, 404.4}, {0.0, 163_840L, 175}, {530_000.0, 0L, 175}, {0.0, 0L, 175}
+        };
+    }
+
+    /** A configuration that leaves out a figure must not make every cost a number that compares with none. */
+    @Test(dataProvider = "speeds")
+    public void aSpeedIsAlwaysANumber(double megabits, long tokenBytes, double tokensPerMilli) {
+        assertEquals(CacheLinks.tokensPerMilli(megabits, tokenBytes), tokensPerMilli, 0.1);
+    }
+
     @Test
     public void noStoreIsNamedWhereThereIsNone() {
         assertTrue(new CacheLinks(300, List.of()).store(5).isEmpty());
