A pause ends no stream that nobody can take over

The router gives a silent try up after two pauses to go on elsewhere, and asked for the budget of repeats only after it had closed the connection; with 84 routers the share of one is two or three repeats in ten seconds. Now the budget, the time left and a replica that can take over are asked for first; without them the try goes on. What must not begin on replaced weights is still taken back in any case. Test: RouterOnPlatformTest.aPauseEndsNoStreamThatNobodyCanTakeOver.

--- a/core/src/main/java/org/hornbeamhead/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/hornbeamhead/core/retry/SharedRetryBudget.java
@@ -62,17 +62,28 @@
      * @return whether there was one
      */
     public boolean tryTake(long nowMillis, int routers) {
-        Slice now = slice(nowMillis);
-        int requests = slices.stream().mapToInt(s -> s.requests).sum();
-        int repeats = slices.stream().mapToInt(s -> s.repeats).sum();
-        double allowed = USED_PART * (ratio * requests + slack / Math.max(1, routers));
-        if (repeats + 1 > allowed) {
+        if (!canTake(nowMillis, routers)) {
             return false;
         }
-        now.repeats++;
+        slice(nowMillis).repeats++;
         return true;
     }
 
+    /**
+     * Tells whether there is a repeat to take.
+     *
+     * @param nowMillis the monotonic time
+     * @param routers the routers that share the budget, this one included
+     * @return whether one could be taken now
+     */
+    public boolean canTake(long nowMillis, int routers) {
+        slice(nowMillis);
+        int requests = slices.stream().mapToInt(s -> s.requests).sum();
+        int repeats = slices.stream().mapToInt(s -> s.repeats).sum();
+        double allowed = USED_PART * (ratio * requests + slack / Math.max(1, routers));
+        return repeats + 1 <= allowed;
+    }
+
     private Slice slice(long nowMillis) {
         long start = nowMillis - nowMillis % sliceMillis;
         if (slices.isEmpty() || slices.peekLast().start < start) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -100,7 +100,13 @@
                 .with(Logs.REASON, target.why())
                 .with(Logs.INPUTS, inputs(order))
                 .log("sent");
-        armSilence(Math.min(patience().firstByteMillis(), weightsLimit(request)));
+        long weightsMillis = weightsLimit(request);
+        long firstByteMillis = patience().firstByteMillis();
+        if (weightsMillis <= firstByteMillis) {
+            armEnd(weightsMillis);
+        } else {
+            armSilence(firstByteMillis);
+        }
         doubt = exchange.dispatcher().reactor().delayBackground(patience().doubtMillis(), this::doubtReplica);
         byte[] message = RequestMessage.of(
                 request.whole(), exchange.dispatcher().dialect().toReplica(request, order));
@@ -151,13 +157,41 @@
         return usable == Long.MAX_VALUE ? Patience.UNLIMITED : Math.max(1, usable);
     }
 
+    /**
+     * Gives the try up when nothing comes for a time, if another replica can take over then.
+     *
+     * <p>Failure: an engine pauses for longer than its stream should, and the budget of repeats is used up. Symptom:
+     * the caller's answer is cut in the middle, though the engine would have gone on. Silence alone ends nothing.
+     */
     private void armSilence(long millis) {
+        arm(millis, () -> {
+            if (exchange.canMove()) {
+                endSilent(millis);
+            } else {
+                logger.atInfo()
+                        .with(Logs.REQUEST, exchange.subject().request().id())
+                        .with(Logs.DECISION, "waits on")
+                        .with(Logs.REASON, "silent for " + millis + " ms, and nobody can take over")
+                        .log("the try goes on");
+                armSilence(millis);
+            }
+        });
+    }
+
+    /** Gives the try up when nothing comes for a time, whatever follows. */
+    private void armEnd(long millis) {
+        arm(millis, () -> endSilent(millis));
+    }
+
+    private void endSilent(long millis) {
+        replica.connections().distrustKept();
+        closeAndEnd(AttemptEnd.SILENT, "silent for " + millis + " ms");
+    }
+
+    private void arm(long millis, Runnable action) {
         disarm();
         if (millis != Patience.UNLIMITED) {
-            silence = exchange.dispatcher().reactor().delayBackground(millis, () -> {
-                replica.connections().distrustKept();
-                closeAndEnd(AttemptEnd.SILENT, "silent for " + millis + " ms");
-            });
+            silence = exchange.dispatcher().reactor().delayBackground(millis, action);
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -194,6 +194,10 @@
         return budget(service).tryTake(clock.monotonicMillis(), routers.getAsInt());
     }
 
+    boolean mayRepeat(String service) {
+        return budget(service).canTake(clock.monotonicMillis(), routers.getAsInt());
+    }
+
     void sentToEngine(LiveReplica replica, EngineChoice choice) {
         noteSent(replica, choice.beginning(), choice.storeMillis());
         hints.sent(replica, choice);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -306,6 +306,17 @@
                 && dispatcher.picker().anyLeft(subject.service(), tried);
     }
 
+    /** Whether the request could be sent to another replica at this moment. */
+    boolean canMove() {
+        return mayTryAgain()
+                && timeLeft() >= MIN_TIME_LEFT_MILLIS
+                && dispatcher.mayRepeat(subject.service().name())
+                && dispatcher
+                        .picker()
+                        .pick(subject.config(), subject.service(), subject.request(), subject.owner(), tried)
+                        .isPresent();
+    }
+
     /** How far a stream has come to the caller. */
     static final class StreamProgress {
         private OptionalLong last;
