Callers are told as few routers as bear the load, the largest hosts first

Each saw seven requests a second, told 62 others of them every 120 ms (516 datagrams a second and router), and chose engines by views an eighth of a second old; hosts with a third of a core got as many callers as those with one and a half.

EntrySpread chooses from what each host bears (its processor share and link, from the settings) and the requests a second that routers tell one another; WorkingRouters divides half of the fleet's limits (repeats, connections) by the routers with work. Hints go at full rate only to routers with work; notices of the weights' duty too. A fleet that has just started names all.

Tests: EntrySpreadTest, WorkingRoutersTest, WorkHintTest, SharedRetryBudgetTest; modules core to platform green.

--- a/core/src/main/java/org/hornbeamhead/core/engine/WorkHint.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/WorkHint.java
@@ -8,16 +8,18 @@
 /**
  * What a router tells the others of its work, in one datagram. Replicas are named by a hash of their ids.
  *
+ * @param requestsPerSecond the requests that callers send it
  * @param totals what the router has at each replica now; replicas without work are left out
  * @param sends the requests that it sent since the last hint
  */
-public record WorkHint(List<Total> totals, List<Send> sends) {
+public record WorkHint(int requestsPerSecond, List<Total> totals, List<Send> sends) {
     /** What fits into one datagram on any path. */
     private static final int MAX_TOTALS = 60;
 
     private static final int MAX_SENDS = 55;
 
-    private static final byte FORMAT = 3;
+    private static final byte FORMAT = 4;
+    private static final int HEAD_BYTES = 5;
     private static final int TOTAL_BYTES = 9;
     private static final int SEND_BYTES = 16;
     /** Memory is told in blocks, so that two bytes hold it. */
@@ -58,8 +60,11 @@
      * @return the datagram
      */
     public byte[] encode() {
-        ByteBuffer out = ByteBuffer.allocate(3 + totals.size() * TOTAL_BYTES + sends.size() * SEND_BYTES);
-        out.put(FORMAT).put((byte) totals.size()).put((byte) sends.size());
+        ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES + totals.size() * TOTAL_BYTES + sends.size() * SEND_BYTES);
+        out.put(FORMAT)
+                .putShort(unsigned(requestsPerSecond))
+                .put((byte) totals.size())
+                .put((byte) sends.size());
         totals.forEach(t -> out.putInt(t.replica())
                 .putShort(unsigned(t.running()))
                 .put((byte) Math.min(MAX_BYTE, t.longAnswers()))
@@ -83,9 +88,10 @@
      */
     public static Optional<WorkHint> decode(byte[] datagram) {
         ByteBuffer in = ByteBuffer.wrap(datagram);
-        if (in.remaining() < 3 || in.get() != FORMAT) {
+        if (in.remaining() < HEAD_BYTES || in.get() != FORMAT) {
             return Optional.empty();
         }
+        int rate = in.getShort() & MAX_SHORT;
         int totals = in.get() & 0xff;
         int sends = in.get() & 0xff;
         if (in.remaining() != totals * TOTAL_BYTES + sends * SEND_BYTES) {
@@ -103,6 +109,6 @@
         for (int i = 0; i < sends; i++) {
             s.add(new Send(in.getInt(), in.getLong(), in.getShort() & MAX_SHORT, in.getShort() & MAX_SHORT));
         }
-        return Optional.of(new WorkHint(t, s));
+        return Optional.of(new WorkHint(rate, t, s));
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/hornbeamhead/core/retry/SharedRetryBudget.java
@@ -58,11 +58,11 @@
      * Takes one repeat.
      *
      * @param nowMillis the monotonic time
-     * @param routers the routers that share the budget, this one included
+     * @param share this router's part of what is allowed besides, at most 1
      * @return whether there was one
      */
-    public boolean tryTake(long nowMillis, int routers) {
-        if (!canTake(nowMillis, routers)) {
+    public boolean tryTake(long nowMillis, double share) {
+        if (!canTake(nowMillis, share)) {
             return false;
         }
         slice(nowMillis).repeats++;
@@ -73,14 +73,14 @@
      * Tells whether there is a repeat to take.
      *
      * @param nowMillis the monotonic time
-     * @param routers the routers that share the budget, this one included
+     * @param share this router's part of what is allowed besides, at most 1
      * @return whether one could be taken now
      */
-    public boolean canTake(long nowMillis, int routers) {
+    public boolean canTake(long nowMillis, double share) {
         slice(nowMillis);
         int requests = slices.stream().mapToInt(s -> s.requests).sum();
         int repeats = slices.stream().mapToInt(s -> s.repeats).sum();
-        double allowed = USED_PART * (ratio * requests + slack / Math.max(1, routers));
+        double allowed = USED_PART * (ratio * requests + slack * share);
         return repeats + 1 <= allowed;
     }
 
--- a/core/src/test/java/org/hornbeamhead/core/retry/SharedRetryBudgetTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/retry/SharedRetryBudgetTest.java
@@ -26,7 +26,7 @@
                     SharedRetryBudget b = new SharedRetryBudget(0.2, 56, WINDOW);
                     IntStream.range(0, requestsEach).forEach(i -> b.requested(i * 10L));
                     return IntStream.range(0, 10_000)
-                            .filter(i -> b.tryTake(5_000, routers))
+                            .filter(i -> b.tryTake(5_000, 1.0 / routers))
                             .count();
                 })
                 .sum();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -7,9 +7,9 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.hornbeamhead.core.entry.WorkingRouters;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.mirror.StoreMirror;
@@ -60,6 +60,7 @@
     private final ReplicaRegistry registry;
     private final WeightsView weights;
     private final RouterList routers;
+    private final WorkingRouters working;
     private final RouterPresence presence;
     private final StoreFollower follower;
     private final PeerMirror peers;
@@ -96,11 +97,12 @@
         Random random = new Random();
         registry = new ReplicaRegistry(reactor, clock);
         weights = new WeightsView(settings.weightsBound().toMillis());
-        routers = new RouterList(settings.self(), this::ready);
+        routers = new RouterList(settings.self(), this::ready, clock);
+        working = new WorkingRouters(routers::count);
         presence = new RouterPresence(reactor, ports.store(), settings.self());
         follower = new StoreFollower(reactor, clock, random, ports.store(), mirror, state, routers::count);
         peers = new PeerMirror(reactor, clock, random, mirror, state, weights, follower, this::peerAddresses);
-        notice = new SteerNotice(reactor, clock, this::peerAddresses, weights, registry);
+        notice = new SteerNotice(reactor, clock, this::workingPeers, weights, registry);
         duties = new Duties(
                 new Duties.Parts(
                         daemon.timers(), clock, registry, weights, ports.orders(), ports.store(), mirror, notice),
@@ -119,8 +121,8 @@
                 settings.self().dataCentre(),
                 !settings.firstStart(),
                 settings.budget(),
-                routers::count));
-        hints = new WorkHints(reactor, clock, registry, routers::hintAddresses, dispatcher::hinted);
+                working));
+        hints = new WorkHints(reactor, clock, registry, routers::hintAddresses, working, dispatcher::hinted);
         dispatcher.tell(hints);
         front = new CallerFront(reactor, this::handle, this::limits, metrics);
         shutdown = new Shutdown(daemon, front, presence, settings.grace());
@@ -143,6 +145,10 @@
         return routers.peerAddresses(settings.seeds());
     }
 
+    private List<String> workingPeers() {
+        return routers.peerAddressesOf(working.others(clock.monotonicMillis()), settings.seeds());
+    }
+
     /**
      * Starts to listen and to follow the store.
      *
@@ -279,6 +285,6 @@
      * @return the addresses
      */
     public List<String> callerAddresses(int limit) {
-        return new ArrayList<>(routers.callerAddresses(limit));
+        return routers.callerAddresses(limit, working.allRate(clock.monotonicMillis()));
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -25,6 +25,8 @@
     private static final long SAFE_IDLE_MILLIS = 1_000;
 
     private static final long REPEATABLE_IDLE_MILLIS = 5_000;
+    /** However many routers there are, one request may follow another's connection that was just found silent. */
+    private static final int MIN_CONNECTIONS = 2;
     /** A replica's own failures are 5xx. */
     private static final int FIRST_FAILURE = 500;
 
@@ -60,9 +62,8 @@
         Route route = exchange.subject().route();
         long idle = route.repeatable() ? REPEATABLE_IDLE_MILLIS : SAFE_IDLE_MILLIS;
         int limit = Math.max(
-                2,
-                exchange.subject().service().maxConnections()
-                        / exchange.dispatcher().routers());
+                MIN_CONNECTIONS,
+                exchange.dispatcher().part(exchange.subject().service().maxConnections()));
         noteSent();
         replica.connections().take(idle, limit).subscribe((taken, e) -> {
             if (over) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -8,10 +8,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.WorkHint;
+import org.hornbeamhead.core.entry.WorkingRouters;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.retry.SharedRetryBudget;
@@ -55,7 +55,7 @@
     private final TargetPicker picker;
     private final EarlyRequests early;
     private final BudgetLimits budgetLimits;
-    private final IntSupplier routers;
+    private final WorkingRouters routers;
     private WorkHints hints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
 
@@ -82,7 +82,7 @@
      * @param dataCentre where this router stands
      * @param inherits whether the system has served before this router started
      * @param budgetLimits the shared budget of repeats
-     * @param routers counts the live routers, this one included
+     * @param routers the routers with which limits are shared
      */
     public record Parts(
             NioReactor reactor,
@@ -96,7 +96,7 @@
             String dataCentre,
             boolean inherits,
             BudgetLimits budgetLimits,
-            IntSupplier routers) {}
+            WorkingRouters routers) {}
 
     /**
      * Makes a dispatcher.
@@ -173,6 +173,7 @@
             return;
         }
         budget(name).requested(clock.monotonicMillis());
+        routers.requested(clock.monotonicMillis());
         new Exchange(this, new Exchange.Subject(asked, service.get()), answer).start();
     }
 
@@ -191,11 +192,11 @@
     }
 
     boolean takeRepeat(String service) {
-        return budget(service).tryTake(clock.monotonicMillis(), routers.getAsInt());
+        return budget(service).tryTake(clock.monotonicMillis(), routers.shareOfLimits());
     }
 
     boolean mayRepeat(String service) {
-        return budget(service).canTake(clock.monotonicMillis(), routers.getAsInt());
+        return budget(service).canTake(clock.monotonicMillis(), routers.shareOfLimits());
     }
 
     void sentToEngine(LiveReplica replica, EngineChoice choice) {
@@ -278,7 +279,8 @@
         return metrics;
     }
 
-    int routers() {
-        return Math.max(1, routers.getAsInt());
+    /** This router's part of a limit that holds for all of them. */
+    int part(int limit) {
+        return (int) (limit * routers.shareOfLimits());
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/SteerNotice.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/SteerNotice.java
@@ -24,7 +24,7 @@
 import org.hornbeamhead.gateway.state.WeightsView;
 
 /**
- * Tells all routers which replicas are about to change their weights, and which have done so.
+ * Tells the routers with work which replicas are about to change their weights, and which have done so.
  *
  * <p>Failure: a replica that waits for its runs to end refuses new requests, and routers learn of it one refusal at a
  * time. Symptom: each change of weights uses up the budget of repeats. A notice that is lost costs only such refusals.
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterEntry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterEntry.java
@@ -10,8 +10,17 @@
  * @param peer the address for other routers
  * @param hints the address for hints between routers
  * @param dataCentre where it stands
+ * @param capacity the requests a second that its host bears
+ * @param startedWallMillis when its process started, in milliseconds of the wall clock since 1970
  */
-public record RouterEntry(String node, String caller, String peer, String hints, String dataCentre) {
+public record RouterEntry(
+        String node,
+        String caller,
+        String peer,
+        String hints,
+        String dataCentre,
+        double capacity,
+        long startedWallMillis) {
     /** The beginning of the keys of routers. */
     public static final String PREFIX = "hornbeam/routers/";
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
@@ -7,7 +7,9 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
+import org.hornbeamhead.core.entry.EntrySpread;
 import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Json;
 import org.hornbeamhead.daemon.Logs;
 
@@ -17,6 +19,7 @@
 
     private final RouterEntry self;
     private final BooleanSupplier selfServes;
+    private final Clock clock;
     private final Map<String, RouterEntry> others = new TreeMap<>();
 
     /**
@@ -24,10 +27,12 @@
      *
      * @param self this router
      * @param selfServes tells whether this router should be named to callers
+     * @param clock the clock
      */
-    public RouterList(RouterEntry self, BooleanSupplier selfServes) {
+    public RouterList(RouterEntry self, BooleanSupplier selfServes, Clock clock) {
         this.self = self;
         this.selfServes = selfServes;
+        this.clock = clock;
     }
 
     /**
@@ -54,18 +59,27 @@
     }
 
     /**
-     * Lists who serves callers.
+     * Lists whom callers should use.
      *
      * @param limit the most addresses
+     * @param requestsPerSecond the requests that all routers get
      * @return the addresses for callers; this router's own when no other is known
      */
-    public List<String> callerAddresses(int limit) {
-        List<String> known = new ArrayList<>(
-                others.values().stream().map(RouterEntry::caller).toList());
+    public List<String> callerAddresses(int limit, double requestsPerSecond) {
+        List<EntrySpread.Candidate> known = new ArrayList<>();
+        others.values().forEach(e -> known.add(candidate(e)));
         if (selfServes.getAsBoolean() || known.isEmpty()) {
-            known.add(0, self.caller());
+            known.add(candidate(self));
         }
-        return known.stream().distinct().limit(limit).toList();
+        return EntrySpread.choose(known, requestsPerSecond).stream()
+                .distinct()
+                .limit(limit)
+                .toList();
+    }
+
+    private EntrySpread.Candidate candidate(RouterEntry e) {
+        long up = clock.wallMillis() - e.startedWallMillis();
+        return new EntrySpread.Candidate(e.caller(), e.dataCentre(), e.capacity(), up);
     }
 
     /**
@@ -81,6 +95,21 @@
                 .toList();
     }
 
+    /**
+     * Lists where routers with work may be told what concerns their work.
+     *
+     * @param hintAddresses where they take hints, as heard lately
+     * @param seeds addresses known from the settings
+     * @return their addresses for other routers; those of all routers when nobody has been heard of
+     */
+    public List<String> peerAddressesOf(List<String> hintAddresses, List<String> seeds) {
+        List<String> near = others.values().stream()
+                .filter(e -> hintAddresses.contains(e.hints()))
+                .map(RouterEntry::peer)
+                .toList();
+        return near.isEmpty() ? peerAddresses(seeds) : near;
+    }
+
     /**
      * Lists where other routers take hints.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
@@ -9,11 +9,14 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.DatagramChannel;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.WorkHint;
+import org.hornbeamhead.core.entry.WorkingRouters;
 import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.gateway.replica.LiveReplica;
@@ -28,11 +31,15 @@
     /** After a failed receive; one line of the log a second at most. */
     private static final long RECEIVE_AGAIN_MILLIS = 1_000;
 
-    /** How soon others hear of a request. A replica reads a long prompt in about this time. */
+    /** How soon other routers with work hear of a request. A replica reads a long prompt in about this time. */
     private static final long FLUSH_MILLIS = 40;
-    /** With more routers than this, hints go out less often, so that their bytes grow with the routers, not faster. */
+    /**
+     * With more routers at work than this, hints go out less often, so that their bytes grow with the routers, not
+     * faster.
+     */
     private static final int FULL_RATE_ROUTERS = 16;
 
+    /** How often routers without work hear of this one's, so that they know whom to name and what to begin with. */
     private static final long REPEAT_MILLIS = 500;
     /** Routers that hear every hint; more would cost each router more as the fleet grows. */
     private static final int MAX_PEERS = 96;
@@ -41,11 +48,12 @@
     private final Clock clock;
     private final ReplicaRegistry registry;
     private final Supplier<List<String>> peers;
+    private final WorkingRouters working;
     private final BiConsumer<LiveReplica, WorkHint.Send> onSend;
     private final List<WorkHint.Send> sends = new ArrayList<>();
     private UdpSocket socket;
     private List<WorkHint.Total> told = List.of();
-    private long toldAt;
+    private long toldAllAt;
 
     /**
      * Makes hints that are not told yet.
@@ -54,6 +62,7 @@
      * @param clock the clock
      * @param registry the replicas
      * @param peers the addresses at which other routers take hints
+     * @param working which routers have work
      * @param onSend called for each request that another router sent
      */
     public WorkHints(
@@ -61,11 +70,13 @@
             Clock clock,
             ReplicaRegistry registry,
             Supplier<List<String>> peers,
+            WorkingRouters working,
             BiConsumer<LiveReplica, WorkHint.Send> onSend) {
         this.reactor = reactor;
         this.clock = clock;
         this.registry = registry;
         this.peers = peers;
+        this.working = working;
         this.onSend = onSend;
     }
 
@@ -97,7 +108,6 @@
     }
 
     private void flush() {
-        List<String> others = peers.get();
         long now = clock.monotonicMillis();
         List<WorkHint.Total> totals = registry.all().stream()
                 .filter(r -> r.load().own() > 0)
@@ -107,19 +117,31 @@
                         r.load().ownLongAnswers(),
                         r.load().ownMemoryTokens()))
                 .toList();
+        int rate = (int) Math.ceil(working.ownRate(now));
         boolean news = !sends.isEmpty() || !totals.equals(told);
-        if (news || (!totals.isEmpty() && now - toldAt > REPEAT_MILLIS)) {
-            byte[] datagram = new WorkHint(withEnded(totals), List.copyOf(sends)).encode();
-            others.stream().limit(MAX_PEERS).forEach(p -> Addresses.parse(p)
-                    .forEach(to -> socket.send(UdpPacket.of(ByteBuf.wrapForReading(datagram), to))));
+        boolean repeat = (rate > 0 || !totals.isEmpty()) && now - toldAllAt > REPEAT_MILLIS;
+        Set<String> near = Set.copyOf(working.others(now));
+        if (news || repeat) {
+            send(new WorkHint(rate, withEnded(totals), List.copyOf(sends)), near);
             told = totals;
-            toldAt = now;
+        }
+        if (repeat) {
+            Set<String> far = new HashSet<>(peers.get());
+            far.removeAll(near);
+            send(new WorkHint(rate, totals, List.of()), far);
+            toldAllAt = now;
         }
         sends.clear();
-        long slower = Math.max(1, others.size() / FULL_RATE_ROUTERS);
+        long slower = Math.max(1, near.size() / FULL_RATE_ROUTERS);
         reactor.delayBackground(FLUSH_MILLIS * slower, this::flush);
     }
 
+    private void send(WorkHint hint, Set<String> to) {
+        byte[] datagram = hint.encode();
+        to.stream().limit(MAX_PEERS).forEach(p -> Addresses.parse(p)
+                .forEach(address -> socket.send(UdpPacket.of(ByteBuf.wrapForReading(datagram), address))));
+    }
+
     /** Replicas where the router had work, and has none now, are told with zero. */
     private List<WorkHint.Total> withEnded(List<WorkHint.Total> totals) {
         List<WorkHint.Total> all = new ArrayList<>(totals);
@@ -136,7 +158,7 @@
                 reactor.delayBackground(RECEIVE_AGAIN_MILLIS, this::receive);
                 return;
             }
-            String from = packet.getSocketAddress().getAddress().getHostAddress();
+            String from = Addresses.format(packet.getSocketAddress());
             WorkHint.decode(packet.getBuf().asArray()).ifPresent(hint -> take(from, hint));
             receive();
         });
@@ -144,6 +166,9 @@
 
     private void take(String from, WorkHint hint) {
         long now = clock.monotonicMillis();
+        if (hint.requestsPerSecond() > 0 || !hint.sends().isEmpty()) {
+            working.heard(from, hint.requestsPerSecond(), now);
+        }
         hint.totals().forEach(t -> registry.byHash(t.replica())
                 .ifPresent(r -> r.load().hinted(from, t.running(), t.longAnswers(), t.memoryTokens(), now)));
         hint.sends().forEach(s -> registry.byHash(s.replica()).ifPresent(r -> {
