A fault soak: routers as processes under seeded faults, checked by what callers and replicas see

The module soak draws a plan from a seed (19 kinds: signals, the store's moods, links that are silent, reset, slow or cut one way, grey and leaving replicas, keys, routes and weights that change), carries it out beside callers that keep addresses and connections, and checks 13 promises on the history. The checker stands apart from the driver: PromisesTest shows each check red on a broken history and green on the like that is not. Clocks are not stepped: no process takes its clock from settings.

--- /dev/null
+++ b/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
@@ -0,0 +1,152 @@
+package org.hornbeamhead.soak;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.List;
+import org.hornbeamhead.platform.StandinStore.Mood;
+import org.hornbeamhead.soak.fault.FaultPlan.Fault;
+import org.hornbeamhead.soak.fault.LoopbackProxy;
+import org.hornbeamhead.soak.fault.LoopbackProxy.Mode;
+import org.hornbeamhead.soak.history.History;
+import org.hornbeamhead.soak.history.History.Disturbed;
+
+/** Carries faults out, each on a thread of its own, and notes them. */
+final class FaultDriver {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** A router that was told to stop ends within its grace of 8 s. */
+    private static final long GRACE_MILLIS = 8_500;
+    /** What was disturbed is not yet itself for this long: a process starts, connections are opened anew. */
+    private static final long START_MILLIS = 2_000;
+
+    private final SoakFleet fleet;
+    private final History history;
+    private final Stopwatch clock;
+
+    FaultDriver(SoakFleet fleet, History history, Stopwatch clock) {
+        this.fleet = fleet;
+        this.history = history;
+        this.clock = clock;
+    }
+
+    /** Carries a fault out and returns when it is over. */
+    void strike(Fault f) {
+        logger.atInfo().log("%d ms: %s %d for %d ms", clock.millis(), f.kind(), f.index(), f.lasting());
+        try {
+            switch (f.kind().target()) {
+                case ROUTER -> router(f);
+                case ALL_ROUTERS -> noted(f, History.ALL_ROUTERS, () -> killAll(f));
+                case STORE -> noted(f, History.STORE, () -> store(f));
+                case STORE_LINK -> noted(f, routerOf(f).name(), () -> link(fleet.storeLink(f.index()), f));
+                case REPLICA -> replica(f);
+                case OPERATORS -> operators(f);
+            }
+        } catch (IOException e) {
+            logger.atWarning().withCause(e).log("the fault could not be carried out");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private interface Step {
+        void run() throws IOException, InterruptedException;
+    }
+
+    /** Notes a disturbance with an open end first, so that what is seen meanwhile counts as disturbed. */
+    private void noted(Fault f, String subject, Step step) throws IOException, InterruptedException {
+        long from = clock.millis();
+        try {
+            step.run();
+        } finally {
+            Disturbed d =
+                    new Disturbed(f.kind().name(), subject, f.kind().planned(), from, clock.millis() + START_MILLIS);
+            history.add(d);
+        }
+    }
+
+    private RouterHandle routerOf(Fault f) {
+        return fleet.routers().get(f.index());
+    }
+
+    private void router(Fault f) throws IOException, InterruptedException {
+        RouterHandle r = routerOf(f);
+        noted(f, r.name(), () -> {
+            switch (f.kind()) {
+                case ROUTER_KILLED -> {
+                    r.kill();
+                    Thread.sleep(f.lasting());
+                }
+                case ROUTER_FROZEN -> {
+                    r.signal("STOP");
+                    Thread.sleep(f.lasting());
+                    r.signal("CONT");
+                }
+                case ROUTER_STOPPED -> {
+                    r.signal("TERM");
+                    r.awaitEnd(GRACE_MILLIS);
+                }
+                default -> r.signal("HUP");
+            }
+            r.start();
+        });
+    }
+
+    private void killAll(Fault f) throws IOException, InterruptedException {
+        for (RouterHandle r : fleet.routers()) {
+            r.kill();
+        }
+        Thread.sleep(f.lasting());
+        for (RouterHandle r : fleet.routers()) {
+            r.start();
+        }
+    }
+
+    private void store(Fault f) throws InterruptedException {
+        fleet.store()
+                .mood(
+                        switch (f.kind()) {
+                            case STORE_BUSY -> Mood.BUSY;
+                            case STORE_SILENT -> Mood.SILENT;
+                            default -> Mood.LOSING;
+                        });
+        Thread.sleep(f.lasting());
+        fleet.store().mood(Mood.SOUND);
+    }
+
+    private static void link(LoopbackProxy link, Fault f) throws InterruptedException {
+        link.mode(
+                switch (f.kind()) {
+                    case STORE_LINK_RESET, REPLICA_RESET -> Mode.RESETTING;
+                    case STORE_LINK_ONE_WAY -> Mode.ONE_WAY;
+                    case REPLICA_DELAYED -> Mode.DELAYED;
+                    default -> Mode.SILENT;
+                });
+        Thread.sleep(f.lasting());
+        link.mode(Mode.SOUND);
+    }
+
+    private void replica(Fault f) throws IOException, InterruptedException {
+        List<SoakReplica> all = fleet.replicas();
+        SoakReplica r = all.get(f.index() % all.size());
+        noted(f, r.id(), () -> {
+            switch (f.kind()) {
+                case REPLICA_GREY -> {
+                    r.grey(true);
+                    Thread.sleep(f.lasting());
+                    r.grey(false);
+                }
+                case REPLICA_LEAVES -> fleet.replace(r, f.lasting() + START_MILLIS);
+                default -> link(r.link(), f);
+            }
+        });
+    }
+
+    private void operators(Fault f) throws IOException, InterruptedException {
+        noted(f, "operators", () -> {
+            switch (f.kind()) {
+                case KEY_REVOKED -> fleet.revokeKey();
+                case ROUTE_MOVED -> fleet.moveRoute();
+                default -> fleet.nameWeights();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
@@ -0,0 +1,99 @@
+package org.hornbeamhead.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.hornbeamhead.platform.StandinDocuments;
+import org.hornbeamhead.platform.StandinPorts;
+
+/** A router as a process of its own, and the signals that it gets. */
+final class RouterHandle {
+    private static final String MAIN_CLASS = "org.hornbeamhead.platform.PlatformRouterMain";
+    private static final int PORTS = 6;
+    private static final int DIRECTORY = 2;
+
+    private final String name;
+    private final Path log;
+    private final int[] ports = new int[PORTS];
+    private final ProcessBuilder builder;
+    private Process process;
+    private int started;
+
+    RouterHandle(String name, int storePort, Path directory, String... seeds) throws IOException {
+        this.name = name;
+        for (int i = 0; i < PORTS; i++) {
+            ports[i] = StandinPorts.free();
+        }
+        log = directory.resolve(name + ".log");
+        Path settings = directory.resolve(name + ".ini");
+        Files.writeString(settings, StandinDocuments.settings(name, ports, "127.0.0.1:" + storePort, seeds));
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        builder = new ProcessBuilder(
+                java,
+                "-Xmx64m",
+                "-Xss256k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                MAIN_CLASS,
+                "--settings",
+                settings.toString());
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    }
+
+    synchronized void start() throws IOException {
+        if (process == null || !process.isAlive()) {
+            process = builder.start();
+            started++;
+        }
+    }
+
+    String name() {
+        return name;
+    }
+
+    Path log() {
+        return log;
+    }
+
+    /** The number of the process, from 1. */
+    synchronized int process() {
+        return started;
+    }
+
+    int callers() {
+        return ports[0];
+    }
+
+    int directory() {
+        return ports[DIRECTORY];
+    }
+
+    /** Sends a signal to the process, if it lives. */
+    synchronized void signal(String signal) throws IOException, InterruptedException {
+        if (process != null && process.isAlive()) {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        }
+    }
+
+    /** Waits for the end of the process; one that goes on is killed. */
+    void awaitEnd(long millis) throws InterruptedException {
+        Process p;
+        synchronized (this) {
+            p = process;
+        }
+        if (p != null && !p.waitFor(millis, TimeUnit.MILLISECONDS)) {
+            p.destroyForcibly().waitFor();
+        }
+    }
+
+    synchronized void kill() throws InterruptedException {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
@@ -0,0 +1,191 @@
+package org.hornbeamhead.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.hornbeamhead.platform.StandinDocuments;
+import org.hornbeamhead.platform.StandinStore;
+import org.hornbeamhead.soak.fault.LoopbackProxy;
+import org.hornbeamhead.soak.history.History;
+import org.hornbeamhead.soak.history.History.Acknowledged;
+import org.hornbeamhead.soak.history.History.Change;
+
+/** The systems of a run: the store, replicas, routers, and what operators change. */
+final class SoakFleet implements AutoCloseable {
+    /** The customer who shares no cached part. */
+    static final String ISOLATED = "alone";
+
+    private static final List<String> PLAIN_SERVICES = List.of("plain", "plain2", "plain3");
+    private static final String ENGINES = "lm";
+    private static final long HEARTBEAT_MILLIS = 700;
+
+    private final History history;
+    private final Stopwatch clock;
+    private final Path directory;
+    private final StandinStore store = new StandinStore();
+    private final List<RouterHandle> routers = new ArrayList<>();
+    private final List<LoopbackProxy> storeLinks = new ArrayList<>();
+    private final List<SoakReplica> replicas = new CopyOnWriteArrayList<>();
+    private final List<SoakReplica> former = new CopyOnWriteArrayList<>();
+    private final List<String> keys = new CopyOnWriteArrayList<>(
+            IntStream.range(0, 12).mapToObj(i -> "key" + i).toList());
+    private final AtomicInteger nextReplica = new AtomicInteger();
+    private long version;
+    private long weights = 1;
+    private int moves;
+
+    SoakFleet(SoakSettings settings, History history, Stopwatch clock, Path directory) throws IOException {
+        this.history = history;
+        this.clock = clock;
+        this.directory = directory;
+        store.put(StandinDocuments.weightsKey(), StandinDocuments.weights(weights));
+        configure();
+        for (int i = 0; i < settings.replicas(); i++) {
+            add(i % 2 == 0 ? ENGINES : PLAIN_SERVICES.get(i / 2 % PLAIN_SERVICES.size()), settings.seed() + i);
+        }
+        for (int i = 0; i < settings.routers(); i++) {
+            int storePort =
+                    Integer.parseInt(store.address().substring(store.address().indexOf(':') + 1));
+            LoopbackProxy link = new LoopbackProxy(() -> storePort);
+            storeLinks.add(link);
+            routers.add(new RouterHandle("router" + i, link.port(), directory));
+        }
+        for (RouterHandle r : routers) {
+            r.start();
+        }
+    }
+
+    private synchronized void configure() {
+        List<StandinDocuments.Customer> customers = List.of(
+                new StandinDocuments.Customer(
+                        "many", keys.stream().filter(k -> !isIsolated(k)).toList(), false),
+                new StandinDocuments.Customer(
+                        ISOLATED, keys.stream().filter(SoakFleet::isIsolated).toList(), true));
+        store.put(
+                StandinDocuments.CONFIGURATION_KEY,
+                StandinDocuments.configuration(++version, PLAIN_SERVICES.get(moves), customers));
+    }
+
+    private static boolean isIsolated(String key) {
+        return key.endsWith("1") || key.endsWith("3");
+    }
+
+    private SoakReplica add(String service, long seed) throws IOException {
+        String id = "replica" + nextReplica.incrementAndGet();
+        SoakReplica r = new SoakReplica(id, service, service.equals(ENGINES) ? weights : 0, history, clock, seed);
+        replicas.add(r);
+        list(r, "ready");
+        return r;
+    }
+
+    private void list(SoakReplica r, String state) {
+        store.put(StandinDocuments.replicaKey(r.id()), r.entry(state));
+    }
+
+    /** Replicas renew their entries, as the platform's do. */
+    Runnable heartbeats() {
+        return () -> {
+            while (!Thread.currentThread().isInterrupted()) {
+                replicas.forEach(this::renew);
+                try {
+                    Thread.sleep(HEARTBEAT_MILLIS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        };
+    }
+
+    private synchronized void renew(SoakReplica r) {
+        if (replicas.contains(r)) {
+            list(r, "ready");
+        }
+    }
+
+    synchronized void revokeKey() {
+        // Some keys are left, so that callers can be served to the end.
+        if (keys.size() > 6) {
+            String gone = keys.remove(keys.size() - 1);
+            configure();
+            history.add(new Acknowledged(Change.KEY_GONE, gone, clock.millis()));
+        }
+    }
+
+    synchronized void moveRoute() {
+        if (moves + 1 < PLAIN_SERVICES.size()) {
+            moves++;
+            configure();
+            history.add(new Acknowledged(Change.ROUTE_MOVED, PLAIN_SERVICES.get(moves), clock.millis()));
+        }
+    }
+
+    synchronized void nameWeights() {
+        store.put(StandinDocuments.weightsKey(), StandinDocuments.weights(++weights));
+    }
+
+    /** A replica leaves: it says so, another comes, and after the grace it is gone. */
+    void replace(SoakReplica leaving, long graceMillis) throws IOException, InterruptedException {
+        synchronized (this) {
+            if (!replicas.remove(leaving)) {
+                return;
+            }
+            former.add(leaving);
+            list(leaving, "draining");
+            history.add(new Acknowledged(Change.LEAVING, leaving.id(), clock.millis()));
+        }
+        add(leaving.service(), clock.millis());
+        Thread.sleep(graceMillis);
+        store.remove(StandinDocuments.replicaKey(leaving.id()));
+    }
+
+    /** Where the routers' logs are. */
+    Path directory() {
+        return directory;
+    }
+
+    StandinStore store() {
+        return store;
+    }
+
+    List<RouterHandle> routers() {
+        return routers;
+    }
+
+    LoopbackProxy storeLink(int router) {
+        return storeLinks.get(router);
+    }
+
+    List<SoakReplica> replicas() {
+        return replicas;
+    }
+
+    /** Keys that callers use, one that was taken away last among them. */
+    String key(int draw) {
+        return "key" + Math.floorMod(draw, 12);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (RouterHandle r : routers) {
+            try {
+                r.kill();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        for (LoopbackProxy l : storeLinks) {
+            l.close();
+        }
+        for (SoakReplica r : replicas) {
+            r.close();
+        }
+        for (SoakReplica r : former) {
+            r.close();
+        }
+        store.close();
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -0,0 +1,124 @@
+package org.hornbeamhead.soak;
+
+import java.io.IOException;
+import java.util.Random;
+import org.hornbeamhead.platform.StandinEngine;
+import org.hornbeamhead.platform.StandinReplica;
+import org.hornbeamhead.soak.fault.LoopbackProxy;
+import org.hornbeamhead.soak.history.History;
+import org.hornbeamhead.soak.history.RequestKind;
+
+/** A replica behind a link, which notes what comes to it and may fail in some of its work. */
+final class SoakReplica implements AutoCloseable {
+    /** How long a request usually takes, at most. */
+    private static final int MAX_WORK_MILLIS = 30;
+
+    private static final int EVENT_MILLIS = 5;
+    /** One in so many requests fails at a grey replica. */
+    private static final int GREY_ONE_IN = 2;
+
+    private final StandinReplica replica;
+    private final StandinEngine engine;
+    private final LoopbackProxy link;
+    private final String service;
+    private final History history;
+    private final Stopwatch clock;
+    private final Random random;
+    private volatile boolean grey;
+
+    SoakReplica(String id, String service, long weights, History history, Stopwatch clock, long seed)
+            throws IOException {
+        this.service = service;
+        this.history = history;
+        this.clock = clock;
+        this.random = new Random(seed);
+        this.engine = new StandinEngine(
+                weights,
+                this::work,
+                o -> history.add(new History.Ordered(id, o.holder(), o.fence(), o.accepted(), clock.millis())));
+        this.replica = new StandinReplica(id, engine);
+        this.link = new LoopbackProxy(replica::port);
+    }
+
+    String id() {
+        return replica.id();
+    }
+
+    String service() {
+        return service;
+    }
+
+    LoopbackProxy link() {
+        return link;
+    }
+
+    /** How it is listed. */
+    String entry(String state) {
+        return replica.entry(service, state, link.port(), engine.version());
+    }
+
+    void grey(boolean now) {
+        grey = now;
+    }
+
+    private void work(StandinReplica.Seen r, StandinReplica.Connection to) throws IOException, InterruptedException {
+        boolean fails = grey && random.nextInt(GREY_ONE_IN) == 0;
+        int how = random.nextInt(Failure.values().length);
+        Failure failure = fails ? Failure.values()[how] : Failure.NONE;
+        boolean runs = failure != Failure.REFUSES;
+        history.add(
+                new History.Arrived(r.id(), id(), service, r.customer(), r.salt(), r.weights(), runs, clock.millis()));
+        Thread.sleep(random.nextInt(MAX_WORK_MILLIS));
+        if (failure == Failure.REFUSES) {
+            to.write(StandinReplica.unrun(503));
+        } else if (failure == Failure.LOSES) {
+            to.reset();
+        } else if (r.salt().isEmpty()) {
+            answer(r, to, failure);
+        } else {
+            stream(r, to, failure);
+        }
+    }
+
+    private enum Failure {
+        NONE,
+        REFUSES,
+        LOSES,
+        BREAKS_OFF,
+        ANSWERS_TWICE
+    }
+
+    private static void answer(StandinReplica.Seen r, StandinReplica.Connection to, Failure failure)
+            throws IOException {
+        String whole = StandinReplica.ok(r, RequestKind.SAFE.answer(r.id()));
+        if (failure == Failure.BREAKS_OFF) {
+            to.write(whole.substring(0, whole.length() - 2)).close();
+        } else if (failure == Failure.ANSWERS_TWICE) {
+            to.write(whole + StandinReplica.ok(r, "stray"));
+        } else {
+            to.write(whole);
+        }
+    }
+
+    private static void stream(StandinReplica.Seen r, StandinReplica.Connection to, Failure failure)
+            throws IOException, InterruptedException {
+        to.write(StandinReplica.streamHead(r));
+        for (int e = r.lastEvent() + 1; e <= RequestKind.events(); e++) {
+            String event = RequestKind.event(r.id(), e);
+            if (failure == Failure.BREAKS_OFF && e == RequestKind.events() / 2) {
+                to.write(StandinReplica.chunk(event.substring(0, event.length() / 2)))
+                        .reset();
+                return;
+            }
+            to.write(StandinReplica.chunk(event));
+            Thread.sleep(EVENT_MILLIS);
+        }
+        to.write("0\r\n\r\n");
+    }
+
+    @Override
+    public void close() throws IOException {
+        link.close();
+        replica.close();
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
@@ -0,0 +1,18 @@
+package org.hornbeamhead.soak;
+
+/**
+ * The size of a run.
+ *
+ * @param seed decides which faults come, and when
+ * @param seconds for how long faults begin
+ * @param routers the routers, each a process
+ * @param replicas the replicas, half of them engines
+ * @param callers callers that send one request after the other
+ */
+record SoakSettings(long seed, int seconds, int routers, int replicas, int callers) {
+    SoakSettings {
+        if (seconds < 1 || routers < 1 || replicas < 6 || callers < 1) {
+            throw new IllegalArgumentException("a run needs a second, a router, six replicas and a caller at least");
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
@@ -0,0 +1,76 @@
+package org.hornbeamhead.soak.fault;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * What happens in a run, and when. The same seed gives the same plan. Faults come alone, in series of the same kind,
+ * and over one another.
+ *
+ * @param faults the faults by their time
+ */
+public record FaultPlan(List<Fault> faults) {
+    /** Callers work undisturbed for this long first. */
+    private static final long QUIET_START_MILLIS = 3_000;
+    /** The mean time between two series. */
+    private static final int MEAN_GAP_MILLIS = 1_500;
+
+    private static final int MAX_SERIES = 3;
+    private static final int MAX_SERIES_GAP_MILLIS = 900;
+    private static final int MIN_LASTING_MILLIS = 300;
+    private static final int MAX_LASTING_MILLIS = 4_000;
+
+    /**
+     * One fault.
+     *
+     * @param kind what happens
+     * @param index which router or replica, counted from 0
+     * @param at when, in milliseconds since the run began
+     * @param lasting for how long, in milliseconds
+     */
+    public record Fault(FaultKind kind, int index, long at, long lasting) {}
+
+    /** Copies the faults, so that the plan cannot change. */
+    public FaultPlan {
+        faults = List.copyOf(faults);
+    }
+
+    /**
+     * Draws a plan.
+     *
+     * @param seed the seed
+     * @param untilMillis when the last fault begins at the latest
+     * @param routers the routers
+     * @param replicas the replicas
+     * @return the plan
+     */
+    public static FaultPlan draw(long seed, long untilMillis, int routers, int replicas) {
+        Random random = new Random(seed);
+        List<Fault> faults = new ArrayList<>();
+        long at = QUIET_START_MILLIS;
+        while (at < untilMillis) {
+            FaultKind kind = FaultKind.values()[random.nextInt(FaultKind.values().length)];
+            long next = at;
+            for (int i = 1 + random.nextInt(MAX_SERIES); i > 0 && next < untilMillis; i--) {
+                faults.add(fault(kind, next, random, routers, replicas));
+                next += random.nextInt(MAX_SERIES_GAP_MILLIS);
+            }
+            at += random.nextInt(2 * MEAN_GAP_MILLIS);
+        }
+        faults.sort(Comparator.comparingLong(Fault::at));
+        return new FaultPlan(faults);
+    }
+
+    private static Fault fault(FaultKind kind, long at, Random random, int routers, int replicas) {
+        int index =
+                switch (kind.target()) {
+                    case ROUTER, STORE_LINK -> random.nextInt(routers);
+                    case REPLICA -> random.nextInt(replicas);
+                    case ALL_ROUTERS, STORE, OPERATORS -> 0;
+                };
+        long lasting = MIN_LASTING_MILLIS + (long) random.nextInt(MAX_LASTING_MILLIS - MIN_LASTING_MILLIS);
+        return new Fault(kind, index, at, lasting);
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -0,0 +1,215 @@
+package org.hornbeamhead.soak.history;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/**
+ * What callers, replicas, the store and the driver saw, in milliseconds since the run began. Many threads write; checks
+ * read when the run is over.
+ */
+public final class History {
+    /**
+     * A caller sent a request.
+     *
+     * @param id its id
+     * @param kind what it is
+     * @param key the caller's key
+     * @param router the router that it was sent to
+     * @param process which process of that router, from 1
+     * @param at when
+     */
+    public record Asked(String id, RequestKind kind, String key, String router, int process, long at) {}
+
+    /**
+     * A caller's request ended.
+     *
+     * @param id the request
+     * @param status the answer's status, 0 when none came
+     * @param body what came of the body
+     * @param whole whether the answer ended as its head says
+     * @param at when
+     */
+    public record Answered(String id, int status, String body, boolean whole, long at) {}
+
+    /**
+     * A request came to a replica.
+     *
+     * @param id the request
+     * @param replica the replica
+     * @param service the replica's service
+     * @param customer the customer that the router named
+     * @param salt what separates cached parts
+     * @param weights the weights that the router expected, 0 without a model
+     * @param ran whether the replica worked on it
+     * @param at when
+     */
+    public record Arrived(
+            String id,
+            String replica,
+            String service,
+            String customer,
+            String salt,
+            long weights,
+            boolean ran,
+            long at) {}
+
+    /**
+     * An order came to an engine.
+     *
+     * @param replica the engine
+     * @param holder who gave it
+     * @param fence its fencing number
+     * @param accepted whether the engine carried it out
+     * @param at when
+     */
+    public record Ordered(String replica, String holder, long fence, boolean accepted, long at) {}
+
+    /** What operators and replicas write to the store. */
+    public enum Change {
+        /** A key is taken away; the subject is the key. */
+        KEY_GONE,
+        /** The moved route leads to another service; the subject is the service. */
+        ROUTE_MOVED,
+        /** A replica leaves; the subject is the replica. */
+        LEAVING
+    }
+
+    /**
+     * The store took a change.
+     *
+     * @param change what changed
+     * @param subject what it is about
+     * @param at when
+     */
+    public record Acknowledged(Change change, String subject, long at) {}
+
+    /**
+     * A fault, or planned work.
+     *
+     * @param kind what happened
+     * @param subject the router, the replica, or {@link #STORE}
+     * @param planned whether it is planned work
+     * @param from when it began
+     * @param to when it was over
+     */
+    public record Disturbed(String kind, String subject, boolean planned, long from, long to) {}
+
+    /** The subject of disturbances of the platform's store. */
+    public static final String STORE = "store";
+    /** The subject of disturbances of all routers together. */
+    public static final String ALL_ROUTERS = "all routers";
+
+    private final Collection<Asked> asked = new ConcurrentLinkedQueue<>();
+    private final Collection<Answered> answered = new ConcurrentLinkedQueue<>();
+    private final Collection<Arrived> arrived = new ConcurrentLinkedQueue<>();
+    private final Collection<Ordered> ordered = new ConcurrentLinkedQueue<>();
+    private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
+    private final Collection<Disturbed> disturbed = new ConcurrentLinkedQueue<>();
+
+    /**
+     * Adds what was seen.
+     *
+     * @param seen one of this class's records
+     * @return this history
+     */
+    public History add(Record seen) {
+        if (seen instanceof Asked a) {
+            asked.add(a);
+        } else if (seen instanceof Answered a) {
+            answered.add(a);
+        } else if (seen instanceof Arrived a) {
+            arrived.add(a);
+        } else if (seen instanceof Ordered o) {
+            ordered.add(o);
+        } else if (seen instanceof Acknowledged a) {
+            acknowledged.add(a);
+        } else if (seen instanceof Disturbed d) {
+            disturbed.add(d);
+        } else {
+            throw new IllegalArgumentException("no part of a history: " + seen);
+        }
+        return this;
+    }
+
+    /**
+     * Lists the requests.
+     *
+     * @return what callers sent
+     */
+    public List<Asked> asked() {
+        return List.copyOf(asked);
+    }
+
+    /**
+     * Finds a request.
+     *
+     * @param id its id
+     * @return what the caller sent
+     */
+    public Optional<Asked> asked(String id) {
+        return asked.stream().filter(a -> a.id().equals(id)).findFirst();
+    }
+
+    /**
+     * Lists the answers.
+     *
+     * @return what callers got
+     */
+    public List<Answered> answered() {
+        return List.copyOf(answered);
+    }
+
+    /**
+     * Lists what came to replicas.
+     *
+     * @return the arrivals
+     */
+    public List<Arrived> arrived() {
+        return List.copyOf(arrived);
+    }
+
+    /**
+     * Lists the orders.
+     *
+     * @return what came to engines
+     */
+    public List<Ordered> ordered() {
+        return List.copyOf(ordered);
+    }
+
+    /**
+     * Lists the changes.
+     *
+     * @return what the store took
+     */
+    public List<Acknowledged> acknowledged() {
+        return List.copyOf(acknowledged);
+    }
+
+    /**
+     * Lists the disturbances.
+     *
+     * @return faults and planned work
+     */
+    public List<Disturbed> disturbed() {
+        return List.copyOf(disturbed);
+    }
+
+    /**
+     * Tells whether a router could act as promised throughout a time.
+     *
+     * @param router the router
+     * @param from the beginning
+     * @param to the end
+     * @param settle how long before the beginning it must have been calm, in milliseconds
+     * @return whether neither it nor the store was disturbed
+     */
+    public boolean calm(String router, long from, long to, long settle) {
+        return disturbed.stream()
+                .filter(d -> Set.of(router, STORE, ALL_ROUTERS).contains(d.subject()))
+                .noneMatch(d -> d.from() <= to && d.to() >= from - settle);
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -0,0 +1,56 @@
+package org.hornbeamhead.soak.promise;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hornbeamhead.soak.history.History;
+
+/** All promises that a run checks. */
+public final class Promises {
+    private final Map<String, Check> checks = new LinkedHashMap<>();
+
+    /**
+     * Makes the checks.
+     *
+     * @param isolated the customers who share no cached part
+     */
+    public Promises(Set<String> isolated) {
+        checks.put("own answers", AnswerChecks::ownAnswers);
+        checks.put("at most once", AnswerChecks::atMostOnce);
+        checks.put("true refusals", AnswerChecks::trueRefusals);
+        checks.put("nothing unasked", AnswerChecks::nothingUnasked);
+        checks.put("planned stops cut nothing", AnswerChecks::plannedStopsCutNothing);
+        checks.put("keys", StateChecks::keys);
+        checks.put("configuration", StateChecks::configuration);
+        checks.put("never back", StateChecks::neverBack);
+        checks.put("leaving replicas", StateChecks::leavingReplicas);
+        checks.put("one holder", StateChecks::oneHolder);
+        checks.put("isolation", h -> StateChecks.isolation(h, isolated));
+        checks.put("budget", LoadChecks::budget);
+        checks.put("service back", LoadChecks::serviceBack);
+    }
+
+    /**
+     * Checks a run.
+     *
+     * @param history what was seen
+     * @return the breaches in the order of their time
+     */
+    public List<Breach> check(History history) {
+        return checks.values().stream()
+                .flatMap(c -> c.breaches(history))
+                .sorted(Comparator.comparingLong(Breach::at))
+                .toList();
+    }
+
+    /**
+     * Names the promises.
+     *
+     * @return their names
+     */
+    public Set<String> names() {
+        return checks.keySet();
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -0,0 +1,193 @@
+package org.hornbeamhead.soak.promise;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.hornbeamhead.soak.history.History;
+import org.hornbeamhead.soak.history.History.Acknowledged;
+import org.hornbeamhead.soak.history.History.Answered;
+import org.hornbeamhead.soak.history.History.Arrived;
+import org.hornbeamhead.soak.history.History.Asked;
+import org.hornbeamhead.soak.history.History.Change;
+import org.hornbeamhead.soak.history.History.Disturbed;
+import org.hornbeamhead.soak.history.History.Ordered;
+import org.hornbeamhead.soak.history.RequestKind;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Each check goes red on a history that breaks its promise, and stays green on the like that does not. */
+public class PromisesTest {
+    private final Promises promises = new Promises(Set.of("alone"));
+
+    private static Asked asked(String id, RequestKind kind, long at) {
+        return new Asked(id, kind, "key", "router0", 1, at);
+    }
+
+    private static Arrived ran(String id, String service, long at) {
+        return new Arrived(id, "replica1", service, "many", "", 0, true, at);
+    }
+
+    private static Answered answered(String id, int status, String body, long at) {
+        return new Answered(id, status, body, true, at);
+    }
+
+    /** One request that went well. */
+    private static History served(String id, RequestKind kind, long at) {
+        return new History()
+                .add(asked(id, kind, at))
+                .add(ran(id, "plain", at + 5))
+                .add(answered(id, 200, kind.answer(id), at + 10));
+    }
+
+    private static History stopped(Answered answer, Disturbed... others) {
+        History h = new History()
+                .add(asked("i", RequestKind.ONCE, 10_500))
+                .add(ran("i", "plain", 10_510))
+                .add(answer)
+                .add(new Disturbed("ROUTER_STOPPED", "router0", true, 10_000, 15_000));
+        List.of(others).forEach(h::add);
+        return h;
+    }
+
+    private static Arrived keptUnder(String salt, long weights, String customer) {
+        return new Arrived("i", "replica1", "lm", customer, salt, weights, true, 10);
+    }
+
+    private static History repeats(int count) {
+        History h = new History();
+        IntStream.range(0, count).forEach(i -> h.add(asked("i" + i, RequestKind.SAFE, 100))
+                .add(ran("i" + i, "plain", 110))
+                .add(ran("i" + i, "plain", 120)));
+        return h;
+    }
+
+    private static History lateRequests(int served, int failed) {
+        History h = new History().add(new Disturbed("ROUTER_KILLED", "router1", false, 0, 1_000));
+        IntStream.range(0, served + failed).forEach(i -> h.add(asked("i" + i, RequestKind.SAFE, 20_000))
+                .add(answered("i" + i, i < served ? 200 : 503, RequestKind.SAFE.answer("i" + i), 20_010)));
+        return h;
+    }
+
+    /** The promise, a history that breaks it, and one like it that does not. */
+    @DataProvider
+    public Object[][] histories() {
+        Answered cut = new Answered("i", 0, "", false, 11_000);
+        History twice = served("i", RequestKind.ONCE, 10).add(ran("i", "plain", 40));
+        History keptTwice = served("i", RequestKind.SAFE, 10).add(ran("i", "plain", 40));
+        Acknowledged keyGone = new Acknowledged(Change.KEY_GONE, "key", 1_000);
+        Acknowledged moved = new Acknowledged(Change.ROUTE_MOVED, "plain2", 1_000);
+        Acknowledged leaving = new Acknowledged(Change.LEAVING, "replica1", 1_000);
+        Disturbed storeAway = new Disturbed("STORE_BUSY", History.STORE, false, 900, 8_000);
+        return new Object[][] {
+            {
+                "own answers",
+                served("i", RequestKind.SAFE, 10).add(answered("i", 200, "answer to j", 20)),
+                served("i", RequestKind.SAFE, 10)
+            },
+            {
+                "own answers",
+                served("i", RequestKind.STREAM, 10)
+                        .add(new Answered("i", 200, RequestKind.event("i", 1) + RequestKind.event("i", 3), false, 20)),
+                served("i", RequestKind.STREAM, 10).add(new Answered("i", 200, RequestKind.event("i", 1), false, 20))
+            },
+            {"at most once", twice, keptTwice},
+            {
+                "true refusals",
+                served("i", RequestKind.ONCE, 10).add(answered("i", 503, "", 20)),
+                served("i", RequestKind.ONCE, 10).add(answered("i", 502, "", 20))
+            },
+            {"nothing unasked", new History().add(ran("j", "plain", 5)), served("i", RequestKind.SAFE, 1)},
+            {
+                "planned stops cut nothing",
+                stopped(cut),
+                stopped(cut, new Disturbed("STORE_BUSY", History.STORE, false, 9_000, 10_000))
+            },
+            {
+                "keys",
+                served("i", RequestKind.SAFE, 9_000).add(keyGone),
+                served("i", RequestKind.SAFE, 9_000).add(keyGone).add(storeAway)
+            },
+            {
+                "keys",
+                new History()
+                        .add(new Asked("i", RequestKind.SAFE, "forged", "router0", 1, 1))
+                        .add(ran("i", "plain", 2)),
+                new History().add(new Asked("i", RequestKind.SAFE, "forged", "router0", 1, 1))
+            },
+            {
+                "configuration",
+                served("i", RequestKind.MOVED, 9_000).add(moved),
+                served("i", RequestKind.MOVED, 3_000).add(moved)
+            },
+            {
+                "never back",
+                served("i", RequestKind.MOVED, 3_000)
+                        .add(moved)
+                        .add(asked("j", RequestKind.MOVED, 2_000))
+                        .add(ran("j", "plain2", 2_005)),
+                served("i", RequestKind.MOVED, 2_100)
+                        .add(moved)
+                        .add(asked("j", RequestKind.MOVED, 2_000))
+                        .add(ran("j", "plain2", 2_005))
+            },
+            {
+                "leaving replicas",
+                served("i", RequestKind.SAFE, 9_000).add(leaving),
+                served("i", RequestKind.SAFE, 3_000).add(leaving)
+            },
+            {
+                "one holder",
+                new History().add(new Ordered("r1", "a", 7, true, 10)).add(new Ordered("r2", "b", 7, true, 20)),
+                new History().add(new Ordered("r1", "a", 7, true, 10)).add(new Ordered("r2", "a", 7, true, 20))
+            },
+            {
+                "one holder",
+                new History().add(new Ordered("r1", "a", 7, true, 10)).add(new Ordered("r1", "b", 6, true, 20)),
+                new History().add(new Ordered("r1", "a", 7, true, 10)).add(new Ordered("r1", "b", 6, false, 20))
+            },
+            {
+                "isolation",
+                served("i", RequestKind.STREAM, 1)
+                        .add(keptUnder("s", 1, "many"))
+                        .add(keptUnder("s", 1, "alone")),
+                served("i", RequestKind.STREAM, 1)
+                        .add(keptUnder("s", 1, "many"))
+                        .add(keptUnder("t", 1, "alone"))
+            },
+            {
+                "isolation",
+                served("i", RequestKind.STREAM, 1)
+                        .add(keptUnder("s", 1, "many"))
+                        .add(keptUnder("s", 2, "many")),
+                served("i", RequestKind.STREAM, 1)
+                        .add(keptUnder("s", 1, "many"))
+                        .add(keptUnder("t", 2, "many"))
+            },
+            {"budget", repeats(70), repeats(50)},
+            {"service back", lateRequests(80, 20), lateRequests(95, 5)},
+        };
+    }
+
+    @Test(dataProvider = "histories")
+    public void goesRedOnABrokenHistoryAlone(String promise, History broken, History kept) {
+        Set<String> named = promises.check(broken).stream().map(Breach::promise).collect(Collectors.toSet());
+        assertTrue(named.contains(promise), named.toString());
+        assertEquals(
+                promises.check(kept).stream()
+                        .filter(b -> b.promise().equals(promise))
+                        .toList(),
+                List.of());
+    }
+
+    /** A promise whose check never goes red proves nothing. */
+    @Test
+    public void everyPromiseHasABrokenHistory() {
+        Set<Object> played =
+                java.util.Arrays.stream(histories()).map(row -> row[0]).collect(Collectors.toSet());
+        assertEquals(played, promises.names());
+    }
+}
