--- a/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
@@ -7,8 +7,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
@@ -18,6 +20,7 @@
     private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(10);
     private static final int MAX_BODY_BYTES = 8 << 20;
     private static final long SHUTDOWN_LIMIT_SECONDS = 600;
+    private static final List<String> END_SIGNALS = List.of("TERM", "INT");
 
     private final Eventloop reactor;
     private final Clock clock = new ReactorClock();
@@ -64,15 +67,23 @@
     /**
      * Registers what is done at a signal to end. The process stays until {@link #end} is called.
      *
+     * <p>Failure: the graceful shutdown runs as a hook of the virtual machine's own end, beside the hook that closes
+     * the logs. Symptom: a router that was told to stop writes no line from then on, in one of two stops. The signal is
+     * taken before the virtual machine begins to end.
+     *
      * @param drain starts the graceful shutdown, on the reactor's thread
      */
     public void onSignal(Runnable drain) {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            if (ended.getCount() > 0) {
+        AtomicBoolean asked = new AtomicBoolean();
+        Runnable once = () -> {
+            if (asked.compareAndSet(false, true)) {
                 reactor.execute(drain);
-                Runtime.getRuntime().halt(awaitEnd().code());
+                ExitCode code = awaitEnd();
+                Logs.flush();
+                Runtime.getRuntime().halt(code.code());
             }
-        }));
+        };
+        END_SIGNALS.forEach(signal -> Signals.on(signal, once));
     }
 
     /** A process that a signal ends reports the signal as its exit code; one that drained as asked ended well. */
--- a/daemon/src/main/java/org/hornbeamhead/daemon/Logs.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Logs.java
@@ -4,6 +4,7 @@
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
@@ -51,6 +52,11 @@
         Logger.getLogger("io.activej").setLevel(Level.SEVERE);
     }
 
+    /** Writes what has been logged so far, before the process ends. */
+    public static void flush() {
+        Arrays.stream(LogManager.getLogManager().getLogger("").getHandlers()).forEach(Handler::flush);
+    }
+
     private static Level level(String name) {
         return switch (name.toLowerCase(Locale.ROOT)) {
             case "debug" -> Level.FINE;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/AnswerWriter.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/AnswerWriter.java
@@ -5,6 +5,7 @@
 import io.activej.promise.Promise;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
 import org.hornbeamhead.core.http.Header;
 import org.hornbeamhead.core.http.Headers;
 
@@ -20,15 +21,16 @@
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
     private final ITcpSocket socket;
-    private final boolean keepAlive;
+    private final BooleanSupplier mayKeep;
     private final boolean bodiless;
     private final End end;
     private Runnable onGone = () -> {};
+    private boolean keepAlive;
     private boolean over;
 
-    AnswerWriter(ITcpSocket socket, boolean keepAlive, boolean bodiless, End end) {
+    AnswerWriter(ITcpSocket socket, BooleanSupplier mayKeep, boolean bodiless, End end) {
         this.socket = socket;
-        this.keepAlive = keepAlive;
+        this.mayKeep = mayKeep;
         this.bodiless = bodiless;
         this.end = end;
     }
@@ -38,6 +40,7 @@
         if (over) {
             return;
         }
+        keepAlive = mayKeep.getAsBoolean();
         byte[] bytes = whole(status, headers, body, keepAlive);
         int length = bodiless ? bytes.length - body.length : bytes.length;
         socket.write(ByteBuf.wrap(bytes, 0, length)).subscribe((v, e) -> finish(e == null && keepAlive));
@@ -46,6 +49,7 @@
     @Override
     public void begin(int status, Headers headers) {
         if (!over) {
+            keepAlive = mayKeep.getAsBoolean();
             socket.write(ByteBuf.wrapForReading(head(status, headers.with("Transfer-Encoding", "chunked"), keepAlive)));
         }
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
@@ -115,20 +115,30 @@
     private void handle(WholeRequest request) {
         disarm();
         continued = false;
-        boolean keep = request.head().keepAlive() && !front.draining();
-        answer = new AnswerWriter(socket, keep, request.head().method().equals("HEAD"), this::answered);
+        boolean asked = request.head().keepAlive();
+        answer = new AnswerWriter(
+                socket,
+                () -> asked && !front.draining(),
+                request.head().method().equals("HEAD"),
+                this::answered);
         front.began();
         front.handler().handle(request, answer);
     }
 
-    /** The answer is complete, or was broken off. */
+    /**
+     * The answer is complete, or was broken off.
+     *
+     * <p>Failure: a stream began before the router was told to stop, so that its head could not announce the end of the
+     * connection. Symptom: the caller's next request on it meets a closed connection. It is served once more, and that
+     * answer announces the end.
+     */
     private void answered(boolean reusable) {
         answer = null;
         front.ended();
         if (closed) {
             return;
         }
-        if (!reusable || front.draining()) {
+        if (!reusable) {
             finish();
             return;
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -271,7 +271,7 @@
     private void refused() {
         boolean misdirected = head.status() == 421;
         if (misdirected && reply.otherReplica()) {
-            replica.saidLeaving();
+            replica.guard().unreachable(now());
         } else if (!misdirected) {
             replica.guard().failed(now());
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -11,7 +11,6 @@
     private final OutlierGuard guard = new OutlierGuard();
     private ReplicaEntry entry;
     private long knownWeights;
-    private boolean leaving;
 
     LiveReplica(ReplicaEntry entry, ReplicaConnections connections) {
         this.entry = entry;
@@ -87,17 +86,12 @@
         knownWeights = Math.max(knownWeights, version);
     }
 
-    /** Notes that the replica itself said that it leaves. */
-    public void saidLeaving() {
-        leaving = true;
-    }
-
     /**
      * Tells whether new requests may go there.
      *
      * @return false for a replica that leaves
      */
     public boolean takesWork() {
-        return !leaving && !entry.draining();
+        return !entry.draining();
     }
 }
