--- a/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
@@ -3,10 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.util.List;
+import org.hornbeamhead.platform.StandinLink;
+import org.hornbeamhead.platform.StandinLink.Mode;
 import org.hornbeamhead.platform.StandinStore.Mood;
 import org.hornbeamhead.soak.fault.FaultPlan.Fault;
-import org.hornbeamhead.soak.fault.LoopbackProxy;
-import org.hornbeamhead.soak.fault.LoopbackProxy.Mode;
 import org.hornbeamhead.soak.history.History;
 import org.hornbeamhead.soak.history.History.Disturbed;
 
@@ -112,7 +112,7 @@
         fleet.store().mood(Mood.SOUND);
     }
 
-    private static void link(LoopbackProxy link, Fault f) throws InterruptedException {
+    private static void link(StandinLink link, Fault f) throws InterruptedException {
         link.mode(
                 switch (f.kind()) {
                     case STORE_LINK_RESET, REPLICA_RESET -> Mode.RESETTING;
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.hornbeamhead.platform.StandinDocuments;
+import org.hornbeamhead.platform.StandinLink;
 import org.hornbeamhead.platform.StandinStore;
-import org.hornbeamhead.soak.fault.LoopbackProxy;
 import org.hornbeamhead.soak.history.History;
 import org.hornbeamhead.soak.history.History.Acknowledged;
 import org.hornbeamhead.soak.history.History.Change;
@@ -28,7 +28,7 @@
     private final Path directory;
     private final StandinStore store = new StandinStore();
     private final List<RouterHandle> routers = new ArrayList<>();
-    private final List<LoopbackProxy> storeLinks = new ArrayList<>();
+    private final List<StandinLink> storeLinks = new ArrayList<>();
     private final List<SoakReplica> replicas = new CopyOnWriteArrayList<>();
     private final List<SoakReplica> former = new CopyOnWriteArrayList<>();
     private final List<String> keys = new CopyOnWriteArrayList<>(
@@ -50,7 +50,7 @@
         for (int i = 0; i < settings.routers(); i++) {
             int storePort =
                     Integer.parseInt(store.address().substring(store.address().indexOf(':') + 1));
-            LoopbackProxy link = new LoopbackProxy(() -> storePort);
+            StandinLink link = new StandinLink(() -> storePort);
             storeLinks.add(link);
             routers.add(new RouterHandle("router" + i, link.port(), directory));
         }
@@ -155,7 +155,7 @@
         return routers;
     }
 
-    LoopbackProxy storeLink(int router) {
+    StandinLink storeLink(int router) {
         return storeLinks.get(router);
     }
 
@@ -177,7 +177,7 @@
                 Thread.currentThread().interrupt();
             }
         }
-        for (LoopbackProxy l : storeLinks) {
+        for (StandinLink l : storeLinks) {
             l.close();
         }
         for (SoakReplica r : replicas) {
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.util.Random;
 import org.hornbeamhead.platform.StandinEngine;
+import org.hornbeamhead.platform.StandinLink;
 import org.hornbeamhead.platform.StandinReplica;
-import org.hornbeamhead.soak.fault.LoopbackProxy;
 import org.hornbeamhead.soak.history.History;
 import org.hornbeamhead.soak.history.RequestKind;
 
@@ -19,7 +19,7 @@
 
     private final StandinReplica replica;
     private final StandinEngine engine;
-    private final LoopbackProxy link;
+    private final StandinLink link;
     private final String service;
     private final History history;
     private final Stopwatch clock;
@@ -37,7 +37,7 @@
                 this::work,
                 o -> history.add(new History.Ordered(id, o.holder(), o.fence(), o.accepted(), clock.millis())));
         this.replica = new StandinReplica(id, engine);
-        this.link = new LoopbackProxy(replica::port);
+        this.link = new StandinLink(replica::port);
     }
 
     String id() {
@@ -48,7 +48,7 @@
         return service;
     }
 
-    LoopbackProxy link() {
+    StandinLink link() {
         return link;
     }
 
