--- a/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
@@ -12,18 +12,28 @@
 public class SoakRunTest {
     private static final int LEAST_REQUESTS = 200;
 
-    /** The seed, and what it is kept for. */
+    /** The run, and what it is kept for. */
     @DataProvider
-    public Object[][] seeds() {
-        return new Object[][] {{11L, "a first seed for every build"}};
+    public Object[][] runs() {
+        return new Object[][] {
+            {new SoakSettings(11, 8, 3, 9, 8), "a short one for every build"},
+            {
+                new SoakSettings(1_002, 10, 4, 12, 16),
+                "weights named three times; an engine that refused old ones was left out for good"
+            },
+            {
+                new SoakSettings(2_006, 10, 4, 12, 16),
+                "two stops at once; connections ended that nothing had announced, and the logs of the stop were lost"
+            },
+        };
     }
 
     /**
      * Routers are killed, frozen, stopped and cut off from the store and from replicas while callers work. Every
      * promise is kept, and callers are served once the faults are over.
      */
-    @Test(dataProvider = "seeds")
-    public void keepsAllPromises(long seed, String why) throws Exception {
+    @Test(dataProvider = "runs")
+    public void keepsAllPromises(SoakSettings settings, String why) throws Exception {
         SoakReport report = new SoakRun(new SoakSettings(seed, 8, 3, 9, 8), Files.createTempDirectory("soak")).play();
         assertEquals(report.breaches(), List.of(), why + "\n" + report.page());
         assertTrue(report.requests() > LEAST_REQUESTS, report.page());
