--- a/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
@@ -34,7 +34,7 @@
      */
     @Test(dataProvider = "runs")
     public void keepsAllPromises(SoakSettings settings, String why) throws Exception {
-        SoakReport report = new SoakRun(new SoakSettings(seed, 8, 3, 9, 8), Files.createTempDirectory("soak")).play();
+        SoakReport report = new SoakRun(settings, Files.createTempDirectory("soak")).play();
         assertEquals(report.breaches(), List.of(), why + "\n" + report.page());
         assertTrue(report.requests() > LEAST_REQUESTS, report.page());
     }
