A replica that starts again under its id is another run: nothing believed of the one before holds for it

Everything that a router believes of a replica was kept by id: cached parts, load, failures, weights, the number of accepted orders, hints and notices of other routers.

Now a run is named by the id and the time of its start. A later start takes the old one's place in the registry, an earlier one is dropped, whatever order they come in; hints, notices and reports of another run find nothing.

Ruled out: telling a new run by its number of orders, which may be the same.

--- a/core/src/main/java/org/hornbeamhead/core/replica/ReplicaEntry.java
+++ b/core/src/main/java/org/hornbeamhead/core/replica/ReplicaEntry.java
@@ -5,7 +5,8 @@
 /**
  * A replica as the registry lists it.
  *
- * @param id names one run of the replica; a restart has another
+ * @param id names the replica; it may start again under the same id
+ * @param startedAt when it started, in milliseconds since 1970 by its own clock; 0 when the registry does not tell
  * @param service the service's name
  * @param address the IP address and port
  * @param dataCentre where it stands
@@ -15,6 +16,7 @@
  */
 public record ReplicaEntry(
         String id,
+        long startedAt,
         String service,
         String address,
         String dataCentre,
@@ -25,4 +27,14 @@
     public ReplicaEntry {
         weights = Map.copyOf(weights);
     }
+
+    /**
+     * Names one run of the replica. What is believed of a replica (cached parts, load, failures, weights, accepted
+     * orders) holds for one run, since another run under the same id begins with nothing.
+     *
+     * @return the id with the time of its start
+     */
+    public String run() {
+        return id + '@' + startedAt;
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -232,14 +232,17 @@
     }
 
     private void replicaChanged(StoreItem item) {
+        String id = documents.replicaId(item.key());
         if (!item.removed()) {
             documents
                     .replica(item)
-                    .peekLeft(why -> unreadable(item, why))
+                    .peekLeft(why -> {
+                        unreadable(item, why);
+                        registry.withhold(id, item.revision());
+                    })
                     .forEach(e -> registry.put(e, item.revision()));
             return;
         }
-        String id = documents.replicaId(item.key());
         afterRelisting(item, () -> registry.remove(id, item.revision()));
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -130,7 +130,7 @@
                     subject.request(), answer, "the engines are behind: " + target.get(), comeBack.getAsLong());
             return;
         }
-        tried.add(target.get().replica().entry().id());
+        tried.add(target.get().replica().entry().run());
         attempt = new Attempt(this, target.get());
         attempt.start();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -51,14 +51,14 @@
 
     boolean anyLeft(ServiceSpec service, Set<String> tried) {
         return registry.of(service.name()).stream()
-                .anyMatch(r -> !tried.contains(r.entry().id()));
+                .anyMatch(r -> !tried.contains(r.entry().run()));
     }
 
     /** Replicas that failed lately are left out, unless that would leave none. */
     private List<LiveReplica> usable(ServiceSpec service, Set<String> tried) {
         long now = clock.monotonicMillis();
         List<LiveReplica> all = registry.of(service.name()).stream()
-                .filter(r -> !tried.contains(r.entry().id()))
+                .filter(r -> !tried.contains(r.entry().run()))
                 .toList();
         List<LiveReplica> sound =
                 all.stream().filter(r -> !r.guard().ejected(now)).toList();
@@ -82,12 +82,12 @@
             List<LiveReplica> usable) {
         long now = clock.monotonicMillis();
         Map<String, LiveReplica> byId = new HashMap<>();
-        usable.forEach(r -> byId.put(r.entry().id(), r));
+        usable.forEach(r -> byId.put(r.entry().run(), r));
         EngineSpec spec = service.engine().orElseThrow();
         CacheLinks links = links(spec, config);
         List<EngineCandidate> candidates = usable.stream()
                 .map(r -> new EngineCandidate(
-                        r.entry().id(),
+                        r.entry().run(),
                         r.entry().dataCentre(),
                         r.weights(prompt.model()),
                         weights.settled(prompt.model(), r.weights(prompt.model()), now),
@@ -95,7 +95,7 @@
                         spec.memoryTokens(),
                         weights.penalized(prompt.model(), r.weights(prompt.model()), now),
                         weights.usableMillis(prompt.model(), r.weights(prompt.model()), now),
-                        weights.steered(r.entry().id(), now)))
+                        weights.steered(r.entry().run(), now)))
                 .toList();
         String wall = owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
         return chooser(service.name())
@@ -134,7 +134,7 @@
                 .ifPresent(links -> chooser(service)
                         .sent(
                                 beginning,
-                                replica.entry().id(),
+                                replica.entry().run(),
                                 replica.load().waitMillis(now),
                                 links,
                                 storeMillis,
@@ -144,7 +144,7 @@
     /** An engine did not take a request of this router. */
     void refused(LiveReplica replica, EngineChoice choice) {
         chooser(replica.entry().service())
-                .refused(choice.beginning(), replica.entry().id());
+                .refused(choice.beginning(), replica.entry().run());
     }
 
     /** Parts that were read for other weights, or for an isolated customer, are never found under this text. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/ReplicaOrders.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/ReplicaOrders.java
@@ -34,11 +34,12 @@
     /**
      * What a replica reports.
      *
+     * @param startedAt when the replica started, in milliseconds since 1970; 0 when it does not tell
      * @param weights the version by model
      * @param busy whether an order is under way
      * @param orders the number of orders that it has accepted
      */
-    record Report(Map<String, Long> weights, boolean busy, long orders) {
+    record Report(long startedAt, Map<String, Long> weights, boolean busy, long orders) {
         /** Copies the weights, so that the report cannot change. */
         public Report {
             weights = Map.copyOf(weights);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
@@ -226,8 +226,8 @@
         List<String> chosen = new ArrayList<>();
         weights.all().forEach((model, version) -> {
             List<WeightsReplica> all = serving(model).stream()
-                    .filter(r -> !silent(r.entry().id()))
-                    .map(r -> new WeightsReplica(r.entry().id(), r.weights(model), used(r)))
+                    .filter(r -> !silent(r.entry().run()))
+                    .map(r -> new WeightsReplica(r.entry().run(), r.weights(model), used(r)))
                     .toList();
             plan.next(all, version, changing()).forEach(r -> {
                 changes.put(r.id(), new Change(model, version, now()));
@@ -296,7 +296,7 @@
         c.at = now();
         c.reportedAt = now();
         lastOrderAt = now();
-        long before = ordersSeen.get(replica.entry().id());
+        long before = ordersSeen.get(replica.entry().run());
         WeightsOrder order = new WeightsOrder(c.model, c.version, self, fence.getAsLong(), before);
         logger.atInfo()
                 .with(Logs.REPLICA, replica.entry().id())
@@ -312,16 +312,19 @@
                 .with(Logs.DECISION, "order answered")
                 .log("order to serve version %d: %s", c.version, e == null ? reply : e.getMessage());
         if (reply == Reply.ACCEPTED) {
-            ordersSeen.put(replica.entry().id(), before + 1);
+            ordersSeen.put(replica.entry().run(), before + 1);
         } else if (reply == Reply.ALREADY) {
             replica.sawWeights(c.version);
         } else if (reply == Reply.REFUSED) {
-            changes.remove(replica.entry().id());
+            changes.remove(replica.entry().run());
         }
     }
 
     private void reported(LiveReplica replica, Change c, Report report) {
-        String id = replica.entry().id();
+        if (report.startedAt() != replica.entry().startedAt()) {
+            return;
+        }
+        String id = replica.entry().run();
         ordersSeen.merge(id, report.orders(), Math::max);
         long version = report.weights().getOrDefault(c.model, 0L);
         replica.sawWeights(version);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -11,6 +11,7 @@
     private final OutlierGuard guard = new OutlierGuard();
     private ReplicaEntry entry;
     private long knownWeights;
+    private boolean withheld;
 
     LiveReplica(ReplicaEntry entry, ReplicaConnections connections) {
         this.entry = entry;
@@ -19,15 +20,21 @@
 
     void update(ReplicaEntry newer) {
         entry = newer;
+        withheld = false;
+    }
+
+    /** The registry names this replica in a way that nobody can read: it gets nothing until its next good entry. */
+    void withhold() {
+        withheld = true;
     }
 
     /**
-     * Names the replica in few bytes.
+     * Names the run in few bytes, so that what other routers tell of an earlier run is not taken for this one.
      *
-     * @return a hash of its id
+     * @return a hash of the run's name
      */
     public int hash() {
-        return entry.id().hashCode();
+        return entry.run().hashCode();
     }
 
     /**
@@ -89,9 +96,9 @@
     /**
      * Tells whether new requests may go there.
      *
-     * @return false for a replica that leaves
+     * @return false for a replica that leaves, or whose entry cannot be read
      */
     public boolean takesWork() {
-        return !entry.draining();
+        return !entry.draining() && !withheld;
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
@@ -12,7 +12,14 @@
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Logs;
 
-/** The replicas that are listed, by their ids. */
+/**
+ * The replicas that are listed.
+ *
+ * <p>Failure: a replica starts again under the id that it had, and keeps its place in the registry. Symptom: prompts go
+ * where their beginnings no longer are, orders name a number of earlier orders that the new run has not had, and the
+ * failures of the old run leave the new one out. Each run is a replica of its own here: a later start takes the place
+ * of the one before, and news of an earlier start is dropped, in whatever order they come.
+ */
 public final class ReplicaRegistry {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long SWEEP_MILLIS = 1_000;
@@ -20,6 +27,7 @@
     private final NioReactor reactor;
     private final Clock clock;
     private final Map<String, LiveReplica> replicas = new HashMap<>();
+    private final Map<String, LiveReplica> byRun = new HashMap<>();
     private final Map<Integer, LiveReplica> byHash = new HashMap<>();
 
     /**
@@ -47,19 +55,29 @@
      */
     public void put(ReplicaEntry entry, long revision) {
         LiveReplica known = replicas.get(entry.id());
-        if (known != null) {
+        if (known == null) {
+            add(entry, revision);
+        } else if (known.entry().startedAt() == entry.startedAt()) {
             if (known.entry().draining() != entry.draining()) {
                 log("replica draining", entry, revision);
             }
             known.update(entry);
-            return;
+        } else if (known.entry().startedAt() < entry.startedAt()) {
+            remove(entry.id(), revision);
+            add(entry, revision);
+        } else {
+            log("earlier run passed over", entry, revision);
         }
+    }
+
+    private void add(ReplicaEntry entry, long revision) {
         Addresses.parse(entry.address())
                 .peekLeft(why -> logger.atWarning().log("replica %s is left out: %s", entry.id(), why))
                 .forEach(address -> {
                     ReplicaConnections connections = new ReplicaConnections(reactor, clock, address);
                     LiveReplica live = new LiveReplica(entry, connections);
                     replicas.put(entry.id(), live);
+                    byRun.put(entry.run(), live);
                     byHash.put(live.hash(), live);
                     log("replica listed", entry, revision);
                 });
@@ -74,34 +92,50 @@
     public void remove(String id, long revision) {
         LiveReplica gone = replicas.remove(id);
         if (gone != null) {
+            byRun.remove(gone.entry().run());
             byHash.remove(gone.hash());
             gone.connections().retire();
             log("replica gone", gone.entry(), revision);
         }
     }
 
+    /**
+     * Sends nothing more to a replica whose entry cannot be read, until a good entry comes. What is known of it stays.
+     *
+     * @param id the replica
+     * @param revision the revision at which the entry was written, for the log
+     */
+    public void withhold(String id, long revision) {
+        LiveReplica known = replicas.get(id);
+        if (known != null) {
+            known.withhold();
+            log("replica withheld", known.entry(), revision);
+        }
+    }
+
     private static void log(String what, ReplicaEntry entry, long revision) {
         logger.atInfo()
                 .with(Logs.DECISION, what)
                 .with(Logs.REPLICA, entry.id())
                 .with(
                         Logs.INPUTS,
-                        "service=" + entry.service() + " address=" + entry.address() + " revision=" + revision)
+                        "service=" + entry.service() + " address=" + entry.address() + " startedAt=" + entry.startedAt()
+                                + " revision=" + revision)
                 .log("%s: %s", what, entry.id());
     }
 
     /**
-     * Finds a replica.
+     * Finds a run of a replica.
      *
-     * @param id its id
-     * @return the replica, empty when it is not listed
+     * @param run its name
+     * @return the replica, empty when that run is not listed
      */
-    public Optional<LiveReplica> get(String id) {
-        return Optional.ofNullable(replicas.get(id));
+    public Optional<LiveReplica> get(String run) {
+        return Optional.ofNullable(byRun.get(run));
     }
 
     /**
-     * Finds a replica by the hash of its id.
+     * Finds a run of a replica by the hash of its name.
      *
      * @param hash the hash
      * @return the replica, empty when none is listed
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
@@ -61,7 +61,7 @@
                 return Promise.ofException(new IllegalStateException("no answer"));
             }
             long version = versions.getOrDefault(replica.id(), 1L);
-            return Promise.of(new Report(Map.of("m", version), false, accepted.getOrDefault(replica.id(), 0L)));
+            return Promise.of(new Report(1, Map.of("m", version), false, accepted.getOrDefault(replica.id(), 0L)));
         }
     };
 
@@ -84,7 +84,7 @@
                 new ReplicaRegistry(Eventloop.builder().withCurrentThread().build(), clock);
         IntStream.range(0, 8)
                 .forEach(i -> registry.put(
-                        new ReplicaEntry("r" + i, "s", "10.0.0." + i + ":80", "z", false, 8, Map.of("m", 1L)), 1));
+                        new ReplicaEntry("r" + i, 1, "s", "10.0.0." + i + ":80", "z", false, 8, Map.of("m", 1L)), 1));
         WeightsDuty.Parts parts = new WeightsDuty.Parts(
                 timers, clock, registry, weights, orders, new RolloutPlan(2), () -> rank, s -> 90_000, name, PAUSE);
         new WeightsDuty(parts, new DutyLease(clock, store, mirror, name), (changing, changed) -> {}).start();
