--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -248,6 +248,7 @@
             return Promise.complete();
         }
         exchange.begin(head);
+        exchange.relayed();
         return exchange.answer().write(fresh.toByteArray());
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -80,6 +80,8 @@
     private ScheduledRunnable deadlineTimer;
     private Attempt attempt;
     private long firstEventMillis = -1;
+    private long lastEventAt = -1;
+    private long longestPauseMillis;
     private boolean over;
 
     Exchange(Dispatcher dispatcher, Subject subject, CallerAnswer answer) {
@@ -244,6 +246,15 @@
         }
     }
 
+    /** Events go to the caller: notes how long it waited for them since those before. */
+    void relayed() {
+        long now = dispatcher.clock().monotonicMillis();
+        if (lastEventAt >= 0) {
+            longestPauseMillis = Math.max(longestPauseMillis, now - lastEventAt);
+        }
+        lastEventAt = now;
+    }
+
     void delivered(String how) {
         attempt = null;
         finish(how);
@@ -264,13 +275,21 @@
         logger.atInfo()
                 .with(Logs.REQUEST, subject.request().id())
                 .with(Logs.DECISION, "ended " + how)
-                .with(
-                        Logs.INPUTS,
-                        "route=" + subject.route().name() + " firstMillis=" + firstEventMillis + " millis="
-                                + sinceArrival().toMillis() + " tried=" + tried)
+                .with(Logs.INPUTS, course())
                 .log("request ended: %s", how);
     }
 
+    /** What the request was and how it went, for the log. */
+    private String course() {
+        String tokens = subject.request()
+                .prompt()
+                .map(p ->
+                        " tokens=" + p.sharedTokens() + "+" + (p.tokens() - p.sharedTokens()) + ">" + p.outputTokens())
+                .orElse("");
+        return "route=" + subject.route().name() + tokens + " firstMillis=" + firstEventMillis + " pauseMillis="
+                + longestPauseMillis + " millis=" + sinceArrival().toMillis() + " tried=" + tried;
+    }
+
     private Duration sinceArrival() {
         return Duration.ofMillis(dispatcher.clock().monotonicMillis() - arrivedAt);
     }
