A report without a start is of any run: a change of weights does not wait for one for ever

Cause: a report was passed over when its start was not the entry's. Where only one of the two tells a start, every report would have been passed over and no order given. Now only two starts that are told and differ are of two runs. Failed before: WeightsDutyTest.reportsOfAnotherRunAreNotBuiltOn with (0, 1) and (1, 0).

--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
@@ -211,7 +211,7 @@
                 gone.add(id);
             } else if (replica.get().weights(c.model) >= c.version) {
                 done.put(id, c.version);
-                tookMillis(c);
+                noteDuration(c);
             }
         });
         if (!done.isEmpty() || !gone.isEmpty()) {
@@ -221,7 +221,7 @@
         }
     }
 
-    private void tookMillis(Change c) {
+    private void noteDuration(Change c) {
         if (c.asked) {
             lastChanges.addLast(now() - c.at);
         }
@@ -343,8 +343,14 @@
         }
     }
 
+    /** A report or an entry that tells no start may be of any run; holding it back would stop the change for good. */
+    private static boolean isOfAnotherRun(Report report, LiveReplica replica) {
+        long listed = replica.entry().startedAt();
+        return listed != 0 && report.startedAt() != 0 && report.startedAt() != listed;
+    }
+
     private void reported(LiveReplica replica, Change c, Report report) {
-        if (report.startedAt() != replica.entry().startedAt()) {
+        if (isOfAnotherRun(report, replica)) {
             return;
         }
         String id = replica.entry().run();
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
@@ -20,6 +20,7 @@
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.WeightsView;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** The duty of bringing replicas to the named weights, with a clock, a store and replicas of the test's own. */
@@ -37,6 +38,8 @@
     private StoreMirror mirror;
     private FakePlatformStore store;
     private WeightsView weights;
+    private long reportedStart = 1;
+    private long listedStart = 1;
     private boolean ordersAreLost;
     private final Set<String> dark = new HashSet<>();
 
@@ -61,12 +64,15 @@
                 return Promise.ofException(new IllegalStateException("no answer"));
             }
             long version = versions.getOrDefault(replica.id(), 1L);
-            return Promise.of(new Report(1, Map.of("m", version), false, accepted.getOrDefault(replica.id(), 0L)));
+            return Promise.of(
+                    new Report(reportedStart, Map.of("m", version), false, accepted.getOrDefault(replica.id(), 0L)));
         }
     };
 
     @BeforeMethod
     public void begin() {
+        reportedStart = 1;
+        listedStart = 1;
         given.clear();
         versions.clear();
         accepted.clear();
@@ -84,7 +90,9 @@
                 new ReplicaRegistry(Eventloop.builder().withCurrentThread().build(), clock);
         IntStream.range(0, 8)
                 .forEach(i -> registry.put(
-                        new ReplicaEntry("r" + i, 1, "s", "10.0.0." + i + ":80", "z", false, 8, Map.of("m", 1L)), 1));
+                        new ReplicaEntry(
+                                "r" + i, listedStart, "s", "10.0.0." + i + ":80", "z", false, 8, Map.of("m", 1L)),
+                        1));
         WeightsDuty.Parts parts = new WeightsDuty.Parts(
                 timers,
                 clock,
@@ -116,6 +124,27 @@
         assertTrue(given.get(7).at() - named < 3_000);
     }
 
+    @DataProvider
+    public Object[][] starts() {
+        return new Object[][] {{1L, 1L, 8}, {0L, 1L, 8}, {1L, 0L, 8}, {0L, 0L, 8}, {1L, 2L, 0}};
+    }
+
+    /**
+     * A replica starts again under its id, and a report of the run before comes late. Its number of accepted orders is
+     * not that of the new run, so no order is built on it. Where the registry or the report tells no start, nothing
+     * says that they are of two runs, and the change must not wait for ever.
+     */
+    @Test(dataProvider = "starts")
+    public void reportsOfAnotherRunAreNotBuiltOn(long reported, long listed, int expected) {
+        reportedStart = reported;
+        listedStart = listed;
+        router("a", 0);
+        timers.advance(PAUSE + 1_000);
+        name(2);
+        timers.advance(6_000);
+        assertEquals(given.size(), expected);
+    }
+
     /** Two routers both see the new name. One of them gives all the orders. */
     @Test
     public void oneRouterGivesTheOrders() {
