--- a/ctl/src/main/java/org/hornbeamhead/ctl/ConfigCommands.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/ConfigCommands.java
@@ -61,7 +61,9 @@
 
     private <T> T onStore(Function<KeyValueStore, CompletionStage<T>> task) {
         return Reactors.run(reactor -> task.apply(new HttpKeyValueStore(
-                HttpCaller.connectingAnew(reactor), address, HttpKeyValueStore.COMMAND_CALL_LIMIT)));
+                HttpCaller.connectingAnew(reactor, HttpKeyValueStore.COMMAND_CALL_LIMIT),
+                address,
+                HttpKeyValueStore.COMMAND_CALL_LIMIT)));
     }
 
     private ExitCode withLatest(Function<ConfigState, ExitCode> use) {
--- a/ctl/src/main/java/org/hornbeamhead/ctl/StatusCommand.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/StatusCommand.java
@@ -16,7 +16,7 @@
     private StatusCommand() {}
 
     static ExitCode run(String router, boolean json) {
-        HttpReply reply = Reactors.run(reactor -> HttpCaller.connectingAnew(reactor)
+        HttpReply reply = Reactors.run(reactor -> HttpCaller.connectingAnew(reactor, LIMIT)
                 .call(HttpMethod.GET, "http://" + router + "/v1/status", "", LIMIT)
                 .then(r -> Promise.of(r), e -> Promise.of(new HttpReply(0, "")))
                 .toCompletableFuture());
--- a/daemon/src/main/java/org/hornbeamhead/daemon/HttpCaller.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/HttpCaller.java
@@ -20,7 +20,9 @@
 
 /** HTTP calls to IP numbers, with a time limit on each. */
 public final class HttpCaller {
+    /** Between daemons that run: a connection opens in some milliseconds, or its first packet was lost. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(20);
     private static final int MAX_REPLY_BYTES = 16 << 20;
 
@@ -54,8 +56,23 @@
      * @return the caller
      */
     public static HttpCaller connectingAnew(NioReactor reactor) {
+        return connectingAnew(reactor, CONNECT_TIMEOUT);
+    }
+
+    /**
+     * Makes a caller that opens a new connection for each call, and waits for it as long as its calls may take.
+     *
+     * <p>Failure: a command's first call comes while its process still loads classes on a busy host. Symptom: the
+     * connection is up, the process notices it after more than a second, and the command ends with an error that the
+     * store does not answer, though its calls may take five.
+     *
+     * @param reactor the thread's reactor
+     * @param connectTimeout how long a connection may take to open
+     * @return the caller
+     */
+    public static HttpCaller connectingAnew(NioReactor reactor, Duration connectTimeout) {
         return new HttpCaller(HttpClient.builder(reactor, new NumbersOnly())
-                .withConnectTimeout(CONNECT_TIMEOUT)
+                .withConnectTimeout(connectTimeout)
                 .withNoKeepAlive()
                 .build());
     }
