--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.WorkHint;
 import org.hornbeamhead.core.entry.WorkingRouters;
+import org.hornbeamhead.core.forward.FinalAnswer;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.retry.SharedRetryBudget;
@@ -36,7 +37,6 @@
     private static final int BAD_REQUEST = 400;
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
-    private static final int UNAVAILABLE = 503;
     /** A router that has waited for its first configuration in vain may have one soon; others may have it now. */
     private static final long NOT_READY_RETRY_MILLIS = 100;
     /** A view that may be old is renewed by the next waiting read, or by another router. */
@@ -244,7 +244,7 @@
     void refuseUnrun(CallerRequest request, CallerAnswer answer, String why, long retryAfterMillis) {
         long spread = retryAfterMillis + random.nextLong(retryAfterMillis + 1);
         Headers headers = Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", spread / 1000.0));
-        answer(request, answer, UNAVAILABLE, why, headers);
+        answer(request, answer, FinalAnswer.NOT_RUN.status(), why, headers);
     }
 
     void answer(CallerRequest request, CallerAnswer answer, int status, String why, Headers headers) {
