Logs tell how long a request's weights may still begin it, and how late a router may have heard of a name

Sight for the incident with work on replaced weights: the line of a send did not tell until when its router held the weights for usable, so that a bound counted too late, one that was not applied and a request that waited could not be told apart. `weights named` tells how old the view before it was, `weights told` what a restarted router learns from another. No change of logic; the gateway's tests of weights pass.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -215,7 +215,11 @@
     private void named(PlatformDocuments.NamedWeights w, long revision) {
         logger.atInfo()
                 .with(Logs.DECISION, "weights named")
-                .with(Logs.INPUTS, "model=" + w.model() + " version=" + w.version() + " revision=" + revision)
+                .with(
+                        Logs.INPUTS,
+                        "model=" + w.model() + " version=" + w.version() + " revision=" + revision
+                                + " confirmedMillisAgo="
+                                + Math.min(clock.monotonicMillis() - state.confirmedAt(), 1_000_000))
                 .log("weights named: %d", w.version());
         if (mirrorIsFirst() && !settings.firstStart()) {
             weights.found(w.model(), w.version(), clock.monotonicMillis());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -94,14 +94,14 @@
         sent = true;
         CallerRequest request = exchange.subject().request();
         SendOrder order = exchange.orderFor(target);
+        long weightsMillis = weightsLimit(request);
         logger.atInfo()
                 .with(Logs.REQUEST, request.id())
                 .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.DECISION, "sent")
                 .with(Logs.REASON, target.why())
-                .with(Logs.INPUTS, inputs(order))
+                .with(Logs.INPUTS, inputs(order, weightsMillis))
                 .log("sent");
-        long weightsMillis = weightsLimit(request);
         long firstByteMillis = patience().firstByteMillis();
         if (weightsMillis <= firstByteMillis) {
             armEnd(weightsMillis);
@@ -114,11 +114,12 @@
         taken.send(message, request.whole().head().method(), this::belongs, this);
     }
 
-    private String inputs(SendOrder order) {
+    private String inputs(SendOrder order, long weightsMillis) {
         return "predictedMillis=" + Math.round(target.predictedMillis())
                 + " load=" + replica.load().total(now())
                 + " millisLeft=" + order.timeLeftMillis()
-                + order.engine().map(e -> " salt=" + e.salt()).orElse("");
+                + order.engine().map(e -> " salt=" + e.salt()).orElse("")
+                + (weightsMillis == Patience.UNLIMITED ? "" : " weightsMillisLeft=" + weightsMillis);
     }
 
     private Patience patience() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
@@ -22,6 +22,7 @@
 import org.hornbeamhead.daemon.HttpCaller;
 import org.hornbeamhead.daemon.HttpReply;
 import org.hornbeamhead.daemon.Json;
+import org.hornbeamhead.daemon.Logs;
 
 /**
  * Passes the mirror between routers.
@@ -118,6 +119,7 @@
                 .forEach(tree -> {
                     mirror.apply(decode(tree));
                     state.confirmed(sent - tree.path("ageMillis").asLong(Long.MAX_VALUE / 4));
+                    logTold(peer, tree.path("namedMillisAgo"));
                     tree.path("namedMillisAgo").fields().forEachRemaining(model -> model.getValue()
                             .fields()
                             .forEachRemaining(v -> weights.told(
@@ -129,6 +131,15 @@
                 });
     }
 
+    private static void logTold(String peer, JsonNode named) {
+        if (!named.isEmpty()) {
+            logger.atInfo()
+                    .with(Logs.DECISION, "weights told")
+                    .with(Logs.INPUTS, "namedMillisAgo=" + named)
+                    .log("router %s tells when weights were named", peer);
+        }
+    }
+
     private static StoreChanges decode(JsonNode tree) {
         List<StoreItem> items = new ArrayList<>();
         tree.path("items")
