Failing tests: the bound on replaced weights is counted from when a router heard of the new ones

Reproduces the incident without a fleet. The taking over of names moves out of RouterProcess into WeightsListener so that it runs without a network, with the same behaviour.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -35,6 +35,7 @@
 import org.hornbeamhead.gateway.state.RouterPresence;
 import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.StoreFollower;
+import org.hornbeamhead.gateway.state.WeightsListener;
 import org.hornbeamhead.gateway.state.WeightsView;
 import org.hornbeamhead.gateway.state.WorkHints;
 
@@ -59,6 +60,7 @@
     private final RoutingState state = new RoutingState();
     private final ReplicaRegistry registry;
     private final WeightsView weights;
+    private final WeightsListener names;
     private final RouterList routers;
     private final WorkingRouters working;
     private final RouterPresence presence;
@@ -97,6 +99,7 @@
         Random random = new Random();
         registry = new ReplicaRegistry(reactor, clock);
         weights = new WeightsView(settings.weightsBound().toMillis());
+        names = new WeightsListener(clock, mirror, state, weights, settings.firstStart());
         routers = new RouterList(settings.self(), this::ready, clock);
         working = new WorkingRouters(routers::count);
         presence = new RouterPresence(reactor, ports.store(), settings.self());
@@ -198,7 +201,7 @@
             case WEIGHTS -> documents
                     .weights(item)
                     .peekLeft(why -> unreadable(item, why))
-                    .forEach(w -> named(w, item.revision()));
+                    .forEach(w -> names.named(w.model(), w.version(), item.revision()));
             case REPLICA -> replicaChanged(item);
             default -> logger.atFine().log("key %s is of no concern", item.key());
         }
@@ -212,22 +215,6 @@
         }
     }
 
-    private void named(PlatformDocuments.NamedWeights w, long revision) {
-        logger.atInfo()
-                .with(Logs.DECISION, "weights named")
-                .with(
-                        Logs.INPUTS,
-                        "model=" + w.model() + " version=" + w.version() + " revision=" + revision
-                                + " confirmedMillisAgo="
-                                + Math.min(clock.monotonicMillis() - state.confirmedAt(), 1_000_000))
-                .log("weights named: %d", w.version());
-        if (mirrorIsFirst() && !settings.firstStart()) {
-            weights.found(w.model(), w.version(), clock.monotonicMillis());
-        } else {
-            weights.name(w.model(), w.version(), clock.monotonicMillis());
-        }
-    }
-
     private static void unreadable(StoreItem item, String why) {
         logger.atWarning()
                 .with(Logs.REASON, why)
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsListener.java
@@ -0,0 +1,60 @@
+package org.hornbeamhead.gateway.state;
+
+import com.google.common.flogger.FluentLogger;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Logs;
+
+/** Takes the names of weights that are read from the store over into this router's view of them. */
+public final class WeightsListener {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** In the log, a view that was never confirmed is as old as this, in milliseconds. */
+    private static final long NEVER_MILLIS = 1_000_000;
+
+    private final Clock clock;
+    private final StoreMirror mirror;
+    private final RoutingState state;
+    private final WeightsView weights;
+    private final boolean firstStart;
+
+    /**
+     * Makes a listener.
+     *
+     * @param clock the clock
+     * @param mirror the mirror that the names come from
+     * @param state tells when the mirror was last the newest
+     * @param weights the view
+     * @param firstStart whether the whole system starts for the first time
+     */
+    public WeightsListener(
+            Clock clock, StoreMirror mirror, RoutingState state, WeightsView weights, boolean firstStart) {
+        this.clock = clock;
+        this.mirror = mirror;
+        this.state = state;
+        this.weights = weights;
+        this.firstStart = firstStart;
+    }
+
+    /**
+     * Takes over a name.
+     *
+     * @param model the model
+     * @param version the version that is named
+     * @param revision the store's revision at which it was written, for the log
+     */
+    public void named(String model, long version, long revision) {
+        long now = clock.monotonicMillis();
+        logger.atInfo()
+                .with(Logs.DECISION, "weights named")
+                .with(
+                        Logs.INPUTS,
+                        "model=" + model + " version=" + version + " revision=" + revision + " confirmedMillisAgo="
+                                + Math.min(now - state.confirmedAt(), NEVER_MILLIS))
+                .log("weights named: %d", version);
+        if (mirror.revision() == 0 && !firstStart) {
+            weights.found(model, version, now);
+        } else {
+            weights.name(model, version, now);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsListenerTest.java
@@ -0,0 +1,97 @@
+package org.hornbeamhead.gateway.state;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.hornbeamhead.core.mirror.StoreChanges;
+import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.time.ManualClock;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class WeightsListenerTest {
+    private static final long BOUND = 8_000;
+    private static final String KEY = "weights";
+
+    private ManualClock clock;
+    private StoreMirror mirror;
+    private RoutingState state;
+    private WeightsView weights;
+
+    @BeforeMethod
+    public void listen() {
+        clock = new ManualClock(1_000_000);
+        mirror = new StoreMirror();
+        state = new RoutingState();
+        weights = new WeightsView(BOUND);
+        WeightsListener listener = new WeightsListener(clock, mirror, state, weights, true);
+        mirror.listen(i -> listener.named("m", Long.parseLong(i.value()), i.revision()));
+    }
+
+    /** One answered read of the store, as the follower takes it in. */
+    private void read(StoreChanges changes) {
+        mirror.apply(changes);
+        state.confirmed(clock.monotonicMillis());
+    }
+
+    private static StoreChanges names(long version, long revision) {
+        return new StoreChanges(List.of(new StoreItem(KEY, revision, Long.toString(version), false)), revision, false);
+    }
+
+    private static StoreChanges nothing(long revision) {
+        return new StoreChanges(List.of(), revision, false);
+    }
+
+    @DataProvider
+    public Object[][] pauses() {
+        return new Object[][] {{40L}, {128L}, {828L}, {1_000L}, {2_600L}};
+    }
+
+    /**
+     * Callers get answers on weights that should be out of use: a request began 8,001 ms after newer ones were
+     * acknowledged, where 8,000 ms are allowed. The routers of a large fleet read the store once a second, and heard of
+     * the name 828 ms late; they counted from there. The name may be as old as the reading before it, in which it was
+     * missing, so nothing may begin later than the bound after that one.
+     */
+    @Test(dataProvider = "pauses")
+    public void theBoundRunsFromTheLastReadingWithoutTheName(long pauseMillis) {
+        read(names(2, 10));
+        clock.advance(30_000);
+        read(nothing(20));
+        long acknowledged = clock.monotonicMillis() + 1;
+        clock.advance(pauseMillis);
+        read(names(3, 21));
+        clock.advance(acknowledged + BOUND - clock.monotonicMillis());
+        assertTrue(
+                weights.usableMillis("m", 2, clock.monotonicMillis()) <= 0,
+                "still usable: " + weights.usableMillis("m", 2, clock.monotonicMillis()) + " ms");
+        assertEquals(weights.usableMillis("m", 3, clock.monotonicMillis()), Long.MAX_VALUE);
+    }
+
+    /**
+     * The store's history is lost between two readings, and the second one finds version 4 where version 2 was. When
+     * version 3 was named nobody can tell any more: it may have been just after the first reading.
+     */
+    @Test
+    public void aNameThatWasNeverSeenProlongsNothing() {
+        read(names(2, 10));
+        clock.advance(30_000);
+        read(nothing(20));
+        long seen = clock.monotonicMillis();
+        clock.advance(2_500);
+        read(new StoreChanges(List.of(new StoreItem(KEY, 25, "4", false)), 30, true));
+        assertTrue(weights.usableMillis("m", 2, seen + BOUND) <= 0);
+        assertTrue(weights.usableMillis("m", 3, seen + BOUND) <= 0);
+    }
+
+    /** Nothing can be older than the first start of the whole system: what is named by then is as new as the router. */
+    @Test
+    public void theFirstStartCountsFromItself() {
+        read(names(1, 10));
+        assertEquals(weights.usableMillis("m", 1, clock.monotonicMillis()), Long.MAX_VALUE);
+        assertTrue(weights.usableMillis("m", 0, clock.monotonicMillis()) > 0);
+    }
+}
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
@@ -41,11 +41,48 @@
         WeightsView restarted = new WeightsView(BOUND);
         restarted.found("m", 4, 15_000);
         assertTrue(restarted.usableMillis("m", 2, 15_000) <= 1_500);
-        old.ages(15_000).get("m").forEach((version, age) -> restarted.told("m", version, 15_000 - age));
+        tell(old, restarted, 15_000);
         assertEquals(restarted.usableMillis("m", 2, 15_000), old.usableMillis("m", 2, 15_000));
         assertEquals(restarted.usableMillis("m", 3, 15_000), old.usableMillis("m", 3, 15_000));
     }
 
+    /**
+     * All routers are restarted in turn while versions are named. One started after version 3 was named and heard of
+     * version 4; the next one starts after that and asks it. Neither knows when version 3 was named, so that nobody may
+     * go on with version 2 for as long as the bound after version 4.
+     */
+    @Test
+    public void whatNobodySawIsNotProlongedByWhatWasSeenLater() {
+        WeightsView early = new WeightsView(BOUND);
+        early.found("m", 3, 9_000);
+        early.name("m", 4, 10_800);
+        WeightsView late = new WeightsView(BOUND);
+        late.found("m", 4, 12_000);
+        tell(early, late, 12_200);
+        assertTrue(late.usableMillis("m", 2, 13_500) <= 0, "left: " + late.usableMillis("m", 2, 13_500));
+        assertEquals(late.usableMillis("m", 3, 13_500), early.usableMillis("m", 3, 13_500));
+    }
+
+    /** Of two routers that saw a name, the one that had looked for it in vain later knows better how old it can be. */
+    @Test
+    public void theLaterReadingWithoutTheNameIsTheBetterBound() {
+        WeightsView one = new WeightsView(BOUND);
+        one.name("m", 2, 10_000);
+        WeightsView other = new WeightsView(BOUND);
+        other.name("m", 2, 10_600);
+        tell(other, one, 11_000);
+        tell(one, other, 11_000);
+        assertEquals(one.usableMillis("m", 1, 11_000), other.usableMillis("m", 1, 11_000));
+        WeightsView alone = new WeightsView(BOUND);
+        alone.name("m", 2, 10_600);
+        assertEquals(one.usableMillis("m", 1, 11_000), alone.usableMillis("m", 1, 11_000));
+    }
+
+    private static void tell(WeightsView from, WeightsView to, long nowMillis) {
+        from.ages(nowMillis)
+                .forEach((model, ages) -> ages.forEach((version, age) -> to.told(model, version, nowMillis - age)));
+    }
+
     @Test
     public void newWeightsSettleAfterSomeSeconds() {
         WeightsView view = new WeightsView(BOUND);
