The bound on replaced weights runs from the last reading of the store without the new ones

Cause: a router counted the bound from when it read a name. Routers of a large fleet read once a second, so that they held replaced weights for usable up to a second too long, with a margin of 350 ms. Ruled out by the record: a restarted router (none was), a request that waited beyond its router's own limit (both began within it). Change: a name is as old as the question to the store before whose sending it is not missing (RoutingState.proven), whatever was missed between two readings. Routers tell one another the later such time, and also the versions that they only found, so that a later name no longer stands for an earlier one that nobody saw. An answer proves nothing later than its question, however late it is read.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
@@ -43,6 +43,8 @@
     private static final int MAX_INTRODUCTIONS = 5;
 
     private static final Duration TIMEOUT = Duration.ofMillis(700);
+    /** A view whose age another router does not tell is as old as this, in milliseconds: it proves nothing. */
+    private static final long UNKNOWN_MILLIS = Long.MAX_VALUE / 4;
 
     private final NioReactor reactor;
     private final Clock clock;
@@ -118,28 +120,35 @@
                 .peekLeft(why -> logger.atWarning().log("router %s answered no mirror: %s", peer, why))
                 .forEach(tree -> {
                     mirror.apply(decode(tree));
-                    state.confirmed(sent - tree.path("ageMillis").asLong(Long.MAX_VALUE / 4));
-                    logTold(peer, tree.path("namedMillisAgo"));
-                    tree.path("namedMillisAgo").fields().forEachRemaining(model -> model.getValue()
-                            .fields()
-                            .forEachRemaining(v -> weights.told(
-                                    model.getKey(),
-                                    Long.parseLong(v.getKey()),
-                                    sent - v.getValue().asLong())));
+                    state.confirmed(sent - tree.path("ageMillis").asLong(UNKNOWN_MILLIS));
+                    state.proven(sent - tree.path("provenMillisAgo").asLong(UNKNOWN_MILLIS));
+                    List<NamedAge> named = decodeNames(tree.path("named"));
+                    named.forEach(age -> weights.told(age, sent));
+                    log(peer, named);
                     asked++;
-                    introduced = !tree.path("namedMillisAgo").isEmpty() || asked >= MAX_INTRODUCTIONS;
+                    introduced = !weights.isUncertain() || asked >= MAX_INTRODUCTIONS;
                 });
     }
 
-    private static void logTold(String peer, JsonNode named) {
+    private static void log(String peer, List<NamedAge> named) {
         if (!named.isEmpty()) {
             logger.atInfo()
                     .with(Logs.DECISION, "weights told")
-                    .with(Logs.INPUTS, "namedMillisAgo=" + named)
+                    .with(Logs.INPUTS, named.toString())
                     .log("router %s tells when weights were named", peer);
         }
     }
 
+    private static List<NamedAge> decodeNames(JsonNode list) {
+        List<NamedAge> named = new ArrayList<>();
+        list.forEach(n -> named.add(new NamedAge(
+                n.path("model").asText(),
+                n.path("version").asLong(),
+                n.path("millisAgo").asLong(),
+                n.path("guessed").asBoolean())));
+        return named;
+    }
+
     private static StoreChanges decode(JsonNode tree) {
         List<StoreItem> items = new ArrayList<>();
         tree.path("items")
@@ -176,11 +185,13 @@
         tree.put("revision", changes.revision());
         tree.put("whole", changes.whole());
         tree.put("ageMillis", clock.monotonicMillis() - state.confirmedAt());
-        ObjectNode named = tree.putObject("namedMillisAgo");
-        weights.ages(clock.monotonicMillis()).forEach((model, versions) -> {
-            ObjectNode ages = named.putObject(model);
-            versions.forEach((version, age) -> ages.put(Long.toString(version), age));
-        });
+        tree.put("provenMillisAgo", clock.monotonicMillis() - state.provenAt());
+        ArrayNode named = tree.putArray("named");
+        weights.ages(clock.monotonicMillis()).forEach(a -> named.addObject()
+                .put("model", a.model())
+                .put("version", a.version())
+                .put("millisAgo", a.millisAgo())
+                .put("guessed", a.guessed()));
         ArrayNode items = tree.putArray("items");
         changes.items().forEach(i -> items.addObject()
                 .put("key", i.key())
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RoutingState.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RoutingState.java
@@ -16,6 +16,7 @@
 
     private Optional<RoutingConfig> config = Optional.empty();
     private long confirmedAt = Long.MIN_VALUE / 2;
+    private long provenAt = Long.MIN_VALUE / 2;
 
     /**
      * Takes over a configuration, unless it is older than the present one.
@@ -43,6 +44,28 @@
         confirmedAt = Math.max(confirmedAt, atMillis);
     }
 
+    /**
+     * Notes that the view holds all that was accepted before a time.
+     *
+     * <p>Failure: an answer of the store waits in a buffer, while the link is choked or the process has no processor.
+     * Symptom: what was accepted meanwhile is taken for newer than it is. Nothing that was accepted before the question
+     * was sent is missing from its answer, however late that comes; an answer that is ready takes some milliseconds.
+     *
+     * @param sentMillis the monotonic time at which the answered question was sent
+     */
+    public void proven(long sentMillis) {
+        provenAt = Math.max(provenAt, sentMillis);
+    }
+
+    /**
+     * Tells before when the view misses nothing.
+     *
+     * @return the monotonic time, far in the past when never
+     */
+    public long provenAt() {
+        return provenAt;
+    }
+
     /**
      * Returns the configuration.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
@@ -84,14 +84,14 @@
         Promise<StoreChanges> call = whole ? store.readAll() : store.watch(mirror.revision(), WAIT);
         call.subscribe((changes, e) -> {
             if (e == null) {
-                heard(changes, whole ? sent : clock.monotonicMillis());
+                heard(changes, sent, whole);
             } else {
                 failed(e);
             }
         });
     }
 
-    private void heard(StoreChanges changes, long asOf) {
+    private void heard(StoreChanges changes, long sent, boolean whole) {
         if (awaySince != 0) {
             backSince = clock.monotonicMillis();
             logger.atInfo()
@@ -103,7 +103,8 @@
         failures = 0;
         known = true;
         mirror.apply(changes);
-        state.confirmed(asOf);
+        state.confirmed(whole ? sent : clock.monotonicMillis());
+        state.proven(sent);
         reactor.delayBackground(gatherMillis(routers.getAsInt()), this::next);
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsListener.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsListener.java
@@ -8,7 +8,7 @@
 /** Takes the names of weights that are read from the store over into this router's view of them. */
 public final class WeightsListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    /** In the log, a view that was never confirmed is as old as this, in milliseconds. */
+    /** In the log, a view of which nothing is proven is as old as this, in milliseconds. */
     private static final long NEVER_MILLIS = 1_000_000;
 
     private final Clock clock;
@@ -22,7 +22,7 @@
      *
      * @param clock the clock
      * @param mirror the mirror that the names come from
-     * @param state tells when the mirror was last the newest
+     * @param state tells before when the mirror misses nothing
      * @param weights the view
      * @param firstStart whether the whole system starts for the first time
      */
@@ -48,13 +48,14 @@
                 .with(Logs.DECISION, "weights named")
                 .with(
                         Logs.INPUTS,
-                        "model=" + model + " version=" + version + " revision=" + revision + " confirmedMillisAgo="
-                                + Math.min(now - state.confirmedAt(), NEVER_MILLIS))
+                        "model=" + model + " version=" + version + " revision=" + revision + " provenMillisAgo="
+                                + Math.min(now - state.provenAt(), NEVER_MILLIS))
                 .log("weights named: %d", version);
-        if (mirror.revision() == 0 && !firstStart) {
+        boolean first = mirror.revision() == 0;
+        if (first && !firstStart) {
             weights.found(model, version, now);
         } else {
-            weights.name(model, version, now);
+            weights.name(model, version, first ? now : state.provenAt());
         }
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Set;
@@ -13,7 +14,10 @@
      * Answers on older weights are worth less from this time after a newer version was named; from the users' pages.
      */
     private static final long OLD_PENALIZED_MILLIS = 1_500;
-    /** Ends this long before the bound: the names come with a delay, and closing a connection takes its time too. */
+    /**
+     * Ends this long before the bound: an answer of the store comes with a delay, and closing a connection takes its
+     * time too. How late a name was read is no part of it, since the bound runs from the reading before.
+     */
     private static final long FORBIDDEN_MARGIN_MILLIS = 350;
     /** A notice of a change that was not renewed for this long belongs to a holder that is gone. */
     private static final long STEER_LIFE_MILLIS = 3_000;
@@ -31,7 +35,25 @@
     private final Set<String> steered = new HashSet<>();
     private long steeredAt;
 
-    private record Named(long at, boolean guessed) {}
+    /**
+     * What is known of when a version was named.
+     *
+     * <p>Failure: a router reads the store once a second and counts from when it read the name. Symptom: requests begin
+     * on replaced weights after the bound. It was not named before the last reading without it, and neither was any
+     * version between it and the one known then: counted from there, no use is too long, whatever was missed.
+     */
+    private record Named(long notBefore, boolean guessed) {
+        /**
+         * A guess yields to what a router saw. Of two that saw the name, the one that looked for it in vain later is
+         * nearer to the truth; of two guesses, the earlier allows less.
+         */
+        Named better(Named other) {
+            if (guessed != other.guessed) {
+                return guessed ? other : this;
+            }
+            return (notBefore < other.notBefore) == guessed ? this : other;
+        }
+    }
 
     /**
      * Makes a view that knows nothing.
@@ -43,14 +65,14 @@
     }
 
     /**
-     * Takes over a named version.
+     * Takes over a version whose naming this router saw.
      *
      * @param model the model
      * @param version the version
-     * @param nowMillis the monotonic time
+     * @param notBeforeMillis the monotonic time at which it was surely not named yet
      */
-    public void name(String model, long version, long nowMillis) {
-        versions(model).putIfAbsent(version, new Named(nowMillis, false));
+    public void name(String model, long version, long notBeforeMillis) {
+        put(model, version, new Named(notBeforeMillis, false));
     }
 
     /**
@@ -65,43 +87,52 @@
      * @param nowMillis the monotonic time
      */
     public void found(String model, long version, long nowMillis) {
-        versions(model).putIfAbsent(version, new Named(nowMillis - oldForbiddenMillis + FOUND_LEFT_MILLIS, true));
+        put(model, version, new Named(nowMillis - oldForbiddenMillis + FOUND_LEFT_MILLIS, true));
     }
 
     /**
-     * Takes over another router's word of when a version was named.
+     * Takes over another router's word of when a version was named. Its guesses count as well.
      *
-     * @param model the model
-     * @param version the version
-     * @param atMillis the monotonic time of this router at which the other one heard of it
+     * <p>Failure: all routers are restarted in turn, and each one knows only the names since its own start. Symptom:
+     * one that asks another takes the later name for the one that replaced the weights, and goes on with them for as
+     * long again. A version that both only found stands between the two, and keeps its guess.
+     *
+     * @param age what the other router tells
+     * @param asOfMillis the monotonic time of this router before which the other one did not answer
      */
-    public void told(String model, long version, long atMillis) {
-        versions(model).merge(version, new Named(atMillis, false), WeightsView::better);
+    public void told(NamedAge age, long asOfMillis) {
+        put(age.model(), age.version(), new Named(asOfMillis - age.millisAgo(), age.guessed()));
     }
 
-    /** A guess yields to what another router knows; of two that know, the one that heard first is right. */
-    private static Named better(Named known, Named told) {
-        return known.guessed() || told.at() < known.at() ? told : known;
+    private void put(String model, long version, Named named) {
+        names.computeIfAbsent(model, m -> new TreeMap<>()).merge(version, named, Named::better);
     }
 
-    private NavigableMap<Long, Named> versions(String model) {
-        return names.computeIfAbsent(model, m -> new TreeMap<>());
+    /**
+     * Tells other routers when versions were named.
+     *
+     * @param nowMillis the monotonic time
+     * @return the versions of all models, with those that this router only found
+     */
+    public List<NamedAge> ages(long nowMillis) {
+        return names.entrySet().stream()
+                .flatMap(m -> m.getValue().entrySet().stream()
+                        .map(v -> new NamedAge(
+                                m.getKey(),
+                                v.getKey(),
+                                nowMillis - v.getValue().notBefore(),
+                                v.getValue().guessed())))
+                .toList();
     }
 
     /**
-     * Tells other routers when versions were named, as far as this router knows it.
+     * Tells whether another router may know more.
      *
-     * @param nowMillis the monotonic time
-     * @return how long ago, in milliseconds, by model and version
+     * @return whether nothing is known, or a version was only found
      */
-    public Map<String, Map<Long, Long>> ages(long nowMillis) {
-        Map<String, Map<Long, Long>> ages = new HashMap<>();
-        names.forEach((model, versions) -> versions.forEach((version, n) -> {
-            if (!n.guessed()) {
-                ages.computeIfAbsent(model, m -> new HashMap<>()).put(version, nowMillis - n.at());
-            }
-        }));
-        return ages;
+    public boolean isUncertain() {
+        return names.isEmpty()
+                || names.values().stream().flatMap(v -> v.values().stream()).anyMatch(Named::guessed);
     }
 
     /**
@@ -150,7 +181,7 @@
     public long usableMillis(String model, long version, long nowMillis) {
         NavigableMap<Long, Named> versions = names.get(model);
         Map.Entry<Long, Named> next = versions == null ? null : versions.higherEntry(version);
-        return next == null ? Long.MAX_VALUE : next.getValue().at() + oldForbiddenMillis - nowMillis;
+        return next == null ? Long.MAX_VALUE : next.getValue().notBefore() + oldForbiddenMillis - nowMillis;
     }
 
     /**
@@ -164,13 +195,13 @@
     public boolean settled(String model, long version, long nowMillis) {
         NavigableMap<Long, Named> versions = names.get(model);
         Named named = versions == null ? null : versions.get(version);
-        return named == null || named.guessed() || nowMillis - named.at() > SETTLED_MILLIS;
+        return named == null || named.guessed() || nowMillis - named.notBefore() > SETTLED_MILLIS;
     }
 
     private long replacedFor(String model, long version, long nowMillis) {
         NavigableMap<Long, Named> versions = names.get(model);
         Map.Entry<Long, Named> next = versions == null ? null : versions.higherEntry(version);
-        return next == null ? 0 : nowMillis - next.getValue().at();
+        return next == null ? 0 : nowMillis - next.getValue().notBefore();
     }
 
     /**
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
@@ -3,10 +3,92 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.hornbeamhead.core.mirror.StoreChanges;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.time.ManualClock;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class StoreFollowerTest {
+    private static final class SlowStore implements PlatformStore {
+        private final Eventloop reactor;
+        private SettablePromise<StoreChanges> answer;
+
+        SlowStore(Eventloop reactor) {
+            this.reactor = reactor;
+        }
+
+        @Override
+        public Promise<StoreChanges> readAll() {
+            answer = new SettablePromise<>();
+            return answer;
+        }
+
+        @Override
+        public Promise<StoreChanges> watch(long after, Duration wait) {
+            reactor.breakEventloop();
+            return readAll();
+        }
+
+        @Override
+        public Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Promise<String> grant(Duration ttl) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Promise<Boolean> renew(String lease) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Promise<Void> end(String lease) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    @DataProvider
+    public Object[][] delays() {
+        return new Object[][] {{4L}, {700L}, {2_500L}};
+    }
+
+    /**
+     * Callers get answers on replaced weights. The store's answer lay unread for seconds while the router had no
+     * processor; a name that was accepted meanwhile was taken for newer than it was. An answer proves only what was
+     * accepted before its question was sent.
+     */
+    @Test(dataProvider = "delays")
+    public void anAnswerProvesNothingLaterThanItsQuestion(long delayMillis) {
+        Eventloop reactor = Eventloop.builder().withCurrentThread().build();
+        ManualClock clock = new ManualClock(1_000_000);
+        clock.advance(10_000);
+        RoutingState state = new RoutingState();
+        SlowStore store = new SlowStore(reactor);
+        new StoreFollower(reactor, clock, new Random(1), store, new StoreMirror(), state, () -> 1).start();
+        clock.advance(delayMillis);
+        store.answer.set(new StoreChanges(List.of(), 5, true));
+        assertEquals(state.provenAt(), 10_000);
+        clock.advance(40);
+        long watched = clock.monotonicMillis();
+        reactor.keepAlive(true);
+        reactor.run();
+        clock.advance(delayMillis);
+        store.answer.set(new StoreChanges(List.of(), 6, false));
+        assertEquals(state.provenAt(), watched);
+    }
+
     @DataProvider
     public Object[][] fleets() {
         return new Object[][] {{1, 40}, {2, 40}, {8, 128}, {63, 1_000}, {610, 1_000}};
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsListenerTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsListenerTest.java
@@ -34,7 +34,7 @@
     /** One answered read of the store, as the follower takes it in. */
     private void read(StoreChanges changes) {
         mirror.apply(changes);
-        state.confirmed(clock.monotonicMillis());
+        state.proven(clock.monotonicMillis());
     }
 
     private static StoreChanges names(long version, long revision) {
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/WeightsViewTest.java
@@ -79,8 +79,7 @@
     }
 
     private static void tell(WeightsView from, WeightsView to, long nowMillis) {
-        from.ages(nowMillis)
-                .forEach((model, ages) -> ages.forEach((version, age) -> to.told(model, version, nowMillis - age)));
+        from.ages(nowMillis).forEach(age -> to.told(age, nowMillis));
     }
 
     @Test
