A router that started later tells of removals that it never saw

A router that the store turns away reads the mirror of another; one that started after a key was removed has the key in no list of its removals, and answered with the changes since alone, so that the first kept a replica, a router or a key that is gone for as long as it lived. Now it answers with everything to whoever is behind its own last listing. The new test failed on the code before and passes; the other tests of the mirror pass.

--- a/core/src/main/java/org/hornbeamhead/core/mirror/StoreMirror.java
+++ b/core/src/main/java/org/hornbeamhead/core/mirror/StoreMirror.java
@@ -34,6 +34,11 @@
     private final List<Consumer<StoreItem>> listeners = new ArrayList<>();
     private long revision;
     private long forgottenUpTo;
+    /**
+     * Removals before the last listing are not known, only absent from it. A router that is further behind and was told
+     * of later changes alone would keep what is gone for as long as it lives; it is told everything.
+     */
+    private long listedAt;
 
     /**
      * Adds a listener to each change of a key.
@@ -57,6 +62,7 @@
                 .forEach(this::apply);
         if (changes.whole()) {
             removeAbsent(changes);
+            listedAt = Math.max(listedAt, changes.revision());
         }
         revision = Math.max(revision, changes.revision());
         return further;
@@ -112,7 +118,7 @@
      * @return the changes since then, or everything when it is too far behind
      */
     public StoreChanges since(long after) {
-        if (after == 0 || after < forgottenUpTo) {
+        if (after == 0 || after < forgottenUpTo || after < listedAt) {
             return new StoreChanges(List.copyOf(items.values()), revision, true);
         }
         List<StoreItem> changed = Stream.concat(items.values().stream(), removals.values().stream())
--- a/core/src/test/java/org/hornbeamhead/core/mirror/StoreMirrorTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/mirror/StoreMirrorTest.java
@@ -62,6 +62,25 @@
         assertTrue(m.get("written later").isPresent());
     }
 
+    /**
+     * Requests go to a replica that is gone, for as long as a router lives. The store turns the router away; the
+     * replica's key is removed; another router starts after that, so that its first listing lacks the key and tells of
+     * no removal. What it tells the first router must take the key away there, too.
+     */
+    @Test
+    public void aRouterThatStartedLaterTellsOfRemovalsThatItNeverSaw() {
+        StoreMirror turnedAway = new StoreMirror();
+        turnedAway.apply(all(100, item("gone", 50, "a"), item("stays", 60, "b")));
+        StoreMirror startedLater = new StoreMirror();
+        startedLater.apply(all(120, item("stays", 60, "b")));
+        startedLater.apply(some(125, item("new", 125, "c")));
+        turnedAway.apply(startedLater.since(turnedAway.revision()));
+        assertTrue(turnedAway.get("gone").isEmpty());
+        assertTrue(turnedAway.get("stays").isPresent());
+        assertTrue(turnedAway.get("new").isPresent());
+        assertFalse(startedLater.since(120).whole(), "what came after the listing needs no whole one");
+    }
+
     @Test
     public void tellsAnotherRouterWhatChanged() {
         StoreMirror m = new StoreMirror();
