Removals are believed at once unless the store was away for long enough to let entries lapse

Any failed call, one cut waiting read included, delayed removals by two seconds from then on; a replica that leaves without a word got requests for about 2,240 ms with 8 routers (2,000 allowed) and 3,110 ms with 84 (3,000 allowed), worked out from the pauses, not run. Now only an absence of two seconds and more counts, in which entries can lapse; the figure and the rule stand in the follower. Tests: rows of 100 and 700 ms expect no delay (not run on the code before, which delayed both by its constant), rows of 2,600 and 9,000 ms keep the two seconds.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -44,11 +44,6 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Limits on callers before the first configuration is known. */
     private static final CallerLimits FIRST_LIMITS = new CallerLimits(16_384, 4_194_304, 3_000, 15_000);
-    /**
-     * An entry that vanished while the store was away, or this shortly after, may be back: registries drop what could
-     * not be renewed. The users' pages say that live servers are listed again within two seconds.
-     */
-    private static final long RELIST_MILLIS = 2_000;
 
     private final RouterSettings settings;
     private final Daemon daemon;
@@ -247,8 +242,8 @@
 
     /** Believes a removal at once, or after the time in which it may turn out to be the work of an outage. */
     private void afterRelisting(StoreItem removal, Runnable believe) {
-        long wait = follower.away() ? RELIST_MILLIS : RELIST_MILLIS - follower.millisSinceReturn();
-        if (wait <= 0 || mirrorIsFirst()) {
+        long wait = follower.relistMillis();
+        if (wait == 0 || mirrorIsFirst()) {
             believe.run();
             return;
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
@@ -30,6 +30,17 @@
     /** A third of the time in which a change must be in force with many routers. */
     private static final long MAX_GATHER_MILLIS = 1_000;
 
+    /**
+     * A store that answered again sooner than this let nobody's entry lapse: entries go after three missed heartbeats
+     * of more than a second each, and routers read once a second at least.
+     */
+    private static final long OUTAGE_MILLIS = 2_000;
+    /**
+     * An entry that vanished in an outage, or this shortly after, may be back: registries drop what could not be
+     * renewed. The users' pages say that live servers are listed again within two seconds.
+     */
+    private static final long RELIST_MILLIS = 2_000;
+
     private static final Backoff BACKOFF = new Backoff(100, 400);
 
     private final NioReactor reactor;
@@ -42,7 +53,8 @@
     private int failures;
     private boolean known;
     private long awaySince;
-    private long backSince = Long.MIN_VALUE / 2;
+    private long answeredAt;
+    private long outageEndedAt = Long.MIN_VALUE / 2;
 
     /**
      * Makes a follower that does not follow yet.
@@ -75,6 +87,7 @@
     /** Starts to follow. */
     public void start() {
         awaySince = clock.monotonicMillis();
+        answeredAt = awaySince;
         next();
     }
 
@@ -92,14 +105,16 @@
     }
 
     private void heard(StoreChanges changes, long sent, boolean whole) {
+        long now = clock.monotonicMillis();
         if (awaySince != 0) {
-            backSince = clock.monotonicMillis();
             logger.atInfo()
                     .with(Logs.DECISION, "store reached")
-                    .with(Logs.INPUTS, "awayMillis=" + (backSince - awaySince) + " revision=" + changes.revision())
+                    .with(Logs.INPUTS, "awayMillis=" + (now - awaySince) + " revision=" + changes.revision())
                     .log("the platform's store answers");
+            outageEndedAt = inOutage(now) ? now : outageEndedAt;
         }
         awaySince = 0;
+        answeredAt = now;
         failures = 0;
         known = true;
         mirror.apply(changes);
@@ -145,11 +160,20 @@
     }
 
     /**
-     * Tells how long ago the store came back.
+     * Tells how long the removal of an entry may still turn out to be the work of an outage.
+     *
+     * <p>Failure: one waiting read is cut while the store is sound, and a removal that comes with the next one is not
+     * believed for two seconds. Symptom: a replica that left without a word gets requests after the time in which it
+     * must get none. Only an outage in which entries can lapse is a reason to wait.
      *
-     * @return milliseconds since the last return; large when it never was away
+     * @return milliseconds; zero when removals are to be believed at once
      */
-    public long millisSinceReturn() {
-        return clock.monotonicMillis() - backSince;
+    public long relistMillis() {
+        long now = clock.monotonicMillis();
+        return away() && inOutage(now) ? RELIST_MILLIS : Math.max(0, outageEndedAt + RELIST_MILLIS - now);
+    }
+
+    private boolean inOutage(long now) {
+        return now - answeredAt >= OUTAGE_MILLIS;
     }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
@@ -89,6 +89,39 @@
         assertEquals(state.provenAt(), watched);
     }
 
+    @DataProvider
+    public Object[][] absences() {
+        return new Object[][] {{100L, 0L}, {700L, 0L}, {2_600L, 2_000L}, {9_000L, 2_000L}};
+    }
+
+    /**
+     * A replica leaves without a word; its entry is removed while one waiting read of a router was cut. The router must
+     * believe the removal that comes with its next read at once, or it sends requests to the replica for two seconds
+     * more. After an outage that is long enough for entries to lapse it waits for them to come back.
+     */
+    @Test(dataProvider = "absences")
+    public void onlyAnOutageInWhichEntriesLapseDelaysRemovals(long awayMillis, long waitMillis) {
+        Eventloop reactor = Eventloop.builder().withCurrentThread().build();
+        reactor.keepAlive(true);
+        ManualClock clock = new ManualClock(1_000_000);
+        clock.advance(10_000);
+        SlowStore store = new SlowStore(reactor);
+        StoreFollower follower =
+                new StoreFollower(reactor, clock, new Random(1), store, new StoreMirror(), new RoutingState(), () -> 1);
+        follower.start();
+        store.answer.set(new StoreChanges(List.of(), 5, true));
+        reactor.run();
+        store.answer.setException(new StoreUnavailableException("cut"));
+        clock.advance(awayMillis);
+        assertTrue(follower.away());
+        assertEquals(follower.relistMillis(), waitMillis);
+        reactor.run();
+        store.answer.set(new StoreChanges(List.of(), 6, false));
+        assertEquals(follower.relistMillis(), waitMillis);
+        clock.advance(2_000);
+        assertEquals(follower.relistMillis(), 0);
+    }
+
     @DataProvider
     public Object[][] fleets() {
         return new Object[][] {{1, 40}, {2, 40}, {8, 128}, {63, 1_000}, {610, 1_000}};
