Time for which a machine stood still counts for the bound on replaced weights

Found by looking for the incident's cause elsewhere: the monotonic clock leaves out the time of a suspension, so that a router counted a name as that much newer, and an answer that lay in its buffer meanwhile as fresh. When the wall clock gets ahead, what the router knows of times becomes a guess that is as much older, questions sent before prove nothing, and another router is asked as after a start, which restores it at once if the wall clock alone was set. Tests: five seconds of standing still after two of eight; the code before had no such notion, worked out 5 s too long, not run there.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -35,6 +35,7 @@
 import org.hornbeamhead.gateway.state.RouterPresence;
 import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.StoreFollower;
+import org.hornbeamhead.gateway.state.SuspensionWatch;
 import org.hornbeamhead.gateway.state.WeightsListener;
 import org.hornbeamhead.gateway.state.WeightsView;
 import org.hornbeamhead.gateway.state.WorkHints;
@@ -127,6 +128,12 @@
         mirror.listen(this::changed);
     }
 
+    private void stoodStill(long millis) {
+        state.doubt(millis, clock.monotonicMillis());
+        weights.doubt(millis);
+        peers.introduceAgain();
+    }
+
     private void handle(WholeRequest request, CallerAnswer answer) {
         if (shutdown.givesBack()) {
             dispatcher.giveBack(request, answer, "the router is about to end");
@@ -166,6 +173,7 @@
         follower.start();
         peers.start();
         presence.start();
+        new SuspensionWatch(daemon.timers(), clock, this::stoodStill).start();
         duties.start();
         daemon.onSignal(shutdown::begin);
         logger.atInfo()
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerMirror.java
@@ -98,6 +98,12 @@
         reactor.delayBackground(POLL_MILLIS, this::poll);
     }
 
+    /** Asks other routers again, as after a start: what this one knew of times is in doubt. */
+    public void introduceAgain() {
+        introduced = false;
+        asked = 0;
+    }
+
     private void poll() {
         List<String> addresses = follower.away() || !introduced ? peers.get() : List.of();
         if (addresses.isEmpty()) {
@@ -122,10 +128,12 @@
                     mirror.apply(decode(tree));
                     state.confirmed(sent - tree.path("ageMillis").asLong(UNKNOWN_MILLIS));
                     state.proven(sent - tree.path("provenMillisAgo").asLong(UNKNOWN_MILLIS));
-                    List<NamedAge> named = decodeNames(tree.path("named"));
-                    named.forEach(age -> weights.told(age, sent));
-                    log(peer, named);
-                    asked++;
+                    if (state.trusts(sent)) {
+                        List<NamedAge> named = decodeNames(tree.path("named"));
+                        named.forEach(age -> weights.told(age, sent));
+                        log(peer, named);
+                        asked++;
+                    }
                     introduced = !weights.isUncertain() || asked >= MAX_INTRODUCTIONS;
                 });
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RoutingState.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RoutingState.java
@@ -17,6 +17,7 @@
     private Optional<RoutingConfig> config = Optional.empty();
     private long confirmedAt = Long.MIN_VALUE / 2;
     private long provenAt = Long.MIN_VALUE / 2;
+    private long trustedFrom = Long.MIN_VALUE / 2;
 
     /**
      * Takes over a configuration, unless it is older than the present one.
@@ -54,7 +55,32 @@
      * @param sentMillis the monotonic time at which the answered question was sent
      */
     public void proven(long sentMillis) {
-        provenAt = Math.max(provenAt, sentMillis);
+        if (trusts(sentMillis)) {
+            provenAt = Math.max(provenAt, sentMillis);
+        }
+    }
+
+    /**
+     * Counts time that the monotonic clock left out: the view is as much older, and what was asked before tells nothing
+     * about when.
+     *
+     * @param millis how long the machine may have stood still, in milliseconds
+     * @param nowMillis the monotonic time
+     */
+    public void doubt(long millis, long nowMillis) {
+        provenAt -= millis;
+        confirmedAt -= millis;
+        trustedFrom = nowMillis;
+    }
+
+    /**
+     * Tells whether a time of sending may be counted from.
+     *
+     * @param sentMillis the monotonic time at which a question was sent
+     * @return false if the machine may have stood still since
+     */
+    public boolean trusts(long sentMillis) {
+        return sentMillis >= trustedFrom;
     }
 
     /**
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/SuspensionWatch.java
@@ -0,0 +1,62 @@
+package org.hornbeamhead.gateway.state;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.function.LongConsumer;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
+import org.hornbeamhead.daemon.Logs;
+
+/**
+ * Notices that the machine stood still: the monotonic clock does not count such time, the wall clock does.
+ *
+ * <p>A wall clock that is set forward looks the same, so whoever is told may only become more careful for a moment.
+ */
+public final class SuspensionWatch {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** How often the clocks are compared; far below the time for which a machine that stood still is not relied on. */
+    private static final long TICK_MILLIS = 250;
+    /** Less than this is no harm: margins of time bounds are of this size. */
+    private static final long NOTICED_MILLIS = 200;
+
+    private final Timers timers;
+    private final Clock clock;
+    private final LongConsumer stoodStill;
+    private long offset;
+
+    /**
+     * Makes a watch that does not look yet.
+     *
+     * @param timers the thread's timers
+     * @param clock the clock
+     * @param stoodStill told how long the machine stood still, in milliseconds
+     */
+    public SuspensionWatch(Timers timers, Clock clock, LongConsumer stoodStill) {
+        this.timers = timers;
+        this.clock = clock;
+        this.stoodStill = stoodStill;
+    }
+
+    /** Starts to compare the clocks. */
+    public void start() {
+        offset = wallAhead();
+        timers.schedule(TICK_MILLIS, this::look);
+    }
+
+    private void look() {
+        long now = wallAhead();
+        long still = now - offset;
+        offset = now;
+        if (still > NOTICED_MILLIS) {
+            logger.atWarning()
+                    .with(Logs.DECISION, "stood still")
+                    .with(Logs.INPUTS, "millis=" + still)
+                    .log("the machine stood still, or its wall clock was set forward");
+            stoodStill.accept(still);
+        }
+        timers.schedule(TICK_MILLIS, this::look);
+    }
+
+    private long wallAhead() {
+        return clock.wallMillis() - clock.monotonicMillis();
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WeightsView.java
@@ -125,6 +125,19 @@
                 .toList();
     }
 
+    /**
+     * Counts time that the monotonic clock left out, as far as it may be so.
+     *
+     * <p>Failure: a machine stands still for seconds, and its clock does not count them. Symptom: requests begin on
+     * replaced weights for as much longer than the bound. What is known becomes a guess that is as much older, until
+     * other routers tell: they restore it at once where the wall clock alone was set.
+     *
+     * @param millis how long the machine may have stood still, in milliseconds
+     */
+    public void doubt(long millis) {
+        names.values().forEach(versions -> versions.replaceAll((v, n) -> new Named(n.notBefore() - millis, true)));
+    }
+
     /**
      * Tells whether another router may know more.
      *
--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/SuspensionWatchTest.java
@@ -0,0 +1,74 @@
+package org.hornbeamhead.gateway.state;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hornbeamhead.core.time.ManualClock;
+import org.hornbeamhead.core.time.ManualTimers;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class SuspensionWatchTest {
+    private static final long BOUND = 8_000;
+
+    @DataProvider
+    public Object[][] jumps() {
+        return new Object[][] {
+            {0L, List.of()}, {150L, List.of()}, {-5_000L, List.of()}, {700L, List.of(700L)}, {5_000L, List.of(5_000L)}
+        };
+    }
+
+    @Test(dataProvider = "jumps")
+    public void tellsHowFarTheWallClockGotAhead(long millis, List<Long> expected) {
+        ManualClock clock = new ManualClock(1_000_000);
+        ManualTimers timers = new ManualTimers(clock);
+        List<Long> told = new ArrayList<>();
+        new SuspensionWatch(timers, clock, told::add).start();
+        timers.advance(1_000);
+        clock.skewWall(millis);
+        timers.advance(1_000);
+        assertEquals(told, expected);
+    }
+
+    /**
+     * Callers get answers on weights that are long out of use. New ones are named; two seconds later the machine stands
+     * still for five, which its clock does not count. Eight seconds after the name no more is left of the old ones, and
+     * another router's word, which it gets soon, says the same.
+     */
+    @Test
+    public void timeThatTheClockLeftOutCountsForTheBound() {
+        ManualClock clock = new ManualClock(1_000_000);
+        ManualTimers timers = new ManualTimers(clock);
+        WeightsView weights = new WeightsView(BOUND);
+        new SuspensionWatch(timers, clock, weights::doubt).start();
+        WeightsView other = new WeightsView(BOUND);
+        long named = clock.monotonicMillis();
+        weights.name("m", 2, named);
+        other.name("m", 2, named);
+        timers.advance(2_000);
+        clock.skewWall(5_000);
+        timers.advance(1_000);
+        long now = clock.monotonicMillis();
+        assertTrue(weights.usableMillis("m", 1, now) <= 0);
+        assertTrue(weights.isUncertain());
+        other.ages(named + BOUND).forEach(age -> weights.told(age, now));
+        assertFalse(weights.isUncertain());
+        assertTrue(weights.usableMillis("m", 1, now) <= 0);
+    }
+
+    /** The wall clock alone was set: other routers' word restores what was known. */
+    @Test
+    public void aClockThatWasSetDoesNotEndTheUseOfWeights() {
+        WeightsView weights = new WeightsView(BOUND);
+        weights.name("m", 2, 10_000);
+        WeightsView other = new WeightsView(BOUND);
+        other.name("m", 2, 10_000);
+        weights.doubt(60_000);
+        assertTrue(weights.usableMillis("m", 1, 12_000) <= 0);
+        other.ages(12_000).forEach(age -> weights.told(age, 12_000));
+        assertEquals(weights.usableMillis("m", 1, 12_000), other.usableMillis("m", 1, 12_000));
+    }
+}
