A request that waits at an engine is taken back when its weights go out of use, whenever they were named

Cause: the time until which a request may begin was read once, when it was sent, and shared the timer of silence. It was lost when the request was silent first and nobody could take over, and never set when newer weights were named, or an earlier naming was told, later. Change: `BeginLimits` holds what waits, by model and version, and looks at the usable time again every 100 ms, sooner when less is left. One timer and one look-up a version in use serve all requests; while nothing waits there is no timer. An own timer for each request with the same looks would cost as many wake-ups as requests. A request has begun with the first bytes of its answer's body, half an event included; a head alone says nothing. New: the replica is not blamed for it, since three such ends in a row would leave a sound engine out for a second. Not covered: a request whose bound ends while its connection is being opened is still sent, and taken back a millisecond later.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -37,6 +37,7 @@
     private ReplicaConnection connection;
     private ScheduledRunnable silence;
     private ScheduledRunnable doubt;
+    private Runnable unwatch = () -> {};
     private ResponseHead head;
     private ReplicaReply reply;
     private BufferedAnswer buffered;
@@ -94,32 +95,32 @@
         sent = true;
         CallerRequest request = exchange.subject().request();
         SendOrder order = exchange.orderFor(target);
-        long weightsMillis = weightsLimit(request);
+        Optional<BeginLimits.Weights> weights = weights();
         logger.atInfo()
                 .with(Logs.REQUEST, request.id())
                 .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.DECISION, "sent")
                 .with(Logs.REASON, target.why())
-                .with(Logs.INPUTS, inputs(order, weightsMillis))
+                .with(Logs.INPUTS, inputs(order, weights))
                 .log("sent");
-        long firstByteMillis = patience().firstByteMillis();
-        if (weightsMillis <= firstByteMillis) {
-            armEnd(weightsMillis);
-        } else {
-            armSilence(firstByteMillis);
-        }
+        armSilence(patience().firstByteMillis());
+        weights.ifPresent(w -> unwatch = exchange.dispatcher().beginLimits().watch(w, this::takeBack));
         doubt = exchange.dispatcher().reactor().delayBackground(patience().doubtMillis(), this::doubtReplica);
         byte[] message = RequestMessage.of(
                 request.whole(), exchange.dispatcher().dialect().toReplica(request, order));
         taken.send(message, request.whole().head().method(), this::belongs, this);
     }
 
-    private String inputs(SendOrder order, long weightsMillis) {
+    private String inputs(SendOrder order, Optional<BeginLimits.Weights> weights) {
+        BeginLimits limits = exchange.dispatcher().beginLimits();
         return "predictedMillis=" + Math.round(target.predictedMillis())
                 + " load=" + replica.load().total(now())
                 + " millisLeft=" + order.timeLeftMillis()
                 + order.engine().map(e -> " salt=" + e.salt()).orElse("")
-                + (weightsMillis == Patience.UNLIMITED ? "" : " weightsMillisLeft=" + weightsMillis);
+                + weights.map(limits::leftMillis)
+                        .filter(left -> left != Patience.UNLIMITED)
+                        .map(left -> " weightsMillisLeft=" + left)
+                        .orElse("");
     }
 
     private Patience patience() {
@@ -146,17 +147,21 @@
         }
     }
 
+    /** The weights on which the request would begin; empty where it needs none. */
+    private Optional<BeginLimits.Weights> weights() {
+        Optional<Prompt> prompt = exchange.subject().request().prompt();
+        return target.choice()
+                .flatMap(c -> prompt.map(
+                        p -> new BeginLimits.Weights(p.model(), c.engine().weights())));
+    }
+
     /**
-     * A request that still waits at an engine when its weights go out of use is taken back there, whatever it costs.
+     * The weights go out of use before the request has begun: it may not begin there any more, whatever it costs. The
+     * replica is not to blame, and may have begun a moment ago.
      */
-    private long weightsLimit(CallerRequest request) {
-        if (target.choice().isEmpty() || request.prompt().isEmpty()) {
-            return Patience.UNLIMITED;
-        }
-        long version = target.choice().get().engine().weights();
-        long usable =
-                exchange.dispatcher().picker().usableMillis(request.prompt().get(), version);
-        return usable == Long.MAX_VALUE ? Patience.UNLIMITED : Math.max(1, usable);
+    private void takeBack() {
+        connection.close();
+        end(AttemptEnd.SILENT, "not begun when the weights went out of use", Optional.empty());
     }
 
     /**
@@ -180,11 +185,6 @@
         });
     }
 
-    /** Gives the try up when nothing comes for a time, whatever follows. */
-    private void armEnd(long millis) {
-        arm(millis, () -> endSilent(millis));
-    }
-
     private void endSilent(long millis) {
         replica.connections().distrustKept();
         closeAndEnd(AttemptEnd.SILENT, "silent for " + millis + " ms");
@@ -221,11 +221,16 @@
         }
     }
 
+    /**
+     * The first bytes, even of half an event, prove that the request has begun: a replica makes them from its first
+     * token. The head proves nothing, since it may come while the request still waits.
+     */
     @Override
     public Promise<Void> body(byte[] bytes) {
         if (over || bytes.length == 0) {
             return Promise.complete();
         }
+        unwatch.run();
         if (!streaming) {
             buffered.add(bytes);
             return Promise.complete();
@@ -333,6 +338,7 @@
 
     private void stop() {
         over = true;
+        unwatch.run();
         disarm();
         if (doubt != null) {
             doubt.cancel();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -21,6 +21,7 @@
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.caller.CallerAnswer;
@@ -54,6 +55,7 @@
     private final RandomGenerator random;
     private final TargetPicker picker;
     private final EarlyRequests early;
+    private final BeginLimits beginLimits;
     private final BudgetLimits budgetLimits;
     private final WorkingRouters routers;
     private WorkHints hints;
@@ -113,8 +115,12 @@
         this.random = parts.random();
         this.budgetLimits = parts.budgetLimits();
         this.routers = parts.routers();
-        this.early = new EarlyRequests((delay, action) -> reactor.delayBackground(delay, action));
-        this.picker = new TargetPicker(clock, registry, parts.weights(), parts.dataCentre(), parts.inherits());
+        Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
+        WeightsView weights = parts.weights();
+        this.early = new EarlyRequests(timers);
+        this.beginLimits =
+                new BeginLimits(timers, w -> weights.usableMillis(w.model(), w.version(), clock.monotonicMillis()));
+        this.picker = new TargetPicker(clock, registry, weights, parts.dataCentre(), parts.inherits());
     }
 
     @Override
@@ -275,6 +281,10 @@
         return picker;
     }
 
+    BeginLimits beginLimits() {
+        return beginLimits;
+    }
+
     Metrics metrics() {
         return metrics;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -119,11 +119,6 @@
         return choosers.computeIfAbsent(service, s -> new EngineChooser(inherits));
     }
 
-    /** How long requests may still begin on an engine's weights, in milliseconds. */
-    long usableMillis(Prompt prompt, long version) {
-        return weights.usableMillis(prompt.model(), version, clock.monotonicMillis());
-    }
-
     /** A request went to an engine: of this router, or as another router tells. */
     void sent(RoutingConfig config, LiveReplica replica, long beginning, double storeMillis) {
         long now = clock.monotonicMillis();
