--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -2,12 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.activej.promise.Promise;
-import io.activej.reactor.schedule.ScheduledRunnable;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
-import org.hornbeamhead.core.engine.EngineChoice;
-import org.hornbeamhead.core.engine.Prompt;
 import org.hornbeamhead.core.forward.AttemptEnd;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.route.Route;
@@ -34,10 +31,9 @@
     private final Target target;
     private final LiveReplica replica;
     private final EventCutter cutter = new EventCutter();
+    private final AttemptTimers timers;
+    private final AttemptRequest request;
     private ReplicaConnection connection;
-    private ScheduledRunnable silence;
-    private ScheduledRunnable doubt;
-    private Runnable unwatch = () -> {};
     private ResponseHead head;
     private ReplicaReply reply;
     private BufferedAnswer buffered;
@@ -49,6 +45,8 @@
         this.exchange = exchange;
         this.target = target;
         this.replica = target.replica();
+        this.request = new AttemptRequest(exchange, target);
+        this.timers = new AttemptTimers(exchange.dispatcher().reactor());
     }
 
     Target target() {
@@ -65,7 +63,7 @@
         int limit = Math.max(
                 MIN_CONNECTIONS,
                 exchange.dispatcher().part(exchange.subject().service().maxConnections()));
-        noteSent();
+        request.noteSent();
         replica.connections().take(idle, limit).subscribe((taken, e) -> {
             if (over) {
                 if (taken != null) {
@@ -80,64 +78,16 @@
         });
     }
 
-    private void noteSent() {
-        String id = exchange.subject().request().id();
-        Optional<Prompt> prompt = exchange.subject().request().prompt();
-        int memory = prompt.map(Prompt::memoryTokens).orElse(0);
-        boolean longAnswer = prompt.map(Prompt::hasLongAnswer).orElse(false);
-        double read = target.choice().map(EngineChoice::readMillis).orElse(0.0);
-        replica.load().sent(id, read, memory, longAnswer, now());
-        target.choice().ifPresent(c -> exchange.dispatcher().sentToEngine(replica, c));
-    }
-
     private void send(ReplicaConnection taken) {
         connection = taken;
         sent = true;
-        CallerRequest request = exchange.subject().request();
         SendOrder order = exchange.orderFor(target);
-        Optional<BeginLimits.Weights> weights = weights();
-        logger.atInfo()
-                .with(Logs.REQUEST, request.id())
-                .with(Logs.REPLICA, replica.entry().id())
-                .with(Logs.DECISION, "sent")
-                .with(Logs.REASON, target.why())
-                .with(Logs.INPUTS, inputs(order, weights))
-                .log("sent");
-        armSilence(patience().firstByteMillis());
-        weights.ifPresent(w -> unwatch = exchange.dispatcher().beginLimits().watch(w, this::takeBack));
-        doubt = exchange.dispatcher().reactor().delayBackground(patience().doubtMillis(), this::doubtReplica);
-        byte[] message = RequestMessage.of(
-                request.whole(), exchange.dispatcher().dialect().toReplica(request, order));
-        taken.send(message, request.whole().head().method(), this::belongs, this);
-    }
-
-    private String inputs(SendOrder order, Optional<BeginLimits.Weights> weights) {
-        BeginLimits limits = exchange.dispatcher().beginLimits();
-        return "predictedMillis=" + Math.round(target.predictedMillis())
-                + " load=" + replica.load().total(now())
-                + " millisLeft=" + order.timeLeftMillis()
-                + order.engine().map(e -> " salt=" + e.salt()).orElse("")
-                + weights.map(limits::leftMillis)
-                        .filter(left -> left != Patience.UNLIMITED)
-                        .map(left -> " weightsMillisLeft=" + left)
-                        .orElse("");
-    }
-
-    private Patience patience() {
-        return new Patience(
-                exchange.subject().route().limits(),
-                exchange.streams(),
-                exchange.mayTryAgain(),
-                target.predictedMillis());
-    }
-
-    /** Only an answer that names another request surely belongs to that one. */
-    private boolean belongs(ResponseHead answered) {
-        String id = exchange.dispatcher()
-                .dialect()
-                .reply(answered, replica.entry().id())
-                .requestId();
-        return id.isEmpty() || id.equals(exchange.subject().request().id());
+        request.logSent(order);
+        armSilence(request.patience().firstByteMillis());
+        request.weights()
+                .ifPresent(w -> timers.begin(exchange.dispatcher().beginLimits().watch(w, this::takeBack)));
+        timers.doubt(request.patience().doubtMillis(), this::doubtReplica);
+        taken.send(request.message(order), request.method(), request::answeredBy, this);
     }
 
     /** Nothing has come for longer than predicted: the replica may be gone without a sign. */
@@ -147,14 +97,6 @@
         }
     }
 
-    /** The weights on which the request would begin; empty where it needs none. */
-    private Optional<BeginLimits.Weights> weights() {
-        Optional<Prompt> prompt = exchange.subject().request().prompt();
-        return target.choice()
-                .flatMap(c -> prompt.map(
-                        p -> new BeginLimits.Weights(p.model(), c.engine().weights())));
-    }
-
     /**
      * The weights go out of use before the request has begun: it may not begin there any more, whatever it costs. The
      * replica is not to blame, and may have begun a moment ago.
@@ -171,12 +113,12 @@
      * the caller's answer is cut in the middle, though the engine would have gone on. Silence alone ends nothing.
      */
     private void armSilence(long millis) {
-        arm(millis, () -> {
+        timers.silence(millis, () -> {
             if (exchange.canMove()) {
                 endSilent(millis);
             } else {
                 logger.atInfo()
-                        .with(Logs.REQUEST, exchange.subject().request().id())
+                        .with(Logs.REQUEST, request.id())
                         .with(Logs.DECISION, "waits on")
                         .with(Logs.REASON, "silent for " + millis + " ms, and nobody can take over")
                         .log("the try goes on");
@@ -190,20 +132,6 @@
         closeAndEnd(AttemptEnd.SILENT, "silent for " + millis + " ms");
     }
 
-    private void arm(long millis, Runnable action) {
-        disarm();
-        if (millis != Patience.UNLIMITED) {
-            silence = exchange.dispatcher().reactor().delayBackground(millis, action);
-        }
-    }
-
-    private void disarm() {
-        if (silence != null) {
-            silence.cancel();
-            silence = null;
-        }
-    }
-
     @Override
     public void head(ResponseHead came) {
         head = came;
@@ -230,7 +158,7 @@
         if (over || bytes.length == 0) {
             return Promise.complete();
         }
-        unwatch.run();
+        timers.begun();
         if (!streaming) {
             buffered.add(bytes);
             return Promise.complete();
@@ -246,8 +174,8 @@
     }
 
     private Promise<Void> relay(List<EventCutter.Event> events) {
-        replica.load().firstEvent(exchange.subject().request().id(), now());
-        armSilence(patience().pauseMillis());
+        replica.load().firstEvent(request.id(), now());
+        armSilence(request.patience().pauseMillis());
         ByteArrayOutputStream fresh = new ByteArrayOutputStream();
         events.stream().filter(e -> exchange.progress().advance(e.id())).forEach(e -> fresh.writeBytes(e.bytes()));
         if (fresh.size() == 0) {
@@ -338,12 +266,8 @@
 
     private void stop() {
         over = true;
-        unwatch.run();
-        disarm();
-        if (doubt != null) {
-            doubt.cancel();
-        }
-        replica.load().ended(exchange.subject().request().id());
+        timers.stop();
+        replica.load().ended(request.id());
     }
 
     private long now() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -157,7 +157,7 @@
             answer(request, answer, BAD_REQUEST, "the request names no id", Headers.NONE);
             return;
         }
-        forward(new Exchange.Asked(config, route.get(), owner, request, arrivedAt), answer);
+        forward(new Asked(config, route.get(), owner, request, arrivedAt), answer);
     }
 
     /**
@@ -171,7 +171,7 @@
         refuseUnrun(dialect.read(whole), answer, why, ELSEWHERE_RETRY_MILLIS);
     }
 
-    private void forward(Exchange.Asked asked, CallerAnswer answer) {
+    private void forward(Asked asked, CallerAnswer answer) {
         String name = asked.route().serviceFor(draw(asked.request().id()));
         Optional<ServiceSpec> service = asked.config().service(name);
         if (service.isEmpty()) {
@@ -180,7 +180,7 @@
         }
         budget(name).requested(clock.monotonicMillis());
         routers.requested(clock.monotonicMillis());
-        new Exchange(this, new Exchange.Subject(asked, service.get()), answer).start();
+        new Exchange(this, new Subject(asked, service.get()), answer).start();
     }
 
     /** Spreads ids over all values, since their own bits may be a counter. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -17,9 +17,6 @@
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RequestKind;
-import org.hornbeamhead.core.route.Route;
-import org.hornbeamhead.core.route.RoutingConfig;
-import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.caller.CallerAnswer;
 import org.hornbeamhead.gateway.replica.LiveReplica;
@@ -34,41 +31,6 @@
 
     private static final long NO_DEADLINE_MILLIS = 60_000;
 
-    /**
-     * What a caller asks for, as the configuration reads it.
-     *
-     * @param config the configuration under which the request was read
-     * @param route its route
-     * @param owner the customer, empty on open routes
-     * @param request the request
-     * @param arrivedAt the monotonic time at which it came, in milliseconds
-     */
-    record Asked(RoutingConfig config, Route route, Optional<KeyOwner> owner, CallerRequest request, long arrivedAt) {}
-
-    /**
-     * What is to be done.
-     *
-     * @param asked what the caller asks for
-     * @param service the service that does it
-     */
-    record Subject(Asked asked, ServiceSpec service) {
-        RoutingConfig config() {
-            return asked.config();
-        }
-
-        Route route() {
-            return asked.route();
-        }
-
-        Optional<KeyOwner> owner() {
-            return asked.owner();
-        }
-
-        CallerRequest request() {
-            return asked.request();
-        }
-    }
-
     private final Dispatcher dispatcher;
     private final Subject subject;
     private final CallerAnswer answer;
@@ -77,11 +39,9 @@
     private final long arrivedAt;
     private final long deadline;
     private final StreamProgress progress;
+    private final StreamTimes times = new StreamTimes();
     private ScheduledRunnable deadlineTimer;
     private Attempt attempt;
-    private long firstEventMillis = -1;
-    private long lastEventAt = -1;
-    private long longestPauseMillis;
     private boolean over;
 
     Exchange(Dispatcher dispatcher, Subject subject, CallerAnswer answer) {
@@ -234,7 +194,7 @@
     void begin(ResponseHead head) {
         if (!forwarding.hasBegun()) {
             forwarding.answerBegan();
-            firstEventMillis = sinceArrival().toMillis();
+            times.began(sinceArrival().toMillis());
             answer.begin(head.status(), dispatcher.dialect().toCaller(head));
             dispatcher
                     .metrics()
@@ -246,13 +206,9 @@
         }
     }
 
-    /** Events go to the caller: notes how long it waited for them since those before. */
+    /** Events go to the caller. */
     void relayed() {
-        long now = dispatcher.clock().monotonicMillis();
-        if (lastEventAt >= 0) {
-            longestPauseMillis = Math.max(longestPauseMillis, now - lastEventAt);
-        }
-        lastEventAt = now;
+        times.relayed(dispatcher.clock().monotonicMillis());
     }
 
     void delivered(String how) {
@@ -286,8 +242,8 @@
                 .map(p ->
                         " tokens=" + p.sharedTokens() + "+" + (p.tokens() - p.sharedTokens()) + ">" + p.outputTokens())
                 .orElse("");
-        return "route=" + subject.route().name() + tokens + " firstMillis=" + firstEventMillis + " pauseMillis="
-                + longestPauseMillis + " millis=" + sinceArrival().toMillis() + " tried=" + tried;
+        return "route=" + subject.route().name() + tokens + times + " millis="
+                + sinceArrival().toMillis() + " tried=" + tried;
     }
 
     private Duration sinceArrival() {
@@ -335,28 +291,4 @@
                         .pick(subject.config(), subject.service(), subject.request(), subject.owner(), tried)
                         .isPresent();
     }
-
-    /** How far a stream has come to the caller. */
-    static final class StreamProgress {
-        private OptionalLong last;
-
-        StreamProgress(OptionalLong asked) {
-            this.last = asked;
-        }
-
-        OptionalLong lastEvent() {
-            return last;
-        }
-
-        /** Tells whether an event is new, and notes it. */
-        boolean advance(OptionalLong id) {
-            if (id.isPresent() && last.isPresent() && id.getAsLong() <= last.getAsLong()) {
-                return false;
-            }
-            if (id.isPresent()) {
-                last = id;
-            }
-            return true;
-        }
-    }
 }
