Failing tests: a roll-out orders replicas first whose version stays in use longer

Cause shown: the plan orders the least used replicas first, whatever they serve. When a version is named during a roll-out, those that have just loaded the one before are idle and go first again, and a busy one waits on a version that goes out of use.

RolloutPlanTest gives the plan replicas of two versions.

--- a/core/src/test/java/org/hornbeamhead/core/weights/RolloutPlanTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/weights/RolloutPlanTest.java
@@ -14,10 +14,14 @@
 
     private static List<WeightsReplica> replicas(int count, double used) {
         return IntStream.range(0, count)
-                .mapToObj(i -> new WeightsReplica("r" + i, 1, used))
+                .mapToObj(i -> replica("r" + i, 1, used))
                 .toList();
     }
 
+    private static WeightsReplica replica(String id, long version, double used) {
+        return new WeightsReplica(id, version, used);
+    }
+
     @DataProvider
     public Object[][] loads() {
         return new Object[][] {
@@ -77,11 +81,32 @@
 
     @Test
     public void takesTheLeastBusyFirstAndLeavesThoseThatAreDone() {
-        List<WeightsReplica> all = List.of(
-                new WeightsReplica("a", 1, 0.9), new WeightsReplica("b", 2, 0), new WeightsReplica("c", 1, 0.1));
+        List<WeightsReplica> all = List.of(replica("a", 1, 0.9), replica("b", 2, 0), replica("c", 1, 0.1));
         assertEquals(plan.next(all, 2, Set.of(), 1_300).get(0).id(), "c");
         assertEquals(plan.next(all, 1, Set.of(), 1_300), List.of());
         assertThrows(IllegalArgumentException.class, () -> new RolloutPlan(0, 12_000));
         assertThrows(IllegalArgumentException.class, () -> new RolloutPlan(2, 0));
     }
+
+    /**
+     * Callers' requests begin on weights that are out of use. Version 4 is named while version 3 is brought to the
+     * replicas; those that have loaded it are idle, those still on version 2 are busy. Version 2 goes out of use first,
+     * so that those on it are ordered first, however busy, and the least busy of them before the others.
+     */
+    @Test
+    public void takesThoseFirstWhoseVersionGoesOutOfUseFirst() {
+        List<WeightsReplica> all = List.of(
+                replica("a", 3, 0),
+                replica("b", 3, 0.1),
+                replica("c", 2, 0.3),
+                replica("d", 3, 0),
+                replica("e", 2, 0.2),
+                replica("f", 3, 0),
+                replica("g", 3, 0),
+                replica("h", 3, 0));
+        List<String> order = plan.next(all, 4, Set.of(), 1_300).stream()
+                .map(WeightsReplica::id)
+                .toList();
+        assertEquals(order, List.of("e", "c", "a", "d"));
+    }
 }
