Roll-outs order first the replicas whose version goes out of use first, and as many at once as the time left asks for

Cause: the plan ordered the least used replicas first, whatever they serve, so that those that had just loaded went first again; and it worked out how many keep to the bound from the whole bound and all replicas, however little of it was left.

Change: each replica carries how long its version may still be used (WeightsView.usableMillis); the plan orders by that, then by use. As many change at once as every version's time left asks for: the replicas that must be done by then x the time of a change / the time left less a fifth of the bound, which is now kept until the end. Half at most, as before; the rows of RolloutPlanTest hold unchanged. A replica that gave no report is asked again after 250 ms instead of 1 s, while it is to change.

Run: the tests of the roll-out, of weights and of the duty, RouterProcessTest and RouterStateTest; style.

A replica that is dark and then slow may still miss the bound by moments; routers send it nothing by then.

--- a/core/src/main/java/org/hornbeamhead/core/weights/RolloutPlan.java
+++ b/core/src/main/java/org/hornbeamhead/core/weights/RolloutPlan.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 /**
  * Decides which replicas change their weights next: those with the least work first, as many at once as the others can
@@ -18,7 +19,10 @@
  * @param boundMillis the time after which no request may begin on replaced weights, in milliseconds
  */
 public record RolloutPlan(int atOnce, long boundMillis) {
-    /** The part of the bound in which all replicas should have changed; the rest is for a holder that is lost. */
+    /**
+     * The part of the bound in which all replicas should have changed. The rest is kept until the end, however little
+     * time is left: for a holder that is lost, and for replicas that are dark or wait for long runs when ordered.
+     */
     private static final double BOUND_PART = 0.8;
     /**
      * The part of an engine's memory that may be in use while others stand in for it. Failure: half of six engines that
@@ -43,6 +47,15 @@
      */
     private static final double ANYWAY_PART = 0.29;
 
+    /**
+     * Failure: a version is named during a change, and the replicas that have just loaded the one before, being idle,
+     * go first again. Symptom: a busy replica waits on a version until it is out of use, and requests begin there too
+     * late.
+     */
+    private static final Comparator<WeightsReplica> ORDER = Comparator.comparingLong(WeightsReplica::usableMillis)
+            .thenComparingDouble(WeightsReplica::used)
+            .thenComparing(WeightsReplica::id);
+
     /** Checks the numbers. */
     public RolloutPlan {
         if (boundMillis <= 0) {
@@ -65,8 +78,8 @@
     public List<WeightsReplica> next(List<WeightsReplica> all, long target, Set<String> changing, long changeMillis) {
         return all.stream()
                 .filter(r -> r.version() < target && !changing.contains(r.id()))
-                .sorted(Comparator.comparingDouble(WeightsReplica::used).thenComparing(WeightsReplica::id))
-                .limit(Math.max(0, width(all, changeMillis) - changing.size()))
+                .sorted(ORDER)
+                .limit(Math.max(0, width(all, target, changeMillis) - changing.size()))
                 .toList();
     }
 
@@ -75,16 +88,32 @@
      * when none can. When replicas are short anyway, as after a crash, as many as load beside each other without
      * slowing down, so that the shortage is brief.
      */
-    private int width(List<WeightsReplica> all, long changeMillis) {
+    private int width(List<WeightsReplica> all, long target, long changeMillis) {
         double used = all.stream().mapToDouble(WeightsReplica::used).sum();
         int spare = all.size() - (int) Math.ceil(used / BEARABLE_PART);
         int most = (int) Math.floor(all.size() * (1 - SERVING_PART));
-        double inTime = (double) all.size() * changeMillis / (boundMillis * BOUND_PART);
-        int keepsToBound = Math.max(1, Math.min(most, (int) Math.round(inTime)));
+        int keepsToBound = Math.max(1, Math.min(most, inTime(all, target, changeMillis)));
         int least = Math.max(keepsToBound, (int) Math.floor(all.size() * ANYWAY_PART));
         if (used > all.size() * SHORT_PART) {
             return Math.max(atOnce, least);
         }
         return Math.max(least, Math.min(most, spare));
     }
+
+    /**
+     * How many must change at once so that none is on a version that is out of use. Each version has its own time left,
+     * and all replicas whose versions go out of use no later have to be done by then.
+     */
+    private int inTime(List<WeightsReplica> all, long target, long changeMillis) {
+        long reserve = Math.round(boundMillis * (1 - BOUND_PART));
+        List<Long> left = all.stream()
+                .filter(r -> r.version() < target)
+                .map(r -> Math.max(1, Math.min(boundMillis, r.usableMillis()) - reserve))
+                .sorted()
+                .toList();
+        return (int) IntStream.range(0, left.size())
+                .mapToLong(i -> Math.round((double) (i + 1) * changeMillis / left.get(i)))
+                .max()
+                .orElse(0);
+    }
 }
--- a/core/src/test/java/org/hornbeamhead/core/weights/RolloutPlanTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/weights/RolloutPlanTest.java
@@ -18,8 +18,13 @@
                 .toList();
     }
 
+    /** Versions are named 3 s apart, version 2 just now. */
+    private static long usableMillis(long version) {
+        return 12_000 + 3_000 * (version - 1);
+    }
+
     private static WeightsReplica replica(String id, long version, double used) {
-        return new WeightsReplica(id, version, used);
+        return new WeightsReplica(id, version, usableMillis(version), used);
     }
 
     @DataProvider
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
@@ -42,8 +42,11 @@
     private static final long RANK_MILLIS = 250;
 
     private static final long GUARD_MILLIS = 300;
-    /** How often a replica that gave no report is asked again; three tries fit into the heartbeats that it may miss. */
-    private static final long SILENT_EVERY_MILLIS = 1_000;
+    /**
+     * How often a replica that gave no report is asked again. Failure: a replica that was dark for 1.5 s is found to be
+     * back a second later. Symptom: its weights go out of use first. A quarter of a second keeps it to a few calls.
+     */
+    private static final long SILENT_EVERY_MILLIS = 250;
 
     /** How long a change lasts at least: a load of 1.2 s was over 1.3 s after its order, shorter ones wait for runs. */
     private static final long USUAL_CHANGE_MILLIS = 1_300;
@@ -250,7 +253,7 @@
         weights.all().forEach((model, version) -> {
             List<WeightsReplica> all = serving(model).stream()
                     .filter(r -> !silent(r.entry().run()))
-                    .map(r -> new WeightsReplica(r.entry().run(), r.weights(model), used(r)))
+                    .map(r -> seen(r, model))
                     .toList();
             plan.next(all, version, changing(), changeMillis()).forEach(r -> {
                 changes.put(r.id(), new Change(model, version, now()));
@@ -265,6 +268,12 @@
         }
     }
 
+    private WeightsReplica seen(LiveReplica replica, String model) {
+        long version = replica.weights(model);
+        return new WeightsReplica(
+                replica.entry().run(), version, weights.usableMillis(model, version, now()), used(replica));
+    }
+
     /**
      * Failure: a replica lost its power and is still listed. Symptom: it is asked for its report in vain, and the
      * change of the others waits for it. It serves nobody, so it is neither counted nor waited for.
