--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -17,8 +17,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.hornbeamhead.clients.EngineControl;
 import org.hornbeamhead.clients.HostListClient;
+import org.hornbeamhead.clients.HttpEngineControl;
 import org.hornbeamhead.clients.HttpKeyValueStore;
 import org.hornbeamhead.core.claim.Claim;
 import org.hornbeamhead.core.claim.ClaimBatcher;
@@ -101,7 +101,7 @@
         HttpKeyValueStore store = new HttpKeyValueStore(
                 platform, Addresses.format(settings.keyValue()), HttpKeyValueStore.DAEMON_CALL_LIMIT);
         this.hostList = new HostListClient(platform, Addresses.format(settings.hostList()));
-        this.pools = new PoolDirectory(context, new EngineControl(platform));
+        this.pools = new PoolDirectory(context, new HttpEngineControl(platform));
         this.server = daemon.listen(settings.http(), this::serve);
         String address = Daemon.address(server);
         this.peerServer = new PeerServer(settings.peer(), new Handler());
