Drain orders count only when they were read under the lease that is held

Cause: a controller took a list of drain orders that it never read, or had read before it won the lease, for all that the operators order, and told drained engines to take work; an order to load weights carries the same word. Change: DrainView keeps with each reading the leases that were held when it was asked, and gives it out only under these; an older answer can't follow a newer one, since one question is under way at a time. While the orders are not known, PoolPlan gives orders only to replicas whose host leaves. No orders under the key counts as read. Only holders ask now, once a step and process (before: every seeker, three a pool), so that the calls get fewer; a new holder gives its first order to load or to take work a step (1 s) later, and none for as long as this read fails. Run: mvn -o test -pl core,controller -am -Dtest='Controller*Test,PoolPlan*Test,Drain*Test'. The tests with processes (fleet) were not run here.

--- a/controller/src/main/java/org/hornbeamhead/controller/PoolController.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/PoolController.java
@@ -11,6 +11,7 @@
 import org.hornbeamhead.clients.EngineControl;
 import org.hornbeamhead.core.config.Pool;
 import org.hornbeamhead.core.drain.DrainOrders;
+import org.hornbeamhead.core.drain.DrainView;
 import org.hornbeamhead.core.endpoint.Endpoint;
 import org.hornbeamhead.core.lease.LeaseKeeper;
 import org.hornbeamhead.core.lease.LeaseState;
@@ -56,7 +57,7 @@
     }
 
     /** Looks at the replicas and gives the orders that are due. */
-    void step(Pool wanted, DrainOrders drains, List<Endpoint> replicas) {
+    void step(Pool wanted, DrainView drains, List<Endpoint> replicas) {
         if (lease.held().isEmpty()) {
             loadingSinceMillis.clear();
             slots.want(pool, 0);
@@ -73,7 +74,7 @@
                         e -> Promise.of(new ReplicaObservation(endpoint, Optional.empty())));
     }
 
-    private void order(Pool wanted, DrainOrders drains, List<ReplicaObservation> seen) {
+    private void order(Pool wanted, DrainView drains, List<ReplicaObservation> seen) {
         forgetFinishedLoads(wanted, seen);
         long outdated = seen.stream()
                 .filter(o -> o.report()
@@ -82,7 +83,8 @@
                 .count();
         slots.want(pool, (int) outdated);
         List<String> loading = List.copyOf(loadingSinceMillis.keySet());
-        PoolPlan.decide(wanted, drains, seen, slots.held(pool), loading).forEach(this::give);
+        Optional<DrainOrders> known = lease.held().flatMap(drains::under);
+        PoolPlan.decide(wanted, known, seen, slots.held(pool), loading).forEach(this::give);
     }
 
     private void forgetFinishedLoads(Pool wanted, List<ReplicaObservation> seen) {
--- a/controller/src/main/java/org/hornbeamhead/controller/PoolControllers.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/PoolControllers.java
@@ -5,21 +5,23 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.hornbeamhead.clients.EngineControl;
 import org.hornbeamhead.core.config.ConfigHolder;
 import org.hornbeamhead.core.config.ConfigLog;
 import org.hornbeamhead.core.config.ConfigState;
 import org.hornbeamhead.core.config.Pool;
-import org.hornbeamhead.core.drain.DrainOrders;
+import org.hornbeamhead.core.drain.DrainView;
 import org.hornbeamhead.core.endpoint.Endpoint;
 import org.hornbeamhead.core.endpoint.EndpointKind;
 import org.hornbeamhead.core.lease.LeaseKeeper;
+import org.hornbeamhead.core.lease.LeaseState;
 import org.hornbeamhead.core.placement.ReplicaRing;
 import org.hornbeamhead.core.store.KeyValueStore;
-import org.hornbeamhead.core.store.StoreReply;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Metrics;
 
@@ -42,10 +44,10 @@
     private final ConfigHolder config = new ConfigHolder();
     private final ConfigLog log;
     private final LoadSlots slots;
+    private final DrainView drains;
     private final Map<String, PoolController> pools = new HashMap<>();
     private List<Endpoint> hosts = List.of();
     private long lastRefreshMillis;
-    private DrainOrders drains = new DrainOrders(List.of());
 
     PoolControllers(
             KeyValueStore store,
@@ -63,6 +65,7 @@
         this.holder = holder;
         this.leaseTtl = leaseTtl;
         this.log = new ConfigLog(store);
+        this.drains = new DrainView(store);
         this.slots = new LoadSlots(store, clock, holder, leaseTtl);
     }
 
@@ -80,7 +83,7 @@
             return;
         }
         log.latest(config.state()).thenAccept(read -> read.peek(this::configured));
-        readDrains();
+        drains.read(leaseIds());
         slots.step();
         sought.forEach(this::step);
     }
@@ -116,12 +119,11 @@
         return new PoolController(pool, lease, slots, control, clock, metrics);
     }
 
-    private void readDrains() {
-        store.read(DrainOrders.KEY).thenAccept(reply -> {
-            if (reply instanceof StoreReply.Found found) {
-                drains = DrainOrders.parse(found.entry().value());
-            }
-        });
+    private Set<String> leaseIds() {
+        return pools.values().stream()
+                .flatMap(p -> p.lease().held().stream())
+                .map(LeaseState::lease)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     private void step(PoolController controller) {
--- a/core/src/main/java/org/hornbeamhead/core/drain/DrainOrders.java
+++ b/core/src/main/java/org/hornbeamhead/core/drain/DrainOrders.java
@@ -14,6 +14,9 @@
     /** The key in the platform's service. */
     public static final String KEY = "orders/drains";
 
+    /** No order was ever given. */
+    public static final DrainOrders NONE = new DrainOrders(List.of());
+
     private static final int KEPT = 1_000;
     private static final String SEPARATOR = "|";
     private static final int FIELDS = 5;
--- a/core/src/main/java/org/hornbeamhead/core/pool/PoolPlan.java
+++ b/core/src/main/java/org/hornbeamhead/core/pool/PoolPlan.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.core.pool;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.hornbeamhead.core.config.Pool;
 import org.hornbeamhead.core.drain.DrainOrders;
@@ -17,24 +18,32 @@
      * Decides.
      *
      * @param pool what the operators state
-     * @param drains the operators' drain orders
+     * @param drains the operators' drain orders; empty while they are not known, when only replicas whose host leaves
+     *     are given orders, since any other order would tell a replica to take work
      * @param seen what is seen of the replicas
      * @param loadSlots how many loads this pool may have running
      * @param loading replicas that were ordered to load and have not finished
      * @return the orders to give now
      */
     public static List<ReplicaOrder> decide(
-            Pool pool, DrainOrders drains, List<ReplicaObservation> seen, int loadSlots, List<String> loading) {
-        List<ReplicaObservation> answering =
-                seen.stream().filter(o -> o.report().isPresent()).toList();
-        Stream<ReplicaOrder> loads = answering.stream()
+            Pool pool,
+            Optional<DrainOrders> drains,
+            List<ReplicaObservation> seen,
+            int loadSlots,
+            List<String> loading) {
+        DrainOrders known = drains.orElse(DrainOrders.NONE);
+        List<ReplicaObservation> decidable = seen.stream()
+                .filter(o -> o.report().isPresent())
+                .filter(o -> drains.isPresent() || o.endpoint().leaving())
+                .toList();
+        Stream<ReplicaOrder> loads = decidable.stream()
                 .filter(o ->
                         !hasWeights(pool, o) && !loading.contains(o.endpoint().address()))
                 .limit(Math.max(0, loadSlots - loading.size()))
-                .map(o -> order(pool, drains, o, true));
-        Stream<ReplicaOrder> corrections = answering.stream()
-                .filter(o -> hasWeights(pool, o) && isDraining(o) != wantsDrain(drains, o))
-                .map(o -> order(pool, drains, o, false));
+                .map(o -> order(pool, known, o, true));
+        Stream<ReplicaOrder> corrections = decidable.stream()
+                .filter(o -> hasWeights(pool, o) && isDraining(o) != wantsDrain(known, o))
+                .map(o -> order(pool, known, o, false));
         return Stream.concat(loads, corrections).toList();
     }
 
--- a/core/src/test/java/org/hornbeamhead/core/pool/PoolPlanTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/pool/PoolPlanTest.java
@@ -38,7 +38,7 @@
             seen.add(replica("e" + i, "w1", false, false));
         }
         List<String> running = List.of("e0", "e1").subList(0, loading);
-        List<ReplicaOrder> orders = PoolPlan.decide(POOL, NO_DRAINS, seen, slots, running);
+        List<ReplicaOrder> orders = PoolPlan.decide(POOL, Optional.of(NO_DRAINS), seen, slots, running);
         assertEquals(orders.size(), expected);
         assertTrue(orders.stream().noneMatch(o -> running.contains(o.address())));
     }
@@ -59,15 +59,34 @@
     @Test(dataProvider = "drains")
     public void aWrongStateIsCorrected(ReplicaObservation seen, boolean drained, Optional<Boolean> ordered) {
         DrainOrders drains = drained ? NO_DRAINS.with(new DrainOrder("a", "x", 0, "r", "")) : NO_DRAINS;
-        List<ReplicaOrder> orders = PoolPlan.decide(POOL, drains, List.of(seen), 2, List.of());
+        List<ReplicaOrder> orders = PoolPlan.decide(POOL, Optional.of(drains), List.of(seen), 2, List.of());
         assertEquals(orders.stream().map(ReplicaOrder::draining).findFirst(), ordered);
     }
 
+    @DataProvider
+    public Object[][] withoutDrains() {
+        return new Object[][] {
+            {replica("a", "w2", true, false), List.of()},
+            {replica("a", "w2", false, false), List.of()},
+            {replica("a", "w1", true, false), List.of()},
+            {replica("a", "w1", false, false), List.of()},
+            {replica("a", "w2", false, true), List.of(true)},
+            {replica("a", "w1", false, true), List.of(true)},
+        };
+    }
+
+    // While the drain orders are not known, no order tells a replica to take work, be it for its weights.
+    @Test(dataProvider = "withoutDrains")
+    public void unknownDrainsEndNone(ReplicaObservation seen, List<Boolean> ordered) {
+        List<ReplicaOrder> orders = PoolPlan.decide(POOL, Optional.empty(), List.of(seen), 2, List.of());
+        assertEquals(orders.stream().map(ReplicaOrder::draining).toList(), ordered);
+    }
+
     @Test
     public void aSilentReplicaGetsNoOrder() {
         ReplicaObservation silent =
                 new ReplicaObservation(new Endpoint(EndpointKind.ENGINE, "p", "a", "", "dc", false), Optional.empty());
-        assertTrue(
-                PoolPlan.decide(POOL, NO_DRAINS, List.of(silent), 2, List.of()).isEmpty());
+        assertTrue(PoolPlan.decide(POOL, Optional.of(NO_DRAINS), List.of(silent), 2, List.of())
+                .isEmpty());
     }
 }
