Failing test: an answer after the release brings a lease back

Cause sought: LeaseKeeper takes the answer to a renewal for news of the lease whenever it comes. When the lease was given back meanwhile, the process counts as holder again until three quarters of the lease after the renewal was sent (4.5 s of 6 s), beside the next one. Found beside it: a seek under way at the release goes on to win a lease that nobody gives back, and the release is told as done before it. Change: none of logic; the store of the tests can hold the answers to grants and renewals. Run: mvn -o test -pl core -Dtest='Lease*Test'. Seen: 8 run, 2 failed (both rows), the lease is held after the release where it should not be.

--- a/core/src/test/java/org/hornbeamhead/core/lease/LeaseKeeperTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/lease/LeaseKeeperTest.java
@@ -6,10 +6,12 @@
 
 import java.time.Duration;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import org.hornbeamhead.core.store.FakeStore;
 import org.hornbeamhead.core.store.FakeStore.Fault;
 import org.hornbeamhead.core.time.ManualClock;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class LeaseKeeperTest {
@@ -124,4 +126,39 @@
         b.step();
         assertEquals(b.held().orElseThrow().fence(), 2);
     }
+
+    @DataProvider
+    public Object[][] underWay() {
+        return new Object[][] {{"renewal", true}, {"seek", false}};
+    }
+
+    /**
+     * A process gives its lease back and another takes it over, yet the first still counts as a holder for up to three
+     * quarters of the lease, and its metrics say so. A renewal or a seek was under way when the lease was given back;
+     * its answer comes later and is taken for news of a lease, though it tells only of the time before. A lease that is
+     * won then is kept by nobody and holds up the next holder until it lapses.
+     */
+    @Test(dataProvider = "underWay")
+    public void anAnswerAfterTheReleaseBringsNoLeaseBack(String call, boolean doneAtOnce) {
+        LeaseKeeper a = keeper("a");
+        if (call.equals("renewal")) {
+            a.step();
+            clock.advance(2_000);
+        }
+        store.holdLeaseAnswers();
+        a.step();
+        CompletableFuture<Void> released = a.release().toCompletableFuture();
+        boolean doneBefore = released.isDone();
+        store.answerHeld();
+        assertFalse(a.held().isPresent());
+        assertTrue(released.isDone());
+        assertEquals(doneBefore, doneAtOnce);
+        LeaseKeeper b = keeper("b");
+        b.step();
+        assertTrue(b.held().isPresent());
+        assertFalse(a.held().isPresent());
+        clock.advance(TTL.toMillis());
+        a.step();
+        assertFalse(a.held().isPresent());
+    }
 }
--- a/core/src/test/java/org/hornbeamhead/core/store/FakeStore.java
+++ b/core/src/test/java/org/hornbeamhead/core/store/FakeStore.java
@@ -29,7 +29,9 @@
     private final Map<String, Set<String>> leases = new HashMap<>();
     private final Deque<Fault> writeFaults = new ArrayDeque<>();
     private long nextVersion = 1;
+    private final Deque<Runnable> heldAnswers = new ArrayDeque<>();
     private boolean outage;
+    private boolean holding;
     private int writes;
     private int reads;
 
@@ -45,6 +47,19 @@
         outage = begun;
     }
 
+    /** Lets grants and renewals take effect from now on without being answered. */
+    public void holdLeaseAnswers() {
+        holding = true;
+    }
+
+    /** Gives the answers that were held, oldest first, and holds no more. */
+    public void answerHeld() {
+        holding = false;
+        while (!heldAnswers.isEmpty()) {
+            heldAnswers.poll().run();
+        }
+    }
+
     /** Lets a lease lapse, as if it had not been renewed. */
     public void lapse(String lease) {
         Set<String> keys = leases.remove(lease);
@@ -113,7 +128,7 @@
         }
         String id = "lease-" + nextVersion++;
         leases.put(id, new HashSet<>());
-        return done(new StoreReply.Leased(id));
+        return held(new StoreReply.Leased(id));
     }
 
     @Override
@@ -121,7 +136,7 @@
         if (outage) {
             return done(new StoreReply.InDoubt("outage"));
         }
-        return done(leases.containsKey(lease) ? new StoreReply.Leased(lease) : new StoreReply.Missing());
+        return held(leases.containsKey(lease) ? new StoreReply.Leased(lease) : new StoreReply.Missing());
     }
 
     @Override
@@ -135,6 +150,15 @@
         return read(key);
     }
 
+    private CompletionStage<StoreReply> held(StoreReply reply) {
+        if (!holding) {
+            return done(reply);
+        }
+        CompletableFuture<StoreReply> later = new CompletableFuture<>();
+        heldAnswers.add(() -> later.complete(reply));
+        return later;
+    }
+
     private static CompletionStage<StoreReply> done(StoreReply reply) {
         return CompletableFuture.completedFuture(reply);
     }
