The list of hosts is asked for one call at a time, so that an older answer never comes after a later one

Cause: HostListClient sent a call at every pace of its caller, and callers took the answers in the order in which they came. Ruled out: counting the calls and passing over an answer of an earlier one. It needs no wait, but the order in which calls are sent is not the order in which the list is read for them, so that a list could still go back. Change: who asks while a call is under way gets its answer; an unanswered call is given up after 1 s as before, which is then the longest wait for the next one.

Conclusion: a router that said that a host leaves does not take it back for an answer read earlier. Whether this was the cause of the red run of RestartTest.aLeavingEngineGetsNoNewWork is not known.

--- a/clients/src/main/java/org/hornbeamhead/clients/HostListClient.java
+++ b/clients/src/main/java/org/hornbeamhead/clients/HostListClient.java
@@ -17,6 +17,7 @@
 
     private final HttpCaller caller;
     private final String url;
+    private Promise<List<Endpoint>> underWay;
 
     /**
      * Makes a client.
@@ -30,11 +31,21 @@
     }
 
     /**
-     * Fetches the list.
+     * Fetches the list, one call at a time: who asks while a call is under way gets its answer.
+     *
+     * <p>Failure: two calls are under way on two connections, a host leaves between them, and the older answer comes
+     * last. Symptom: a host that was seen to leave is taken for one that stays, and gets new work until the next call.
      *
      * @return the hosts, or a failure, upon which the last list stays in force
      */
     public Promise<List<Endpoint>> fetch() {
+        if (underWay == null || underWay.isComplete()) {
+            underWay = call();
+        }
+        return underWay;
+    }
+
+    private Promise<List<Endpoint>> call() {
         return caller.call(HttpMethod.GET, url, "", CALL_LIMIT).then(reply -> Json.read(reply.body(), HostList.class)
                 .fold(
                         why -> Promise.ofException(new IOException("unreadable list of hosts: " + why)),
