--- a/router/src/test/java/org/hornbeamhead/router/ConfigAgentTest.java
+++ b/router/src/test/java/org/hornbeamhead/router/ConfigAgentTest.java
@@ -70,7 +70,12 @@
 
     @DataProvider
     public Object[][] hints() {
-        return new Object[][] {{"of the version before"}, {"never written"}};
+        return new Object[][] {
+            {"of the version before", false},
+            {"never written", false},
+            {"of the version before", true},
+            {"never written", true},
+        };
     }
 
     /**
@@ -79,7 +84,7 @@
      * tells of nothing new, and the watcher takes that for "no new version" until its slow check.
      */
     @Test(dataProvider = "hints")
-    public void aVersionWhoseHintWasLostIsInForceWhenTheWatchRunsOut(String hint) {
+    public void aVersionWhoseHintWasLostIsInForceWhenTheWatchRunsOut(String hint, boolean watchLost) {
         store.loseHints = hint.equals("never written");
         ConfigState one = apply(ConfigState.NONE, TEXT, "c1");
         PeerClient peers = new PeerClient(Runnable::run);
@@ -90,7 +95,11 @@
         assertEquals(apply(one, TEXT + "; more\n", "c2").version(), 2);
         timers.advance(WATCH_MILLIS);
         assertEquals(holder.state().version(), 1);
-        store.tell();
+        if (watchLost) {
+            store.loseWatch();
+        } else {
+            store.tell();
+        }
         timers.advance(100);
         assertEquals(holder.state().version(), 2);
         peers.stop();
@@ -105,9 +114,17 @@
         private boolean loseHints;
 
         void tell() {
+            endWatch(found(ConfigLog.HEAD));
+        }
+
+        void loseWatch() {
+            endWatch(new StoreReply.Failed("no answer"));
+        }
+
+        private void endWatch(StoreReply reply) {
             CompletableFuture<StoreReply> waiting = watcher;
             watcher = new CompletableFuture<>();
-            waiting.complete(found(ConfigLog.HEAD));
+            waiting.complete(reply);
         }
 
         private StoreReply found(String key) {
