Failing tests: a router that stops holds on to the duty of ordering, and the next one waits for seconds

Cause shown: nothing tells the duty of a planned stop. A stopping router takes the duty as any other; as its holder it orders until the process ends, its lease vanishes a second later, and the next holder waits out the whole pause from when it saw that.

The fake store ties keys to leases, so that a record without a lease outlives its writer. WeightsDuty.stop exists without effect, for the tests to compile.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
@@ -143,6 +143,13 @@
         timers.schedule(TICK_MILLIS, this::start);
     }
 
+    /**
+     * Prepares for the end of the process.
+     *
+     * @param orderMillis how long orders may still be given, in milliseconds
+     */
+    void stop(long orderMillis) {}
+
     private void step() {
         boolean needed =
                 !changes.isEmpty() || weights.all().entrySet().stream().anyMatch(e -> behind(e.getKey(), e.getValue()));
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/DutyWorld.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/DutyWorld.java
@@ -1,10 +1,13 @@
 package org.hornbeamhead.gateway.duty;
 
 import io.activej.eventloop.Eventloop;
+import java.util.List;
 import java.util.function.LongSupplier;
+import org.hornbeamhead.core.mirror.StoreChanges;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.time.ManualClock;
 import org.hornbeamhead.core.time.ManualTimers;
+import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.core.weights.RolloutPlan;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.WeightsView;
@@ -18,7 +21,7 @@
     final StoreMirror mirror = new StoreMirror();
     final FakePlatformStore store = new FakePlatformStore(mirror);
     final FakeReplicas replicas;
-    ManualTimers timers = new ManualTimers(clock);
+    final ManualTimers timers = new ManualTimers(clock);
 
     private final int count;
     private final long boundMillis;
@@ -32,32 +35,60 @@
         name(1);
     }
 
-    /** Starts a router's duty, and tells what it knows of the replicas. */
-    ReplicaRegistry router(String name, int rank) {
-        ReplicaRegistry registry =
-                new ReplicaRegistry(Eventloop.builder().withCurrentThread().build(), clock);
-        replicas.list(count, registry);
-        WeightsDuty.Parts parts = new WeightsDuty.Parts(
-                timers,
-                clock,
-                registry,
-                weights,
-                replicas,
-                new RolloutPlan(2, boundMillis),
-                () -> rank,
-                s -> MEMORY_TOKENS,
-                name,
-                PAUSE);
-        new WeightsDuty(parts, new DutyLease(clock, store, mirror, name), (changing, changed) -> {}).start();
-        return registry;
+    /** A router's duty, and what it knows of the replicas. */
+    static final class Router {
+        final WeightsDuty duty;
+        final ReplicaRegistry registry;
+        private boolean killed;
+
+        private Router(DutyWorld world, String name, int rank, StoreMirror seen) {
+            registry =
+                    new ReplicaRegistry(Eventloop.builder().withCurrentThread().build(), world.clock);
+            world.replicas.list(world.count, registry);
+            WeightsDuty.Parts parts = new WeightsDuty.Parts(
+                    this.timers(world.timers),
+                    world.clock,
+                    registry,
+                    world.weights,
+                    world.replicas,
+                    new RolloutPlan(2, world.boundMillis),
+                    () -> rank,
+                    s -> MEMORY_TOKENS,
+                    name,
+                    PAUSE);
+            DutyLease lease = new DutyLease(world.clock, world.store, seen, name);
+            duty = new WeightsDuty(parts, lease, (changing, changed) -> {});
+            duty.start();
+        }
+
+        private Timers timers(Timers shared) {
+            return (delay, action) -> shared.schedule(delay, () -> {
+                if (!killed) {
+                    action.run();
+                }
+            });
+        }
+
+        /** None of its timers runs any more. */
+        void kill() {
+            killed = true;
+        }
     }
 
-    void name(long version) {
-        weights.name(FakeReplicas.MODEL, version, clock.monotonicMillis());
+    Router router(String name, int rank) {
+        return new Router(this, name, rank, mirror);
     }
 
-    /** All routers are killed: none of their timers runs any more. */
-    void killRouters() {
-        timers = new ManualTimers(clock);
+    /** A router that hears of each change in the store some time after it. */
+    Router lateRouter(String name, int rank, long hearMillis) {
+        StoreMirror seen = new StoreMirror();
+        seen.apply(mirror.since(0));
+        mirror.listen(item ->
+                timers.schedule(hearMillis, () -> seen.apply(new StoreChanges(List.of(item), item.revision(), false))));
+        return new Router(this, name, rank, seen);
+    }
+
+    void name(long version) {
+        weights.name(FakeReplicas.MODEL, version, clock.monotonicMillis());
     }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
@@ -2,8 +2,10 @@
 
 import io.activej.promise.Promise;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -16,6 +18,7 @@
 final class FakePlatformStore implements PlatformStore {
     private final StoreMirror mirror;
     private final Set<String> leases = new HashSet<>();
+    private final Map<String, String> leaseOf = new HashMap<>();
     private long revision = 1;
     private int nextLease = 1;
 
@@ -23,9 +26,9 @@
         this.mirror = mirror;
     }
 
+    /** The lease with which a key lives ends, if it lives with one. */
     void lapse(String key) {
-        leases.clear();
-        mirror.apply(new StoreChanges(List.of(new StoreItem(key, ++revision, "", true)), revision, false));
+        Optional.ofNullable(leaseOf.get(key)).ifPresent(this::end);
     }
 
     @Override
@@ -45,6 +48,8 @@
             return Promise.of(new WriteReply.Conflict(mirror.get(key)));
         }
         StoreItem item = new StoreItem(key, ++revision, value, false);
+        leaseOf.remove(key);
+        lease.ifPresent(l -> leaseOf.put(key, l));
         mirror.apply(new StoreChanges(List.of(item), revision, false));
         return Promise.of(new WriteReply.Written(revision));
     }
@@ -64,6 +69,15 @@
     @Override
     public Promise<Void> end(String lease) {
         leases.remove(lease);
+        List<String> gone = leaseOf.keySet().stream()
+                .filter(key -> leaseOf.get(key).equals(lease))
+                .toList();
+        gone.forEach(this::remove);
         return Promise.complete();
     }
+
+    private void remove(String key) {
+        leaseOf.remove(key);
+        mirror.apply(new StoreChanges(List.of(new StoreItem(key, ++revision, "", true)), revision, false));
+    }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutInTimeTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutInTimeTest.java
@@ -56,7 +56,7 @@
         late.clear();
         namedAt.clear();
         world = new DutyWorld(REPLICAS, BOUND, this::loadMillis);
-        registry = world.router("a", 0);
+        registry = world.router("a", 0).registry;
         world.timers.advance(2 * DutyWorld.PAUSE);
         named = 1;
         nameNext();
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
@@ -24,9 +24,10 @@
     }
 
     /** A router with enough time to find out that nobody has the duty. */
-    private void startRouter() {
-        world.router("a", 0);
+    private DutyWorld.Router startRouter() {
+        DutyWorld.Router router = world.router("a", 0);
         world.timers.advance(PAUSE + 1_000);
+        return router;
     }
 
     @Test
@@ -79,14 +80,14 @@
      */
     @Test
     public void theNextHolderWaitsWhenTheLastOneVanished() {
-        startRouter();
+        DutyWorld.Router first = startRouter();
         world.name(2);
         world.timers.advance(150);
         assertEquals(
                 replicas.given.stream().map(g -> g.order().holder()).distinct().toList(), List.of("a"));
         long firstFence = replicas.given.get(0).order().fence();
         long killedAt = world.clock.monotonicMillis();
-        world.killRouters();
+        first.kill();
         replicas.given.clear();
         world.store.lapse(DutyLease.KEY);
         world.router("b", 0);
