--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsChange.java
@@ -0,0 +1,22 @@
+package org.hornbeamhead.gateway.duty;
+
+/** One replica's change to a named version, as the holder of the duty follows it. */
+final class WeightsChange {
+    final String model;
+    final long version;
+    /** Routers have had the time to hear of it. */
+    boolean noticed;
+
+    boolean asked;
+    /** When it was chosen, or ordered last. */
+    long at;
+
+    long reportedAt;
+    boolean silent;
+
+    WeightsChange(String model, long version, long at) {
+        this.model = model;
+        this.version = version;
+        this.at = at;
+    }
+}
