A silent replica is asked one question at a time

A replica without an answer was asked again every 250 ms while a question takes up to 500 ms, so that two ran beside each other and the older answer could come last.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/ChangeOrders.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/ChangeOrders.java
@@ -66,7 +66,8 @@
         boolean known = ordersSeen.containsKey(replica.entry().run());
         if (c.noticed && !c.asked && known) {
             give(replica, c);
-        } else if ((c.asked || !known)
+        } else if (!c.asking
+                && (c.asked || !known)
                 && now() - c.reportedAt > (c.silent ? SILENT_EVERY_MILLIS : REPORT_EVERY_MILLIS)) {
             ask(replica, c);
         }
@@ -74,7 +75,9 @@
 
     private void ask(LiveReplica replica, WeightsChange c) {
         c.reportedAt = now();
+        c.asking = true;
         orders.report(replica.entry()).subscribe((report, e) -> {
+            c.asking = false;
             c.silent = e != null;
             if (e == null) {
                 reported(replica, c, report);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsChange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsChange.java
@@ -12,6 +12,9 @@
     long at;
 
     long reportedAt;
+    /** A question is under way; another one beside it would cost twice, and the older answer might come last. */
+    boolean asking;
+
     boolean silent;
 
     WeightsChange(String model, long version, long at) {
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakeReplicas.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakeReplicas.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.duty;
 
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,6 +28,8 @@
     long reportedStart = 1;
     long listedStart = 1;
     boolean ordersAreLost;
+    boolean reportsHang;
+    int reportsAsked;
 
     private final Clock clock;
     private final LongSupplier loadMillis;
@@ -93,6 +96,10 @@
     @Override
     public Promise<Report> report(ReplicaEntry replica) {
         String id = replica.id();
+        reportsAsked++;
+        if (reportsHang) {
+            return new SettablePromise<>();
+        }
         if (dark.contains(id)) {
             return Promise.ofException(new IllegalStateException("no answer"));
         }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
@@ -152,6 +152,21 @@
         assertEquals(replicas.changed().size(), 8);
     }
 
+    /**
+     * Replicas do not answer, and each question takes longer than the pause between two. No second one is asked beside
+     * the first: its answer could come before, and the older one would be taken for the state of the replica.
+     */
+    @Test
+    public void aReplicaIsAskedOneQuestionAtATime() {
+        world.router("a", 0);
+        world.timers.advance(PAUSE + 1_000);
+        world.replicas.reportsHang = true;
+        world.name(2);
+        world.timers.advance(2_000);
+        assertEquals(world.replicas.given.size(), 0);
+        assertTrue(world.replicas.reportsAsked <= 8, "asked " + world.replicas.reportsAsked + " times");
+    }
+
     /** A newer version is named while the change is under way: replicas go straight to it. */
     @Test
     public void goesStraightToTheNewest() {
