A test for the version that is named while the duty is on its way back

Cause: the mend came without a test, as the fake store answered at once. The fake store can now let writes wait.

Run: the tests of the duty in the gateway, on the code with the right dropped only at the store's answer, as it was: red, the old holder gives four orders while its record is on its way. On the code as it stands: 22, none red.

--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/DutyHandoverTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/DutyHandoverTest.java
@@ -128,4 +128,27 @@
         assertTrue(apart >= PAUSE + GUARD, "orders of two holders " + apart + " ms apart");
         assertTrue(apart <= PAUSE + GUARD + SLACK_MILLIS, "no order for " + apart + " ms");
     }
+
+    /**
+     * Replicas get orders of two routers within the pause. A holder that is done gives the duty back, the store is
+     * slow, and a version is named before it answers. The next holder may take the duty as soon as the record is
+     * written, so that the one before gives no order from the moment at which it writes.
+     */
+    @Test
+    public void noOrderIsGivenWhileTheDutyIsOnItsWayBack() {
+        start(8, LOAD_MILLIS);
+        world.name(2);
+        world.timers.advance(4_000);
+        int before = world.replicas.given.size();
+        world.store.writesWait = true;
+        while (!world.store.writeWaits()) {
+            world.timers.advance(50);
+        }
+        world.name(3);
+        world.timers.advance(SLACK_MILLIS);
+        assertEquals(world.replicas.given.size(), before);
+        world.store.writeWhatWaits();
+        world.timers.advance(6_000);
+        assertTrue(world.replicas.changed().values().stream().allMatch(v -> v == 3));
+    }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
@@ -1,7 +1,9 @@
 package org.hornbeamhead.gateway.duty;
 
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +21,8 @@
     private final StoreMirror mirror;
     private final Set<String> leases = new HashSet<>();
     private final Map<String, String> leaseOf = new HashMap<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    boolean writesWait;
     private long revision = 1;
     private int nextLease = 1;
 
@@ -41,8 +45,28 @@
         throw new UnsupportedOperationException();
     }
 
+    boolean writeWaits() {
+        return !waiting.isEmpty();
+    }
+
+    /** Writes are carried out and answered only from now on. */
+    void writeWhatWaits() {
+        writesWait = false;
+        List.copyOf(waiting).forEach(Runnable::run);
+        waiting.clear();
+    }
+
     @Override
     public Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
+        if (!writesWait) {
+            return writeNow(key, expected, value, lease);
+        }
+        SettablePromise<WriteReply> later = new SettablePromise<>();
+        waiting.add(() -> writeNow(key, expected, value, lease).subscribe(later::set));
+        return later;
+    }
+
+    private Promise<WriteReply> writeNow(String key, OptionalLong expected, String value, Optional<String> lease) {
         long now = mirror.get(key).map(StoreItem::revision).orElse(0L);
         if (expected.isPresent() && expected.getAsLong() != now) {
             return Promise.of(new WriteReply.Conflict(mirror.get(key)));
