--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
@@ -21,8 +21,8 @@
     private static final Duration WAIT = Duration.ofSeconds(2);
     /**
      * Changes within this time are read by one call. Where replicas change their entries often, every router would read
-     * several times a second without a pause: 63 routers made 270 calls a second, a tenth of what their work
-     * was worth. The pause grows with the routers, so that all of them together make about as many calls at any size.
+     * several times a second without a pause: 63 routers made 270 calls a second, a tenth of what their work was worth.
+     * The pause grows with the routers, so that all of them together make about as many calls at any size.
      */
     private static final long GATHER_MILLIS_PER_ROUTER = 16;
 
