A few routers read the store, and the others wait at them for what changed

Cause: every router read every change of the store, heartbeats of all replicas included. Its work grew with the replicas, the calls of all grew with the routers; to bear that they paused up to a second between two reads, so that a name of weights was heard up to a second late at 63 routers and more.

Change: four routers, found alike by all from the list of routers (large hosts, data centres by turns), read the store every 120 ms. The others wait at one of them with their revision for half a second and get what changed, but no renewal that changes nothing. An answer carries how long the question lay there and how old the reader's proof times are, so that bounds run from the reader's own word and never from hearsay. A reader that is lost costs its followers a time limit, two cost two, then the store is read; removals of an outage wait on this path too.

Ruled out: following a reader whose list is late (whoever is a reader in the whole list is one in each part of it, StoreReadersTest); hiding a change behind a renewal (ToldChangesTest).

Tests: StoreViewTest plays 2 to 300 routers in virtual time: a name known to all within 200 ms, calls to the store that do not grow, ten faults of readers and links, late answers, outages, a quiet store. It could not run on the code before, which has no such path.

--- a/core/src/main/java/org/hornbeamhead/core/entry/EntrySpread.java
+++ b/core/src/main/java/org/hornbeamhead/core/entry/EntrySpread.java
@@ -1,13 +1,11 @@
 package org.hornbeamhead.core.entry;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import net.openhft.hashing.LongHashFunction;
 
 /**
  * Chooses the routers that callers are told to use: the largest hosts, as few as bear the load.
@@ -94,25 +92,8 @@
         List<Candidate> order = new ArrayList<>();
         bySize.entrySet().stream()
                 .sorted(Map.Entry.comparingByKey(Comparator.reverseOrder()))
-                .forEach(alike -> order.addAll(byTurns(alike.getValue())));
+                .forEach(alike -> order.addAll(
+                        DataCentreTurns.order(alike.getValue(), Candidate::address, Candidate::dataCentre)));
         return order;
     }
-
-    /** One router of each data centre, then the next of each, so that a lost data centre takes its part and no more. */
-    private static List<Candidate> byTurns(List<Candidate> alike) {
-        record Placed(int turn, Candidate candidate) {}
-        Map<String, List<Candidate>> byDataCentre = alike.stream()
-                .sorted(Comparator.comparingLong(c -> hash(c.address())))
-                .collect(Collectors.groupingBy(Candidate::dataCentre));
-        return byDataCentre.values().stream()
-                .flatMap(there -> IntStream.range(0, there.size()).mapToObj(i -> new Placed(i, there.get(i))))
-                .sorted(Comparator.comparingInt(Placed::turn)
-                        .thenComparingLong(p -> hash(p.candidate().address())))
-                .map(Placed::candidate)
-                .toList();
-    }
-
-    private static long hash(String address) {
-        return LongHashFunction.xx3().hashBytes(address.getBytes(StandardCharsets.UTF_8));
-    }
 }
--- a/core/src/main/java/org/hornbeamhead/core/mirror/StoreMirror.java
+++ b/core/src/main/java/org/hornbeamhead/core/mirror/StoreMirror.java
@@ -27,7 +27,7 @@
      * Removals that are remembered, so that other routers can be told of them. Bounds the memory to about 1 MB; a peer
      * further behind is sent everything.
      */
-    private static final int MAX_REMOVALS = 4_096;
+    static final int MAX_REMOVALS = 4_096;
 
     private final Map<String, StoreItem> items = new TreeMap<>();
     private final Map<String, StoreItem> removals = new HashMap<>();
@@ -118,7 +118,7 @@
      * @return the changes since then, or everything when it is too far behind
      */
     public StoreChanges since(long after) {
-        if (after == 0 || after < forgottenUpTo || after < listedAt) {
+        if (isTooFarBehind(after)) {
             return new StoreChanges(List.copyOf(items.values()), revision, true);
         }
         List<StoreItem> changed = Stream.concat(items.values().stream(), removals.values().stream())
@@ -127,6 +127,19 @@
         return new StoreChanges(changed, revision, false);
     }
 
+    /** Whether another router cannot be told of changes alone. */
+    boolean isTooFarBehind(long after) {
+        return after == 0 || after < forgottenUpTo || after < listedAt;
+    }
+
+    boolean remembers(String key) {
+        return items.containsKey(key) || removals.containsKey(key);
+    }
+
+    int size() {
+        return items.size();
+    }
+
     /**
      * Finds a present item.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -28,13 +28,14 @@
 import org.hornbeamhead.gateway.duty.ReplicaOrders;
 import org.hornbeamhead.gateway.duty.SteerNotice;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
-import org.hornbeamhead.gateway.state.PeerMirror;
+import org.hornbeamhead.gateway.state.MirrorCalls;
+import org.hornbeamhead.gateway.state.MirrorServer;
 import org.hornbeamhead.gateway.state.PlatformStore;
 import org.hornbeamhead.gateway.state.RouterEntry;
 import org.hornbeamhead.gateway.state.RouterList;
 import org.hornbeamhead.gateway.state.RouterPresence;
 import org.hornbeamhead.gateway.state.RoutingState;
-import org.hornbeamhead.gateway.state.StoreFollower;
+import org.hornbeamhead.gateway.state.StoreView;
 import org.hornbeamhead.gateway.state.SuspensionWatch;
 import org.hornbeamhead.gateway.state.WeightsListener;
 import org.hornbeamhead.gateway.state.WeightsView;
@@ -61,8 +62,7 @@
     private final WorkingRouters working;
     private final RouterPresence presence;
     private final SuspensionWatch suspensions;
-    private final StoreFollower follower;
-    private final PeerMirror peers;
+    private final StoreView view;
     private final SteerNotice notice;
     private final Duties duties;
     private final Dispatcher dispatcher;
@@ -101,9 +101,20 @@
         working = new WorkingRouters(routers::count);
         presence = new RouterPresence(reactor, ports.store(), settings.self());
         suspensions = new SuspensionWatch(daemon.timers(), clock, this::stoodStill);
-        follower = new StoreFollower(reactor, clock, random, ports.store(), mirror, state, suspensions, routers::count);
-        peers = new PeerMirror(
-                reactor, clock, random, mirror, state, weights, suspensions, follower, this::peerAddresses);
+        view = new StoreView(new StoreView.Parts(
+                daemon.timers(),
+                clock,
+                random,
+                ports.store(),
+                mirror,
+                state,
+                weights,
+                suspensions,
+                routers,
+                settings.self().node(),
+                this::peerAddresses,
+                MirrorCalls.toReaders(reactor),
+                MirrorCalls.toAnyone(reactor)));
         notice = new SteerNotice(reactor, clock, this::workingPeers, weights, registry);
         duties = new Duties(
                 new Duties.Parts(
@@ -134,7 +145,7 @@
     private void stoodStill(long millis) {
         state.doubt(millis, clock.monotonicMillis());
         weights.doubt(millis);
-        peers.introduceAgain();
+        view.introduceAgain();
     }
 
     private void handle(WholeRequest request, CallerAnswer answer) {
@@ -171,10 +182,10 @@
         metrics.gauge("hornbeam_requests_in_flight", front::inFlight);
         metrics.gauge("hornbeam_caller_connections", front::connections);
         metrics.gauge("hornbeam_replicas", () -> registry.all().size());
-        metrics.gauge("hornbeam_store_away", () -> follower.away() ? 1 : 0);
+        metrics.gauge("hornbeam_store_away", () -> view.away() ? 1 : 0);
+        metrics.gauge("hornbeam_reads_store", () -> view.readsStore() ? 1 : 0);
         hints.start(settings.hints());
-        follower.start();
-        peers.start();
+        view.start();
         presence.start();
         suspensions.start();
         duties.start();
@@ -187,7 +198,7 @@
     private Promise<HttpResponse> answerPeer(HttpRequest request) throws Exception {
         AsyncServlet servlet =
                 switch (request.getPath()) {
-                    case PeerMirror.PATH -> peers::answer;
+                    case MirrorServer.PATH -> view::answer;
                     case SteerNotice.PATH -> notice::answer;
                     default -> r -> HttpAnswers.text(404, "text/plain", "no such path\n");
                 };
@@ -195,9 +206,16 @@
     }
 
     private void changed(StoreItem item) {
+        if (takeOver(item)) {
+            view.changed(item);
+        }
+    }
+
+    /** Takes over a change, and tells whether it says anything that other routers have to hear. */
+    private boolean takeOver(StoreItem item) {
         if (item.key().startsWith(RouterEntry.PREFIX)) {
             routerChanged(item);
-            return;
+            return true;
         }
         switch (documents.kind(item.key())) {
             case CONFIGURATION -> documents
@@ -208,9 +226,12 @@
                     .weights(item)
                     .peekLeft(why -> unreadable(item, why))
                     .forEach(w -> names.named(w.model(), w.version(), item.revision()));
-            case REPLICA -> replicaChanged(item);
+            case REPLICA -> {
+                return replicaChanged(item);
+            }
             default -> logger.atFine().log("key %s is of no concern", item.key());
         }
+        return true;
     }
 
     private void configured(RoutingConfig config, long revision) {
@@ -228,19 +249,22 @@
                 .log("key %s cannot be read and is passed over", item.key());
     }
 
-    private void replicaChanged(StoreItem item) {
+    /** Takes over a replica's entry, and tells whether it is more than a renewal. */
+    private boolean replicaChanged(StoreItem item) {
         String id = documents.replicaId(item.key());
-        if (!item.removed()) {
-            documents
-                    .replica(item)
-                    .peekLeft(why -> {
-                        unreadable(item, why);
-                        registry.withhold(id, item.revision());
-                    })
-                    .forEach(e -> registry.put(e, item.revision()));
-            return;
+        if (item.removed()) {
+            afterRelisting(item, () -> registry.remove(id, item.revision()));
+            return true;
         }
-        afterRelisting(item, () -> registry.remove(id, item.revision()));
+        return documents
+                .replica(item)
+                .fold(
+                        why -> {
+                            unreadable(item, why);
+                            registry.withhold(id, item.revision());
+                            return true;
+                        },
+                        entry -> registry.put(entry, item.revision()));
     }
 
     private void routerChanged(StoreItem item) {
@@ -253,7 +277,7 @@
 
     /** Believes a removal at once, or after the time in which it may turn out to be the work of an outage. */
     private void afterRelisting(StoreItem removal, Runnable believe) {
-        long wait = follower.relistMillis();
+        long wait = view.relistMillis();
         if (wait == 0 || mirrorIsFirst()) {
             believe.run();
             return;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -28,6 +28,10 @@
         withheld = true;
     }
 
+    boolean isRenewedBy(ReplicaEntry newer) {
+        return !withheld && entry.equals(newer);
+    }
+
     /**
      * Names the run in few bytes, so that what other routers tell of an earlier run is not taken for this one.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
@@ -52,9 +52,11 @@
      *
      * @param entry the entry
      * @param revision the revision at which it was written, for the log
+     * @return false when it only renews what is known of the replica
      */
-    public void put(ReplicaEntry entry, long revision) {
+    public boolean put(ReplicaEntry entry, long revision) {
         LiveReplica known = replicas.get(entry.id());
+        boolean renewal = known != null && known.isRenewedBy(entry);
         if (known == null) {
             add(entry, revision);
         } else if (known.entry().startedAt() == entry.startedAt()) {
@@ -68,6 +70,7 @@
         } else {
             log("earlier run passed over", entry, revision);
         }
+        return !renewal;
     }
 
     private void add(ReplicaEntry entry, long revision) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.hornbeamhead.core.entry.EntrySpread;
+import org.hornbeamhead.core.entry.StoreReaders;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Json;
@@ -21,6 +23,7 @@
     private final BooleanSupplier selfServes;
     private final Clock clock;
     private final Map<String, RouterEntry> others = new TreeMap<>();
+    private Optional<List<RouterEntry>> readers = Optional.empty();
 
     /**
      * Makes a list of this router alone.
@@ -45,6 +48,7 @@
         if (node.equals(self.node())) {
             return;
         }
+        readers = Optional.empty();
         if (item.removed()) {
             others.remove(node);
         } else {
@@ -82,6 +86,27 @@
         return new EntrySpread.Candidate(e.caller(), e.dataCentre(), e.capacity(), up);
     }
 
+    /**
+     * Lists the routers that read the store for all others.
+     *
+     * @return the readers in the order in which this router turns to them; this one may be among them
+     */
+    public List<RouterEntry> readers() {
+        if (readers.isEmpty()) {
+            readers = Optional.of(chooseReaders());
+        }
+        return readers.get();
+    }
+
+    private List<RouterEntry> chooseReaders() {
+        List<StoreReaders.Candidate> all = Stream.concat(others.values().stream(), Stream.of(self))
+                .map(e -> new StoreReaders.Candidate(e.node(), e.dataCentre(), e.capacity()))
+                .toList();
+        return StoreReaders.orderFor(StoreReaders.choose(all), self.node(), self.dataCentre()).stream()
+                .map(r -> others.getOrDefault(r.node(), self))
+                .toList();
+    }
+
     /**
      * Lists where other routers may be asked.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
@@ -2,33 +2,42 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.activej.promise.Promise;
-import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.hornbeamhead.core.mirror.StoreChanges;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.retry.Backoff;
 import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.daemon.Logs;
 
-/** Keeps the mirror up with the platform's store by one waiting read after the other. */
+/**
+ * Keeps the mirror up with the platform's store by one waiting question after the other: to the store, when this router
+ * reads it for others or nobody else answers, else to a router that reads it.
+ */
 public final class StoreFollower {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /**
-     * Each waiting read that ends without a change is a priced call; a longer wait would find a silent connection late.
+     * Each waiting read that ends without a change is a priced call; a longer wait would find a silent connection late,
+     * and leave those that wait at this router with an old view of a quiet store.
      */
-    private static final Duration WAIT = Duration.ofSeconds(2);
+    private static final Duration WAIT = Duration.ofSeconds(1);
     /**
      * Changes within this time are read by one call. Where replicas change their entries often, every router would read
-     * several times a second without a pause: 63 routers made 270 calls a second, a tenth of what their work was worth.
-     * The pause grows with the routers, so that all of them together make about as many calls at any size.
+     * several times a second without a pause. The pause of a router that reads for itself grows with the routers: all
+     * of them may have to, when the readers are lost together.
      */
     private static final long GATHER_MILLIS_PER_ROUTER = 16;
 
     private static final long MIN_GATHER_MILLIS = 40;
     /** A third of the time in which a change must be in force with many routers. */
     private static final long MAX_GATHER_MILLIS = 1_000;
+    /** What a router that reads for others gathers; the first part of how late all of them hear of a change. */
+    private static final long READERS_GATHER_MILLIS = 120;
+    /** Between two questions to a reader; one that always has news must not be asked without a pause. */
+    private static final long FOLLOW_MILLIS = 20;
 
     /**
      * An answer that is ready arrives within this time; it takes some milliseconds, and a busy router reads it up to a
@@ -47,9 +56,15 @@
      */
     private static final long RELIST_MILLIS = 2_000;
 
+    /**
+     * A router that was answered longer ago than this asks any other one besides: the store may be silent, and its own
+     * question to it is given up only later.
+     */
+    private static final long HEARD_MILLIS = 1_500;
+
     private static final Backoff BACKOFF = new Backoff(100, 400);
 
-    private final NioReactor reactor;
+    private final Timers timers;
     private final Clock clock;
     private final RandomGenerator random;
     private final PlatformStore store;
@@ -57,41 +72,57 @@
     private final RoutingState state;
     private final SuspensionWatch suspensions;
     private final IntSupplier routers;
+    private final ChangeReaders readers;
+    private final MirrorIntake intake;
+    private Optional<String> source = Optional.empty();
     private int failures;
     private boolean known;
     private long awaySince;
     private long answeredAt;
-    private long outageEndedAt = Long.MIN_VALUE / 2;
+    private long relistUntil = Long.MIN_VALUE / 2;
 
     /**
-     * Makes a follower that does not follow yet.
+     * What a follower works with.
      *
-     * @param reactor the thread's reactor
+     * @param timers the thread's timers
      * @param clock the clock
      * @param random the source of randomness
      * @param store the store
      * @param mirror the mirror to keep up
      * @param state told when the mirror is confirmed to be the newest
      * @param suspensions looked at before a time is counted
-     * @param routers counts the routers that read the store, this one included
+     * @param routers counts the routers, this one included
+     * @param readers the routers that read the store for others
+     * @param intake takes over what they tell
      */
-    public StoreFollower(
-            NioReactor reactor,
+    public record Parts(
+            Timers timers,
             Clock clock,
             RandomGenerator random,
             PlatformStore store,
             StoreMirror mirror,
             RoutingState state,
             SuspensionWatch suspensions,
-            IntSupplier routers) {
-        this.reactor = reactor;
-        this.clock = clock;
-        this.random = random;
-        this.store = store;
-        this.mirror = mirror;
-        this.state = state;
-        this.suspensions = suspensions;
-        this.routers = routers;
+            IntSupplier routers,
+            ChangeReaders readers,
+            MirrorIntake intake) {}
+
+    /**
+     * Makes a follower that does not follow yet.
+     *
+     * @param parts what it works with
+     */
+    StoreFollower(Parts parts) {
+        this.timers = parts.timers();
+        this.clock = parts.clock();
+        this.random = parts.random();
+        this.store = parts.store();
+        this.mirror = parts.mirror();
+        this.state = parts.state();
+        this.suspensions = parts.suspensions();
+        this.routers = parts.routers();
+        this.readers = parts.readers();
+        this.intake = parts.intake();
     }
 
     /** Starts to follow. */
@@ -101,7 +132,44 @@
         next();
     }
 
+    /** A router that knows nothing yet has to read the store: readers are found in what was read. */
     private void next() {
+        Optional<String> reader = mirror.revision() == 0 ? Optional.empty() : readers.pick();
+        logSource(reader);
+        reader.ifPresentOrElse(this::waitAt, this::readStore);
+    }
+
+    private void logSource(Optional<String> next) {
+        if (!next.equals(source)) {
+            logger.atInfo()
+                    .with(Logs.DECISION, "source of changes")
+                    .with(Logs.INPUTS, "reader=" + next.orElse("the store") + " before=" + source.orElse("the store"))
+                    .log("changes are read elsewhere from now on");
+        }
+        source = next;
+    }
+
+    private void waitAt(String reader) {
+        long sent = clock.monotonicMillis();
+        readers.ask(reader, mirror.revision()).subscribe((answer, e) -> {
+            if (e != null) {
+                logger.atFine().withCause(e).log("reader %s does not tell what changed", reader);
+                next();
+                return;
+            }
+            reached("reader " + reader);
+            long now = clock.monotonicMillis();
+            relistUntil = Math.max(relistUntil, now + Math.min(RELIST_MILLIS, answer.relistMillis()));
+            intake.take(answer, sent);
+            if (now - sent > FOLLOW_MILLIS) {
+                next();
+            } else {
+                timers.schedule(FOLLOW_MILLIS, this::next);
+            }
+        });
+    }
+
+    private void readStore() {
         long sent = clock.monotonicMillis();
         boolean whole = !known;
         Promise<StoreChanges> call = whole ? store.readAll() : store.watch(mirror.revision(), WAIT);
@@ -115,26 +183,31 @@
     }
 
     private void heard(StoreChanges changes, long sent, boolean whole) {
+        reached("the store");
+        known = true;
+        suspensions.look();
+        if (!whole) {
+            provenWhileWaiting(sent, clock.monotonicMillis());
+        }
+        mirror.apply(changes);
+        state.confirmed(whole ? sent : clock.monotonicMillis());
+        state.proven(sent);
+        timers.schedule(gatherMillis(), this::next);
+    }
+
+    /** Notes that what is new is heard again, whoever tells it. */
+    private void reached(String who) {
         long now = clock.monotonicMillis();
         if (awaySince != 0) {
             logger.atInfo()
                     .with(Logs.DECISION, "store reached")
-                    .with(Logs.INPUTS, "awayMillis=" + (now - awaySince) + " revision=" + changes.revision())
-                    .log("the platform's store answers");
-            outageEndedAt = inOutage(now) ? now : outageEndedAt;
+                    .with(Logs.INPUTS, "awayMillis=" + (now - awaySince) + " revision=" + mirror.revision())
+                    .log("%s answers", who);
+            relistUntil = inOutage(now) ? now + RELIST_MILLIS : relistUntil;
         }
         awaySince = 0;
         answeredAt = now;
         failures = 0;
-        known = true;
-        suspensions.look();
-        if (!whole) {
-            provenWhileWaiting(sent, now);
-        }
-        mirror.apply(changes);
-        state.confirmed(whole ? sent : now);
-        state.proven(sent);
-        reactor.delayBackground(gatherMillis(routers.getAsInt()), this::next);
     }
 
     /**
@@ -148,8 +221,13 @@
         }
     }
 
+    private long gatherMillis() {
+        long own = gatherMillis(routers.getAsInt());
+        return readers.includeSelf() ? Math.min(READERS_GATHER_MILLIS, own) : own;
+    }
+
     /**
-     * Tells how long changes are gathered.
+     * Tells how long a router that reads for itself gathers changes.
      *
      * @param routers the routers that read the store
      * @return milliseconds
@@ -172,7 +250,7 @@
                     .with(Logs.REASON, String.valueOf(e.getMessage()))
                     .log("the platform's store does not answer");
         }
-        reactor.delayBackground(BACKOFF.delayMillis(failures++, random), this::next);
+        timers.schedule(BACKOFF.delayMillis(failures++, random), this::next);
     }
 
     /**
@@ -184,6 +262,24 @@
         return awaySince != 0;
     }
 
+    /**
+     * Tells whether this router may miss what others know.
+     *
+     * @return true while nobody answers, or when the last answer is old
+     */
+    public boolean isBehind() {
+        return away() || clock.monotonicMillis() - answeredAt > HEARD_MILLIS;
+    }
+
+    /**
+     * Tells whether the store itself answers this router.
+     *
+     * @return false while it waits at another router, or the store does not answer
+     */
+    public boolean readsStore() {
+        return source.isEmpty() && known && !away();
+    }
+
     /**
      * Tells how long the removal of an entry may still turn out to be the work of an outage.
      *
@@ -195,7 +291,7 @@
      */
     public long relistMillis() {
         long now = clock.monotonicMillis();
-        return away() && inOutage(now) ? RELIST_MILLIS : Math.max(0, outageEndedAt + RELIST_MILLIS - now);
+        return away() && inOutage(now) ? RELIST_MILLIS : Math.max(0, relistUntil - now);
     }
 
     private boolean inOutage(long now) {
--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/ReaderFleet.java
@@ -0,0 +1,212 @@
+package org.hornbeamhead.gateway.state;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BiPredicate;
+import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.time.ManualClock;
+import org.hornbeamhead.core.time.ManualTimers;
+
+/** Routers that learn of changes, before one store, in virtual time. Replicas renew their entries all the while. */
+final class ReaderFleet {
+    static final String MODEL = "m";
+    static final long BOUND_MILLIS = 8_000;
+
+    private static final int REPLICAS = 62;
+    private static final long RENEWAL_MILLIS = 1_200;
+    private static final long HOP_MILLIS = 2;
+    private static final String WEIGHTS = "weights/";
+    private static final String REPLICA = "replica/";
+
+    final ManualClock clock = new ManualClock(1_000_000);
+    final ManualTimers timers = new ManualTimers(clock);
+    final VirtualStore store = new VirtualStore(timers);
+    final List<Member> members = new ArrayList<>();
+
+    private final Random random = new Random(11);
+    /** Whether two routers can reach one another. */
+    BiPredicate<Member, Member> linked = (a, b) -> true;
+
+    /** Whether replicas renew their entries. */
+    boolean renewing = true;
+
+    private long renewals;
+
+    ReaderFleet(int routers) {
+        for (int i = 0; i < REPLICAS; i++) {
+            renew("r" + i);
+        }
+        for (int i = 0; i < routers; i++) {
+            members.add(new Member("n" + i, "d" + i % 6, i % 5 == 0 ? 195 : 28));
+        }
+        members.forEach(m -> store.put(m.entry.key(), m.entry.text()));
+        members.forEach(Member::start);
+    }
+
+    private void renew(String replica) {
+        if (renewing && !gone(replica)) {
+            store.put(REPLICA + replica, "ready " + renewals++);
+        }
+        timers.schedule(RENEWAL_MILLIS + random.nextInt(50), () -> renew(replica));
+    }
+
+    private boolean gone(String replica) {
+        return lost.contains(replica);
+    }
+
+    /** Replicas that renew nothing any more. */
+    final List<String> lost = new ArrayList<>();
+
+    /** The routers that read the store for the others, as all of them find when their lists are whole. */
+    List<Member> readers() {
+        return members.get(0).list.readers().stream().map(r -> member(r.node())).toList();
+    }
+
+    Member member(String node) {
+        return members.stream()
+                .filter(m -> m.entry.node().equals(node))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Names weights, and tells when. */
+    long name(long version) {
+        store.put(WEIGHTS + MODEL, Long.toString(version));
+        return clock.monotonicMillis();
+    }
+
+    /** Lets time pass until all of some routers know a version; tells how long that took. */
+    long millisUntilKnown(long version, List<Member> who) {
+        long from = clock.monotonicMillis();
+        while (who.stream().anyMatch(m -> m.weights.named(MODEL) < version)) {
+            timers.advance(1);
+            if (clock.monotonicMillis() - from > 60_000) {
+                throw new AssertionError("not known to all after a minute");
+            }
+        }
+        return clock.monotonicMillis() - from;
+    }
+
+    /** One router, as far as it learns of changes. */
+    final class Member {
+        final RouterEntry entry;
+        boolean alive;
+        boolean frozen;
+        boolean reachesStore = true;
+        StoreMirror mirror;
+        RoutingState state;
+        WeightsView weights;
+        RouterList list;
+        StoreView view;
+        private int life;
+        private final List<Runnable> whenThawed = new ArrayList<>();
+        private Map<String, String> contents;
+        final List<Long> revisions = new ArrayList<>();
+
+        private Member(String node, String dataCentre, double capacity) {
+            entry = new RouterEntry(node, node + ":c", node + ":p", node + ":h", dataCentre, capacity, 0);
+        }
+
+        void start() {
+            alive = true;
+            frozen = false;
+            life++;
+            revisions.clear();
+            contents = new HashMap<>();
+            mirror = new StoreMirror();
+            state = new RoutingState();
+            weights = new WeightsView(BOUND_MILLIS);
+            list = new RouterList(entry, () -> true, clock);
+            SuspensionWatch watch = new SuspensionWatch(this::schedule, clock, millis -> {});
+            WeightsListener listener = new WeightsListener(clock, mirror, state, weights);
+            view = new StoreView(new StoreView.Parts(
+                    this::schedule,
+                    clock,
+                    random,
+                    store.linkOf(() -> reachesStore),
+                    mirror,
+                    state,
+                    weights,
+                    watch,
+                    list,
+                    entry.node(),
+                    () -> list.peerAddresses(List.of()),
+                    this::ask,
+                    this::ask));
+            mirror.listen(item -> changed(item, listener));
+            view.start();
+        }
+
+        void kill() {
+            alive = false;
+            life++;
+        }
+
+        void thaw() {
+            frozen = false;
+            List<Runnable> late = List.copyOf(whenThawed);
+            whenThawed.clear();
+            late.forEach(Runnable::run);
+        }
+
+        private void schedule(long delay, Runnable action) {
+            int mine = life;
+            timers.schedule(delay, () -> run(mine, action));
+        }
+
+        private void run(int mine, Runnable action) {
+            if (mine != life) {
+                return;
+            }
+            if (frozen) {
+                whenThawed.add(action);
+            } else {
+                action.run();
+            }
+        }
+
+        private void changed(StoreItem item, WeightsListener listener) {
+            String content = item.removed() ? "" : item.value().split(" ", 2)[0];
+            String before = contents.put(item.key(), content);
+            if (item.key().startsWith(RouterEntry.PREFIX)) {
+                list.changed(item);
+            } else if (item.key().startsWith(WEIGHTS)) {
+                listener.named(MODEL, Long.parseLong(item.value()), item.revision());
+                revisions.add(item.revision());
+            }
+            if (!item.key().startsWith(REPLICA) || !content.equals(before)) {
+                view.changed(item);
+            }
+        }
+
+        private Promise<MirrorAnswer> ask(String peer, long after, Duration wait) {
+            SettablePromise<MirrorAnswer> answer = new SettablePromise<>();
+            Member other = member(peer.substring(0, peer.indexOf(':')));
+            schedule(wait.toMillis() + 300, () -> answer.trySetException(new StoreUnavailableException("silent")));
+            timers.schedule(HOP_MILLIS, () -> {
+                if (!linked.test(this, other)) {
+                    return;
+                }
+                if (!other.alive) {
+                    schedule(0, () -> answer.trySetException(new StoreUnavailableException("refused")));
+                    return;
+                }
+                other.run(other.life, () -> other.view
+                        .ask(after, wait.toMillis())
+                        .whenResult(told -> schedule(HOP_MILLIS, () -> {
+                            if (linked.test(this, other)) {
+                                answer.trySet(told);
+                            }
+                        })));
+            });
+            return answer;
+        }
+    }
+}
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import java.time.Duration;
@@ -21,30 +20,26 @@
 import org.testng.annotations.Test;
 
 public class StoreFollowerTest {
-    private Eventloop reactor;
     private ManualClock clock;
+    private ManualTimers timers;
     private RoutingState state;
     private StoreMirror mirror;
     private SlowStore store;
     private StoreFollower follower;
 
     private static final class SlowStore implements PlatformStore {
-        private final Eventloop reactor;
         private SettablePromise<StoreChanges> answer;
-
-        SlowStore(Eventloop reactor) {
-            this.reactor = reactor;
-        }
+        private boolean asked;
 
         @Override
         public Promise<StoreChanges> readAll() {
             answer = new SettablePromise<>();
+            asked = true;
             return answer;
         }
 
         @Override
         public Promise<StoreChanges> watch(long after, Duration wait) {
-            reactor.breakEventloop();
             return readAll();
         }
 
@@ -130,21 +125,29 @@
     }
 
     private void begin(LongConsumer stoodStill) {
-        reactor = Eventloop.builder().withCurrentThread().build();
-        reactor.keepAlive(true);
         clock = new ManualClock(1_000_000);
+        timers = new ManualTimers(clock);
         clock.advance(10_000);
         state = new RoutingState();
         mirror = new StoreMirror();
-        store = new SlowStore(reactor);
+        store = new SlowStore();
         SuspensionWatch watch = new SuspensionWatch(new ManualTimers(clock), clock, stoodStill);
-        follower = new StoreFollower(reactor, clock, new Random(1), store, mirror, state, watch, () -> 1);
+        RouterEntry self = new RouterEntry("n", "", "", "", "d", 1, 0);
+        ChangeReaders readers = new ChangeReaders(clock, () -> List.of(self), "n", (peer, after, wait) -> {
+            throw new AssertionError("a reader asks no other router");
+        });
+        MirrorIntake intake = new MirrorIntake(clock, mirror, state, new WeightsView(8_000), watch);
+        follower = new StoreFollower(new StoreFollower.Parts(
+                timers, clock, new Random(1), store, mirror, state, watch, () -> 1, readers, intake));
         follower.start();
     }
 
     /** Lets the follower send its next question. */
     private long ask() {
-        reactor.run();
+        store.asked = false;
+        while (!store.asked) {
+            timers.advance(1);
+        }
         return clock.monotonicMillis();
     }
 
@@ -162,12 +165,12 @@
     public void onlyAnOutageInWhichEntriesLapseDelaysRemovals(long awayMillis, long waitMillis) {
         begin(millis -> {});
         store.answer.set(new StoreChanges(List.of(), 5, true));
-        reactor.run();
+        ask();
         store.answer.setException(new StoreUnavailableException("cut"));
         clock.advance(awayMillis);
         assertTrue(follower.away());
         assertEquals(follower.relistMillis(), waitMillis);
-        reactor.run();
+        ask();
         store.answer.set(new StoreChanges(List.of(), 6, false));
         assertEquals(follower.relistMillis(), waitMillis);
         clock.advance(2_000);
--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/VirtualStore.java
@@ -0,0 +1,135 @@
+package org.hornbeamhead.gateway.state;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import org.hornbeamhead.core.mirror.StoreChanges;
+import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.time.Timers;
+
+/** The platform's store in virtual time, with a link of its own for each router. */
+final class VirtualStore {
+    private static final long ANSWER_MILLIS = 4;
+    private static final long SILENCE_MILLIS = 600;
+
+    private final Timers timers;
+    private final Map<String, StoreItem> items = new TreeMap<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private long revision = 1;
+    int reads;
+
+    VirtualStore(Timers timers) {
+        this.timers = timers;
+    }
+
+    /** Writes a key and tells the revision. */
+    long put(String key, String value) {
+        return write(new StoreItem(key, ++revision, value, false));
+    }
+
+    void remove(String key) {
+        write(new StoreItem(key, ++revision, "", true));
+    }
+
+    private long write(StoreItem item) {
+        items.put(item.key(), item);
+        List<Runnable> woken = List.copyOf(waiting);
+        waiting.clear();
+        woken.forEach(Runnable::run);
+        return item.revision();
+    }
+
+    /**
+     * Gives a router its link.
+     *
+     * @param reachable whether calls are answered; a call whose answer finds the link cut fails when it is given up
+     * @return the store as the router sees it
+     */
+    PlatformStore linkOf(BooleanSupplier reachable) {
+        return new Link(reachable);
+    }
+
+    private final class Link implements PlatformStore {
+        private final BooleanSupplier reachable;
+
+        Link(BooleanSupplier reachable) {
+            this.reachable = reachable;
+        }
+
+        @Override
+        public Promise<StoreChanges> readAll() {
+            return answered(new SettablePromise<>(), 0, () -> {
+                List<StoreItem> present =
+                        items.values().stream().filter(i -> !i.removed()).toList();
+                return new StoreChanges(present, revision, true);
+            });
+        }
+
+        @Override
+        public Promise<StoreChanges> watch(long after, Duration wait) {
+            SettablePromise<StoreChanges> answer = new SettablePromise<>();
+            if (revision > after) {
+                return answered(answer, wait.toMillis(), () -> since(after));
+            }
+            Runnable end = () -> answered(answer, 0, () -> since(after));
+            waiting.add(end);
+            timers.schedule(wait.toMillis(), () -> {
+                if (waiting.remove(end)) {
+                    end.run();
+                }
+            });
+            timers.schedule(wait.toMillis() + SILENCE_MILLIS, () -> fail(answer));
+            return answer;
+        }
+
+        private StoreChanges since(long after) {
+            return new StoreChanges(
+                    items.values().stream().filter(i -> i.revision() > after).toList(), revision, false);
+        }
+
+        private Promise<StoreChanges> answered(
+                SettablePromise<StoreChanges> answer,
+                long waitMillis,
+                java.util.function.Supplier<StoreChanges> changes) {
+            reads++;
+            timers.schedule(ANSWER_MILLIS, () -> {
+                if (reachable.getAsBoolean()) {
+                    answer.trySet(changes.get());
+                }
+            });
+            timers.schedule(waitMillis + SILENCE_MILLIS, () -> fail(answer));
+            return answer;
+        }
+
+        private static void fail(SettablePromise<StoreChanges> answer) {
+            answer.trySetException(new StoreUnavailableException("no answer in time"));
+        }
+
+        @Override
+        public Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Promise<String> grant(Duration ttl) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Promise<Boolean> renew(String lease) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Promise<Void> end(String lease) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
