A router without work wakes up less often

Cause: a router without work woke up some 58 times a second: the weights' duty looked every 50 ms and read its record's JSON each time, hints were looked through every 40 ms.

Change: the duty looks twice a second while nothing is to be ordered, and at once when weights are named or a replica changes; its record is read when it changes. Hints are looked through twice a second while there is nothing to tell, and 40 ms after a request was sent.

Ruled out: looks that are not on the duty's old beat of 50 ms.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -208,6 +208,7 @@
     private void changed(StoreItem item) {
         if (takeOver(item)) {
             view.changed(item);
+            duties.look();
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/Duties.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/Duties.java
@@ -72,6 +72,11 @@
         weightsDuty.start();
     }
 
+    /** Looks at once whether there is something to do, since weights were named or a replica changed. */
+    public void look() {
+        weightsDuty.look();
+    }
+
     /**
      * Prepares for the end of the process: duties are taken no more, and handed over.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/DutyLease.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/DutyLease.java
@@ -43,6 +43,7 @@
     private final String self;
     private Optional<Held> held = Optional.empty();
     private boolean busy;
+    private Optional<DutyRecord> record = Optional.empty();
     private long heardAt;
 
     private static final class Held {
@@ -64,19 +65,26 @@
         this.mirror = mirror;
         this.self = self;
         this.heardAt = clock.monotonicMillis();
+        this.record = mirror.get(KEY).flatMap(DutyLease::read);
         mirror.listen(this::heard);
     }
 
     private void heard(StoreItem item) {
         if (item.key().equals(KEY)) {
+            record = read(item);
             heardAt = clock.monotonicMillis();
         }
     }
 
+    private static Optional<DutyRecord> read(StoreItem item) {
+        return item.removed()
+                ? Optional.empty()
+                : Json.read(item.value(), DutyRecord.class).toJavaOptional();
+    }
+
     /** What the store says about the right, as far as this router knows. */
     Optional<DutyRecord> record() {
-        return mirror.get(KEY)
-                .flatMap(i -> Json.read(i.value(), DutyRecord.class).toJavaOptional());
+        return record;
     }
 
     /** From when on a right that was given back may be used; empty when it is held or absent. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsDuty.java
@@ -11,6 +11,8 @@
 /** Brings replicas to the named weights, when this router has the right to order it. */
 public final class WeightsDuty {
     private static final long TICK_MILLIS = 50;
+    /** While nothing is to be ordered: only a key that vanished is to be noticed, which is not urgent. */
+    private static final long IDLE_TICK_MILLIS = 500;
     /** Added to the pause between two holders, for an order's way and for clocks that run apart. */
     private static final long GUARD_MILLIS = 300;
 
@@ -22,6 +24,7 @@
     private final long apartMillis;
     private boolean stopping;
     private long orderUntil;
+    private long nextTickAt;
 
     /**
      * What the duty works with.
@@ -67,8 +70,30 @@
 
     /** Looks after the duty until the process ends. */
     public void start() {
-        step();
-        timers.schedule(TICK_MILLIS, this::start);
+        nextTickAt = now();
+        tick(nextTickAt);
+    }
+
+    /** Looks soon whether there is something to order. It is called when weights are named or replicas change. */
+    void look() {
+        long left = nextTickAt - now();
+        if (left > TICK_MILLIS) {
+            tickAt(now() + (left - 1) % TICK_MILLIS + 1);
+        }
+    }
+
+    private void tickAt(long dueAt) {
+        nextTickAt = dueAt;
+        timers.schedule(dueAt - now(), () -> tick(dueAt));
+    }
+
+    /** A look between two ticks replaces the tick that was scheduled before. */
+    private void tick(long dueAt) {
+        if (dueAt != nextTickAt) {
+            return;
+        }
+        boolean busy = step() || lease.isHeld() || stopping;
+        tickAt(now() + (busy ? TICK_MILLIS : IDLE_TICK_MILLIS));
     }
 
     /**
@@ -85,7 +110,8 @@
         orderUntil = now() + orderMillis;
     }
 
-    private void step() {
+    /** Tells whether there is something to order. */
+    private boolean step() {
         boolean needed = rollout.needed();
         seeker.note(needed);
         if (lease.isHeld()) {
@@ -93,6 +119,7 @@
         } else if (!stopping) {
             seeker.seek(needed);
         }
+        return needed;
     }
 
     private void hold(boolean needed) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/WorkHints.java
@@ -5,6 +5,7 @@
 import io.activej.net.socket.udp.UdpPacket;
 import io.activej.net.socket.udp.UdpSocket;
 import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.DatagramChannel;
@@ -54,6 +55,8 @@
     private UdpSocket socket;
     private List<WorkHint.Total> told = List.of();
     private long toldAllAt;
+    private ScheduledRunnable nextFlush;
+    private boolean idle;
 
     /**
      * Makes hints that are not told yet.
@@ -105,6 +108,15 @@
         int read = (int) Math.round(choice.readMillis());
         int store = (int) Math.round(choice.storeMillis());
         sends.add(new WorkHint.Send(replica.hash(), choice.beginning(), read, store));
+        if (idle) {
+            nextFlush.cancel();
+            flushIn(FLUSH_MILLIS);
+        }
+    }
+
+    private void flushIn(long millis) {
+        idle = millis == REPEAT_MILLIS;
+        nextFlush = reactor.delayBackground(millis, this::flush);
     }
 
     private void flush() {
@@ -133,7 +145,7 @@
         }
         sends.clear();
         long slower = Math.max(1, near.size() / FULL_RATE_ROUTERS);
-        reactor.delayBackground(FLUSH_MILLIS * slower, this::flush);
+        flushIn(totals.isEmpty() && rate == 0 ? REPEAT_MILLIS : FLUSH_MILLIS * slower);
     }
 
     private void send(WorkHint hint, Set<String> to) {
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/DutyWorld.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/DutyWorld.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.duty;
 
 import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.hornbeamhead.core.mirror.StoreChanges;
@@ -26,6 +27,7 @@
     private final int count;
     private final long boundMillis;
     private final WeightsView weights;
+    private final List<Router> routers = new ArrayList<>();
 
     DutyWorld(int count, long boundMillis, LongSupplier loadMillis) {
         this.count = count;
@@ -59,6 +61,7 @@
             DutyLease lease = new DutyLease(world.clock, world.store, seen, name);
             duty = new WeightsDuty(parts, lease, (changing, changed) -> {});
             duty.start();
+            world.routers.add(this);
         }
 
         private Timers timers(Timers shared) {
@@ -96,7 +99,9 @@
                 .ifPresent(r -> store.lapse(DutyLease.KEY));
     }
 
+    /** Names weights, and tells the routers so. */
     void name(long version) {
         weights.name(FakeReplicas.MODEL, version, clock.monotonicMillis());
+        routers.stream().filter(r -> !r.killed).forEach(r -> r.duty.look());
     }
 }
