An order that is not given yet, or given again, names the newest weights

Cause: a change kept the version for which it was chosen. A replica that was dark when ordered, or whose order was lost, was ordered again to the version before when a newer one had been named meanwhile, and loaded twice.

Change: a change that has not been ordered follows the newest name.

Test: WeightsDutyTest.anOrderThatIsGivenAgainNamesTheNewestVersion, red on the code before (orders for versions 2 and 3 instead of 3 alone).

--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsChange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsChange.java
@@ -22,4 +22,13 @@
         this.version = version;
         this.at = at;
     }
+
+    /** The same change, not ordered yet, to a version that was named since. */
+    WeightsChange towards(long newer) {
+        WeightsChange change = new WeightsChange(model, newer, at);
+        change.noticed = noticed;
+        change.reportedAt = reportedAt;
+        change.silent = silent;
+        return change;
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
@@ -65,10 +65,22 @@
 
     void advance() {
         dropEnded();
+        skipReplaced();
         begin();
         changes.forEach((id, c) -> parts.registry().get(id).ifPresent(replica -> orders.follow(replica, c)));
     }
 
+    /**
+     * Failure: a version is named before a replica was ordered to serve the one before, or while its order is lost.
+     * Symptom: it loads weights that are already replaced, and is away from its callers twice.
+     */
+    private void skipReplaced() {
+        changes.replaceAll((id, c) -> {
+            long newest = parts.weights().named(c.model);
+            return c.asked || c.asking || c.version >= newest ? c : c.towards(newest);
+        });
+    }
+
     private void dropEnded() {
         Map<String, Long> done = new HashMap<>();
         Set<String> gone = new HashSet<>();
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/WeightsDutyTest.java
@@ -110,6 +110,33 @@
         assertEquals(replicas.given.size(), before);
     }
 
+    /**
+     * A replica is dark when it is ordered, and the next version is named before it is back. Callers would wait for two
+     * loads of it, the first of them of weights that are already replaced: the order that is given again names the
+     * newest version.
+     */
+    @Test
+    public void anOrderThatIsGivenAgainNamesTheNewestVersion() {
+        startRouter();
+        world.name(2);
+        world.timers.advance(100);
+        replicas.dark.add("r7");
+        world.timers.advance(1_000);
+        world.name(3);
+        world.timers.advance(1_000);
+        replicas.dark.remove("r7");
+        replicas.given.clear();
+        world.timers.advance(6_000);
+        assertEquals(replicas.version("r7"), 3);
+        assertEquals(
+                replicas.given.stream()
+                        .filter(g -> g.replica().equals("r7"))
+                        .map(g -> g.order().version())
+                        .distinct()
+                        .toList(),
+                List.of(3L));
+    }
+
     /**
      * An order gets no answer and has no effect. It is given again with the same expected number, so that the replica
      * refuses the first one should it still come.
