A view counts as the newest only as of what is proven, also for denials

Cause: an answer of the store that lay in a buffer, while the machine stood still or its link was choked, made the view count as fresh as of its reading. A caller with a key that was given meanwhile could be denied for good (401) instead of being asked to come back.

Change: the view is confirmed as of the time up to which it misses nothing, the same that bounds of weights run from.

Test: StoreFollowerTest.anAnswerThatLayInTheBufferProvesNothing asserts it too; red on the code before.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
@@ -190,8 +190,8 @@
             provenWhileWaiting(sent, clock.monotonicMillis());
         }
         mirror.apply(changes);
-        state.confirmed(whole ? sent : clock.monotonicMillis());
         state.proven(sent);
+        state.confirmed(state.provenAt());
         timers.schedule(gatherMillis(), this::next);
     }
 
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.state;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.activej.promise.Promise;
@@ -111,7 +112,8 @@
 
     /**
      * The machine stands still while a question waits, and the answer lies in its buffer. What was accepted meanwhile
-     * is not in it: it proves nothing later than its question, and that is as much longer ago.
+     * is not in it: it proves nothing later than its question, and that is as much longer ago. Nor may a caller with a
+     * key that was given meanwhile be denied for good on the strength of it.
      */
     @Test
     public void anAnswerThatLayInTheBufferProvesNothing() {
@@ -122,6 +124,7 @@
         clock.skewWall(5_000);
         store.answer.set(new StoreChanges(List.of(), 6, false));
         assertTrue(state.provenAt() <= sent - 5_000, "proven at " + state.provenAt());
+        assertFalse(state.surelyFresh(clock.monotonicMillis()));
     }
 
     private void begin(LongConsumer stoodStill) {
