Engines without a free slot are the last choice

Cause: an engine was chosen by its reading, its memory and what it holds, never by its slots.

Change: the chooser knows the slots that a replica states. Beyond them a request waits for one to come free, and a try that may be turned away costs 200 ms besides; the wait counts for admission and Retry-After too.

The play is extended: slots are a parameter, and an engine with four requests waiting turns away any more.

--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineCandidate.java
@@ -9,6 +9,7 @@
  * @param settled whether the weights were named so long ago that the store beside the engines holds what is in use
  * @param load the work there
  * @param memoryTokens the tokens that fit into its memory
+ * @param slots the requests that it runs at once
  * @param replaced whether answers on these weights are worth less, since newer ones were named some time ago
  * @param usableMillis how long requests may still begin on these weights, in milliseconds
  * @param steeredAway whether it is about to change its weights, so that new requests would be refused or delay it
@@ -20,6 +21,7 @@
         boolean settled,
         EngineLoad load,
         long memoryTokens,
+        int slots,
         boolean replaced,
         long usableMillis,
         boolean steeredAway) {}
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -26,6 +26,12 @@
     private static final double MEMORY_PART = 0.9;
     /** How long a request usually takes from its start to its end; sets how fast memory comes free. */
     private static final double USUAL_MILLIS = 500;
+    /**
+     * What a try at an engine without a free slot costs besides its wait. Failure: an engine is chosen by its reading
+     * and its memory alone, and it has no slot left. Symptom: it turns the request away, which is begun again
+     * elsewhere, late and at the expense of the repeats that all share. A round trip and a repeat weigh about this.
+     */
+    private static final double FULL_MILLIS = 200;
     /** Work at another engine counts this much more than the home's, so that small differences move nothing. */
     private static final double AWAY_MILLIS = 10;
     /** An engine about to change its weights refuses, or delays its change. */
@@ -186,7 +192,9 @@
         double batch = c.load().total(nowMillis) * MILLIS_PER_REQUEST;
         double memory = c.load().memoryTokens(nowMillis) + prompt.memoryTokens();
         double over = Math.max(0, memory / (c.memoryTokens() * MEMORY_PART) - 1) * USUAL_MILLIS;
-        double predicted = wait + source.fetchMillis() + read + batch + over;
+        double unslotted = Math.max(0, c.load().total(nowMillis) + 1 - c.slots());
+        double slotWait = unslotted / c.slots() * USUAL_MILLIS;
+        double predicted = wait + slotWait + source.fetchMillis() + read + batch + over;
         double harm = c.load().total(nowMillis) * read * HARM_PART + lanes.harmMillis(c, read, nowMillis);
         double pauses = prompt.hasLongAnswer() ? wait * PAUSE_PART + lanes.placeMillis(c, nowMillis) : 0;
         double cost = predicted
@@ -194,12 +202,23 @@
                 + pauses
                 + (home ? 0 : AWAY_MILLIS)
                 + source.againMillis()
+                + (unslotted > 0 ? FULL_MILLIS : 0)
                 + (c.steeredAway() ? STEERED_MILLIS : 0)
                 + (c.replaced() ? REPLACED_MILLIS : 0);
         boolean save = prompt.sharedTokens() > 0 && cached.saveNow(beginning, nowMillis);
         String why = (home ? "home " : "away ") + source.name();
         boolean ask = source.storeMillis() > 0 || BeginningSources.worthAsking(prompt);
         return new EngineChoice(
-                c, beginning, wait, predicted, read, cost, source.engine(), source.storeMillis(), ask, save, why);
+                c,
+                beginning,
+                wait + slotWait,
+                predicted,
+                read,
+                cost,
+                source.engine(),
+                source.storeMillis(),
+                ask,
+                save,
+                why);
     }
 }
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -20,6 +20,7 @@
 public class EngineChooserTest {
     private static final long NOW = 100_000;
     private static final long MEMORY = 94_000;
+    private static final int SLOTS = 64;
     private static final long TOKEN_BYTES = 163_840;
     private static final CacheLinks.Store STORE =
             new CacheLinks.Store("store", "z", CacheLinks.tokensPerMilli(230_000, TOKEN_BYTES));
@@ -44,7 +45,7 @@
     }
 
     private EngineCandidate candidate(String id, boolean replaced, boolean steered) {
-        return new EngineCandidate(id, "z", 1, true, loads.get(id), MEMORY, replaced, Long.MAX_VALUE, steered);
+        return new EngineCandidate(id, "z", 1, true, loads.get(id), MEMORY, SLOTS, replaced, Long.MAX_VALUE, steered);
     }
 
     private List<EngineCandidate> candidates() {
@@ -129,7 +130,7 @@
     @Test
     public void doesNotSendWhatWouldBeginTooLate() {
         EngineLoad load = loads.get("e0");
-        EngineCandidate old = new EngineCandidate("e0", "z", 1, true, load, MEMORY, true, 900, false);
+        EngineCandidate old = new EngineCandidate("e0", "z", 1, true, load, MEMORY, SLOTS, true, 900, false);
         assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), LINKS, NOW).isPresent());
         load.hinted(500, NOW);
         assertTrue(chooser.choose(prompt("d"), c -> 0, List.of(old), LINKS, NOW).isEmpty());
@@ -150,7 +151,7 @@
         chooser.sent(first.beginning(), first.engine().id(), 0, LINKS, 0, NOW);
         assertFalse(choose(prompt("d"), candidates()).save());
         EngineCandidate newer =
-                new EngineCandidate("e9", "z", 2, false, new EngineLoad(), MEMORY, false, Long.MAX_VALUE, false);
+                new EngineCandidate("e9", "z", 2, false, new EngineLoad(), MEMORY, SLOTS, false, Long.MAX_VALUE, false);
         assertEquals(choose(prompt("d"), List.of(newer)).why(), "home read");
     }
 
@@ -184,7 +185,7 @@
         loads.get("e0").hinted(2_000, NOW);
         assertEquals(choose(prompt("d"), List.of(reader, other)).fetchFrom(), Optional.of("e0"));
         EngineCandidate changed =
-                new EngineCandidate("e0", "z", 2, true, loads.get("e0"), MEMORY, false, Long.MAX_VALUE, false);
+                new EngineCandidate("e0", "z", 2, true, loads.get("e0"), MEMORY, SLOTS, false, Long.MAX_VALUE, false);
         assertEquals(choose(prompt("d"), List.of(changed, other)).fetchFrom(), Optional.empty());
         EngineCandidate changing = candidate("e0", false, true);
         assertEquals(choose(prompt("d"), List.of(changing, other)).fetchFrom(), Optional.empty());
@@ -210,12 +211,12 @@
     @Test
     public void findsTheOneEngineWhereARequestMayBegin() {
         EngineCandidate newest =
-                new EngineCandidate("new", "z", 2, true, new EngineLoad(), MEMORY, false, Long.MAX_VALUE, false);
+                new EngineCandidate("new", "z", 2, true, new EngineLoad(), MEMORY, SLOTS, false, Long.MAX_VALUE, false);
         List<EngineCandidate> all = Stream.concat(
                         Stream.of(newest),
                         IntStream.range(0, 39)
                                 .mapToObj(i -> new EngineCandidate(
-                                        "old" + i, "z", 1, true, new EngineLoad(), MEMORY, true, 10, false)))
+                                        "old" + i, "z", 1, true, new EngineLoad(), MEMORY, SLOTS, true, 10, false)))
                 .toList();
         IntStream.range(0, 50)
                 .forEach(d -> assertEquals(choose(prompt("d" + d), all).engine().id(), "new"));
--- a/core/src/test/java/org/hornbeamhead/core/engine/EnginePlay.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EnginePlay.java
@@ -30,13 +30,16 @@
             int target) {}
 
     /** What callers of one kind got. */
-    record Served(int asked, int onTime, int late, int refused) {
+    record Served(int asked, int onTime, int late, int refused, int turnedAway) {
         double onTimePart() {
             return (double) onTime / Math.max(1, asked);
         }
     }
 
-    private static final int SLOTS = 64;
+    private static final int USUAL_SLOTS = 64;
+    /** Requests that wait at an engine for a slot; it turns away any more. */
+    private static final int QUEUED = 4;
+
     private static final int CHUNK_TOKENS = 4_096;
     private static final double STEP_MILLIS = 3.4;
     private static final double STEP_MILLIS_PER_REQUEST = 0.017;
@@ -55,6 +58,7 @@
     /** How often routers tell what they have where. */
     private static final int TOTALS_MILLIS = 40;
 
+    private final int slots;
     private final Random random;
     private final List<Kind> kinds;
     private final List<Router> routers = new ArrayList<>();
@@ -148,7 +152,7 @@
 
         private void admit() {
             int used = running.stream().mapToInt(r -> r.tokens).sum();
-            while (!waiting.isEmpty() && running.size() < SLOTS && used + waiting.get(0).tokens <= MEMORY_TOKENS) {
+            while (!waiting.isEmpty() && running.size() < slots && used + waiting.get(0).tokens <= MEMORY_TOKENS) {
                 used += waiting.get(0).tokens;
                 running.add(waiting.remove(0));
             }
@@ -193,6 +197,11 @@
     }
 
     EnginePlay(int engineCount, int routerCount, List<Kind> kinds, long seed) {
+        this(engineCount, USUAL_SLOTS, routerCount, kinds, seed);
+    }
+
+    EnginePlay(int engineCount, int slots, int routerCount, List<Kind> kinds, long seed) {
+        this.slots = slots;
         this.kinds = kinds;
         this.random = new Random(seed);
         for (int i = 0; i < engineCount; i++) {
@@ -201,7 +210,7 @@
         for (int i = 0; i < routerCount; i++) {
             routers.add(new Router("r" + i));
         }
-        kinds.forEach(k -> counts.put(k, new int[4]));
+        kinds.forEach(k -> counts.put(k, new int[5]));
     }
 
     /** Plays for a time and tells what the callers of each kind got. */
@@ -228,7 +237,7 @@
         }
         engines.forEach(e -> e.workUntil((double) (burstMillis + millis + 2 * TIME_LEFT)));
         Map<String, Served> served = new HashMap<>();
-        counts.forEach((k, c) -> served.put(k.name(), new Served(c[0], c[1], c[2], c[3])));
+        counts.forEach((k, c) -> served.put(k.name(), new Served(c[0], c[1], c[2], c[3], c[4])));
         return served;
     }
 
@@ -269,7 +278,7 @@
         Router router = routers.get(random.nextInt(routers.size()));
         List<EngineCandidate> candidates = engines.stream()
                 .map(e -> new EngineCandidate(
-                        e.id, "z", 1, true, router.load(e.id), MEMORY_TOKENS, false, Long.MAX_VALUE, false))
+                        e.id, "z", 1, true, router.load(e.id), MEMORY_TOKENS, slots, false, Long.MAX_VALUE, false))
                 .toList();
         Optional<EngineChoice> choice = router.chooser.choose(prompt, c -> 0, candidates, LINKS, now);
         OptionalLong back = EngineAdmission.refuse(choice.orElseThrow(), k.target(), TIME_LEFT);
@@ -285,6 +294,10 @@
                 .filter(e -> e.id.equals(choice.engine().id()))
                 .findFirst()
                 .orElseThrow();
+        if (engine.running.size() + engine.waiting.size() >= slots + QUEUED) {
+            counts.get(k)[4] += now >= countedFrom ? 1 : 0;
+            return;
+        }
         String id = "r" + nextId++;
         router.load(engine.id).sent(id, choice.readMillis(), prompt.memoryTokens(), prompt.hasLongAnswer(), now);
         router.noteSent(choice, now);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetPicker.java
@@ -93,6 +93,7 @@
                         weights.settled(prompt.model(), r.weights(prompt.model()), now),
                         r.load(),
                         spec.memoryTokens(),
+                        r.entry().slots(),
                         weights.penalized(prompt.model(), r.weights(prompt.model()), now),
                         weights.usableMillis(prompt.model(), r.weights(prompt.model()), now),
                         weights.steered(r.entry().run(), now)))
