--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineSlotsTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineSlotsTest.java
@@ -35,7 +35,7 @@
      * An engine runs 24 requests at once, lets a few wait and turns away the rest. Callers' requests are turned away by
      * full engines and begun again elsewhere, late, while other engines have slots to spare. Measured without a look at
      * the slots and with it: with 40 of 56 engines 0.14 and 0.03 of all turned away, long answers on time 0.76 and
-     * 0.89; with 28 0.29 and 0.13, 0.51 and 0.76.
+     * 0.89; with 28 0.29 and 0.12, 0.51 and 0.76.
      */
     @Test(dataProvider = "engines")
     public void fullEnginesGetNoMore(int engines, double mostTurnedAway, double leastOnTime) {
