--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/ReadOnlyStore.java
@@ -0,0 +1,29 @@
+package org.hornbeamhead.gateway.state;
+
+import io.activej.promise.Promise;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** A store that tests only read. */
+interface ReadOnlyStore extends PlatformStore {
+    @Override
+    default Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    default Promise<String> grant(Duration ttl) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    default Promise<Boolean> renew(String lease) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    default Promise<Void> end(String lease) {
+        throw new UnsupportedOperationException();
+    }
+}
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/ReaderFleet.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/ReaderFleet.java
@@ -19,6 +19,7 @@
     static final String MODEL = "m";
     static final long BOUND_MILLIS = 8_000;
 
+    private static final long SEED = 11;
     private static final int REPLICAS = 62;
     private static final long RENEWAL_MILLIS = 1_200;
     private static final long HOP_MILLIS = 2;
@@ -30,7 +31,8 @@
     final VirtualStore store = new VirtualStore(timers);
     final List<Member> members = new ArrayList<>();
 
-    private final Random random = new Random(11);
+    private final Random random = new Random(SEED);
+
     /** Whether two routers can reach one another. */
     BiPredicate<Member, Member> linked = (a, b) -> true;
 
@@ -51,19 +53,12 @@
     }
 
     private void renew(String replica) {
-        if (renewing && !gone(replica)) {
+        if (renewing) {
             store.put(REPLICA + replica, "ready " + renewals++);
         }
         timers.schedule(RENEWAL_MILLIS + random.nextInt(50), () -> renew(replica));
     }
 
-    private boolean gone(String replica) {
-        return lost.contains(replica);
-    }
-
-    /** Replicas that renew nothing any more. */
-    final List<String> lost = new ArrayList<>();
-
     /** The routers that read the store for the others, as all of them find when their lists are whole. */
     List<Member> readers() {
         return members.get(0).list.readers().stream().map(r -> member(r.node())).toList();
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
@@ -8,8 +8,6 @@
 import io.activej.promise.SettablePromise;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.LongConsumer;
 import org.hornbeamhead.core.mirror.StoreChanges;
@@ -28,7 +26,7 @@
     private SlowStore store;
     private StoreFollower follower;
 
-    private static final class SlowStore implements PlatformStore {
+    private static final class SlowStore implements ReadOnlyStore {
         private SettablePromise<StoreChanges> answer;
         private boolean asked;
 
@@ -43,26 +41,6 @@
         public Promise<StoreChanges> watch(long after, Duration wait) {
             return readAll();
         }
-
-        @Override
-        public Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Promise<String> grant(Duration ttl) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Promise<Boolean> renew(String lease) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Promise<Void> end(String lease) {
-            throw new UnsupportedOperationException();
-        }
     }
 
     @DataProvider
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/VirtualStore.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/VirtualStore.java
@@ -6,10 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.hornbeamhead.core.mirror.StoreChanges;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.time.Timers;
@@ -56,7 +55,7 @@
         return new Link(reachable);
     }
 
-    private final class Link implements PlatformStore {
+    private final class Link implements ReadOnlyStore {
         private final BooleanSupplier reachable;
 
         Link(BooleanSupplier reachable) {
@@ -95,9 +94,7 @@
         }
 
         private Promise<StoreChanges> answered(
-                SettablePromise<StoreChanges> answer,
-                long waitMillis,
-                java.util.function.Supplier<StoreChanges> changes) {
+                SettablePromise<StoreChanges> answer, long waitMillis, Supplier<StoreChanges> changes) {
             reads++;
             timers.schedule(ANSWER_MILLIS, () -> {
                 if (reachable.getAsBoolean()) {
@@ -111,25 +108,5 @@
         private static void fail(SettablePromise<StoreChanges> answer) {
             answer.trySetException(new StoreUnavailableException("no answer in time"));
         }
-
-        @Override
-        public Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Promise<String> grant(Duration ttl) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Promise<Boolean> renew(String lease) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public Promise<Void> end(String lease) {
-            throw new UnsupportedOperationException();
-        }
     }
 }
