Logs tell which requests were under way at a replica that ended, by their content

Cause for the change: the lines of the incident could not tell its hypotheses apart. Two arrivals of the same request bear two ids, and a broken connection was told alike whether the replica's process had ended or only the connection. Lines of tries that may have run now name a hash of path, customer and body; a witness asks for a new connection when one broke (refused: the process has ended) and hears of entries that go. No decision rests on it yet. A probe that times out proves nothing, since a cut looks the same.

--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/crash/RequestFingerprint.java
@@ -0,0 +1,49 @@
+package org.hornbeamhead.core.crash;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * Names a request by its content: the same path, customer and body give the same fingerprint, whatever id the caller
+ * gave. The content cannot be read out of it.
+ *
+ * @param value the first eight bytes of a SHA-256 hash
+ */
+public record RequestFingerprint(long value) {
+    /**
+     * Computes the fingerprint of a request.
+     *
+     * @param path the path with its query
+     * @param customer the customer's name, empty for anyone
+     * @param body the body
+     * @return the fingerprint
+     */
+    public static RequestFingerprint of(String path, String customer, byte[] body) {
+        MessageDigest hash = sha256();
+        add(hash, path.getBytes(StandardCharsets.UTF_8));
+        add(hash, customer.getBytes(StandardCharsets.UTF_8));
+        add(hash, body);
+        return new RequestFingerprint(ByteBuffer.wrap(hash.digest()).getLong());
+    }
+
+    /** The length goes first, so that moving bytes from one field to the next gives another fingerprint. */
+    private static void add(MessageDigest hash, byte[] field) {
+        hash.update(ByteBuffer.allocate(Integer.BYTES).putInt(field.length).array());
+        hash.update(field);
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return String.format("%016x", value);
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -27,6 +27,7 @@
 import org.hornbeamhead.gateway.duty.Duties;
 import org.hornbeamhead.gateway.duty.ReplicaOrders;
 import org.hornbeamhead.gateway.duty.SteerNotice;
+import org.hornbeamhead.gateway.quarantine.CrashWitness;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.MirrorCalls;
 import org.hornbeamhead.gateway.state.MirrorServer;
@@ -65,6 +66,7 @@
     private final StoreView view;
     private final SteerNotice notice;
     private final Duties duties;
+    private final CrashWitness witness;
     private final Dispatcher dispatcher;
     private final WorkHints hints;
     private final CallerFront front;
@@ -122,6 +124,9 @@
                 settings,
                 routers,
                 state);
+        witness = new CrashWitness(
+                clock, daemon.timers(), (request, replica) -> metrics.count("hornbeam_requests_at_crash"));
+        registry.onGone(witness::gone);
         dispatcher = new Dispatcher(new Dispatcher.Parts(
                 reactor,
                 clock,
@@ -134,7 +139,8 @@
                 settings.self().dataCentre(),
                 !settings.firstStart(),
                 settings.budget(),
-                working));
+                working,
+                witness));
         hints = new WorkHints(reactor, clock, registry, routers::hintAddresses, working, dispatcher::hinted);
         dispatcher.tell(hints);
         front = new CallerFront(reactor, this::handle, this::limits, metrics);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -24,6 +24,8 @@
     private static final long REPEATABLE_IDLE_MILLIS = 5_000;
     /** However many routers there are, one request may follow another's connection that was just found silent. */
     private static final int MIN_CONNECTIONS = 2;
+    /** Engines at work send an event every tenth of a second. */
+    private static final long SILENT_MILLIS = 500;
     /** A replica's own failures are 5xx. */
     private static final int FIRST_FAILURE = 500;
 
@@ -40,6 +42,7 @@
     private boolean streaming;
     private boolean sent;
     private boolean over;
+    private long lastHeardAt;
 
     Attempt(Exchange exchange, Target target) {
         this.exchange = exchange;
@@ -57,6 +60,11 @@
         return sent;
     }
 
+    /** Tells whether the replica has the request and has said nothing for a while. */
+    boolean isSilent() {
+        return sent && !over && now() - lastHeardAt > SILENT_MILLIS;
+    }
+
     void start() {
         Route route = exchange.subject().route();
         long idle = route.repeatable() ? REPEATABLE_IDLE_MILLIS : SAFE_IDLE_MILLIS;
@@ -91,6 +99,7 @@
     private void send(ReplicaConnection taken) {
         connection = taken;
         sent = true;
+        lastHeardAt = now();
         SendOrder order = exchange.orderFor(target);
         request.logSent(order);
         armSilence(request.patience().firstByteMillis());
@@ -144,6 +153,7 @@
 
     @Override
     public void head(ResponseHead came) {
+        lastHeardAt = now();
         head = came;
         reply = exchange.dispatcher().dialect().reply(came, replica.entry().id());
         reply.weights().ifPresent(replica::sawWeights);
@@ -165,6 +175,7 @@
      */
     @Override
     public Promise<Void> body(byte[] bytes) {
+        lastHeardAt = now();
         if (over || bytes.length == 0) {
             return Promise.complete();
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -26,6 +26,7 @@
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.caller.CallerAnswer;
 import org.hornbeamhead.gateway.caller.CallerHandler;
+import org.hornbeamhead.gateway.quarantine.CrashWitness;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.RoutingState;
@@ -58,6 +59,7 @@
     private final BeginLimits beginLimits;
     private final BudgetLimits budgetLimits;
     private final WorkingRouters routers;
+    private final CrashWitness witness;
     private WorkHints hints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
 
@@ -85,6 +87,7 @@
      * @param inherits whether the system has served before this router started
      * @param budgetLimits the shared budget of repeats
      * @param routers the routers with which limits are shared
+     * @param witness finds out which requests were under way at replicas that ended
      */
     public record Parts(
             NioReactor reactor,
@@ -98,7 +101,8 @@
             String dataCentre,
             boolean inherits,
             BudgetLimits budgetLimits,
-            WorkingRouters routers) {}
+            WorkingRouters routers,
+            CrashWitness witness) {}
 
     /**
      * Makes a dispatcher.
@@ -115,6 +119,7 @@
         this.random = parts.random();
         this.budgetLimits = parts.budgetLimits();
         this.routers = parts.routers();
+        this.witness = parts.witness();
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = parts.weights();
         this.early = new EarlyRequests(timers);
@@ -281,6 +286,10 @@
         return picker;
     }
 
+    CrashWitness witness() {
+        return witness;
+    }
+
     BeginLimits beginLimits() {
         return beginLimits;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.forward.AttemptEnd;
 import org.hornbeamhead.core.forward.FinalAnswer;
@@ -42,6 +43,7 @@
     private final StreamTimes times = new StreamTimes();
     private ScheduledRunnable deadlineTimer;
     private Attempt attempt;
+    private Optional<RequestFingerprint> fingerprint = Optional.empty();
     private boolean over;
 
     Exchange(Dispatcher dispatcher, Subject subject, CallerAnswer answer) {
@@ -134,6 +136,7 @@
                 timeLeft() >= MIN_TIME_LEFT_MILLIS,
                 dispatcher.picker().anyLeft(subject.service(), tried),
                 () -> dispatcher.takeRepeat(subject.service().name()));
+        witness(end, replica);
         NextStep step = forwarding.after(end, means);
         dispatcher.metrics().count("hornbeam_attempts_failed", "end", end.name());
         logger.atInfo()
@@ -141,7 +144,7 @@
                 .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.DECISION, "attempt " + end)
                 .with(Logs.REASON, why)
-                .with(Logs.INPUTS, "millisLeft=" + timeLeft() + " tried=" + tried.size() + " next=" + step)
+                .with(Logs.INPUTS, inputs(end) + " next=" + step)
                 .log("attempt ended: %s", end);
         if (step instanceof NextStep.GiveUp end2) {
             giveUp(end2.answer(), why, failure);
@@ -150,6 +153,30 @@
         }
     }
 
+    private void witness(AttemptEnd end, LiveReplica replica) {
+        if (end == AttemptEnd.BROKEN) {
+            dispatcher.witness().broken(fingerprint(), replica);
+        } else if (end == AttemptEnd.SILENT) {
+            dispatcher.witness().silent(fingerprint(), replica);
+        }
+    }
+
+    private String inputs(AttemptEnd end) {
+        String content = end.mayHaveRun() ? " content=" + fingerprint() : "";
+        return "millisLeft=" + timeLeft() + " tried=" + tried.size() + content;
+    }
+
+    /** Names the request by its content. Few requests need it, so it is computed at its first use. */
+    private RequestFingerprint fingerprint() {
+        if (fingerprint.isEmpty()) {
+            fingerprint = Optional.of(RequestFingerprint.of(
+                    subject.request().whole().head().target(),
+                    subject.owner().map(KeyOwner::customer).orElse(""),
+                    subject.request().whole().body()));
+        }
+        return fingerprint.get();
+    }
+
     private void giveUp(FinalAnswer last, String why, Optional<BufferedAnswer> failure) {
         finish(last.name());
         if (last == FinalAnswer.BROKEN_OFF) {
@@ -185,6 +212,9 @@
 
     private void stopAttempt() {
         if (attempt != null) {
+            if (attempt.isSilent()) {
+                dispatcher.witness().silent(fingerprint(), attempt.target().replica());
+            }
             attempt.abandon();
             attempt = null;
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnections.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnections.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -88,6 +89,26 @@
         });
     }
 
+    /**
+     * Finds out whether the replica's process has ended. Its host then refuses new connections at once; one that is cut
+     * off, or has lost its power, does not answer.
+     *
+     * @return true when a new connection is refused, false when one opens or nothing is known
+     */
+    public Promise<Boolean> refused() {
+        open++;
+        return ReplicaConnection.open(reactor, address, OPEN_TIMEOUT, () -> open--)
+                .then(
+                        connection -> {
+                            giveBack(connection);
+                            return Promise.of(false);
+                        },
+                        e -> {
+                            open--;
+                            return Promise.of(e instanceof ConnectException);
+                        });
+    }
+
     /**
      * Gives a connection back after a whole answer.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.hornbeamhead.core.replica.ReplicaEntry;
 import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.core.time.Clock;
@@ -29,6 +30,7 @@
     private final Map<String, LiveReplica> replicas = new HashMap<>();
     private final Map<String, LiveReplica> byRun = new HashMap<>();
     private final Map<Integer, LiveReplica> byHash = new HashMap<>();
+    private Consumer<LiveReplica> onGone = r -> {};
 
     /**
      * Makes an empty registry.
@@ -42,6 +44,15 @@
         sweep();
     }
 
+    /**
+     * Tells of each run of a replica that is dropped from now on.
+     *
+     * @param listener takes it
+     */
+    public void onGone(Consumer<LiveReplica> listener) {
+        onGone = listener;
+    }
+
     private void sweep() {
         replicas.values().forEach(r -> r.connections().closeStale());
         reactor.delayBackground(SWEEP_MILLIS, this::sweep);
@@ -99,6 +110,7 @@
             byHash.remove(gone.hash());
             gone.connections().retire();
             log("replica gone", gone.entry(), revision);
+            onGone.accept(gone);
         }
     }
 
