Own interface: a call that a replica may have got is not answered as not run

What callers saw: outcome not-run, with a time to come back, for a repeatable call whose only replica had got it and never answered. Cause: after a lost try the pipeline looked for another replica, and finding none answered that tries were exhausted, whatever had become of the one before. A call of which every try met a refused connection is now not-run instead of unknown: nothing was sent.

--- a/fleet/src/test/java/org/hornbeamhead/fleet/AtMostOnceTest.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/AtMostOnceTest.java
@@ -66,6 +66,14 @@
                 .asInt();
     }
 
+    /** Guards against telling a caller that its call has not run, when its only replica got it and never answered. */
+    @Test
+    public void aRepeatableCallThatMayHaveRunIsNotCalledNotRun() throws Exception {
+        fleet.fault(service, "{\"workMillis\":0,\"silentShare\":1.0,\"refuseShare\":0}");
+        HttpResponse<String> answer = fleet.post(routers.get(0), "/v1/services/app/lots", "{}");
+        assertEquals(outcome(answer), "unknown", answer.body());
+    }
+
     // The caller sends the same bid through all routers at once. It runs once; the others are told that it may have
     // run.
     @Test
--- a/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
@@ -11,10 +11,8 @@
 import io.activej.promise.SettablePromise;
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.UUID;
 import org.hornbeamhead.core.claim.Claim;
 import org.hornbeamhead.core.claim.ClaimResult;
@@ -92,7 +90,7 @@
         }
         ServiceCall call = new ServiceCall(head, customer.get(), name, path, body);
         boolean once = head.notRepeatable() || pool.isNotRepeatable(head.method(), path);
-        return once ? claim(call) : dispatch(call, new HashSet<>(), false);
+        return once ? claim(call) : dispatch(call, new ServiceTries(false));
     }
 
     private Promise<HttpResponse> claim(ServiceCall call) {
@@ -128,7 +126,7 @@
     private Promise<HttpResponse> claimed(ServiceCall call, ClaimResult result) {
         context.metrics().count("hornbeam_claims", "result", result.name());
         return switch (result) {
-            case GRANTED -> dispatch(call, new HashSet<>(), true);
+            case GRANTED -> dispatch(call, new ServiceTries(true));
             case TAKEN -> refuse(call.head(), Refusals.unknown(Reason.ALREADY_CLAIMED));
             case EXPIRED -> refuse(call.head(), Refusals.unknown(Reason.ID_EXPIRED));
             case UNAVAILABLE -> refuse(call.head(), Refusals.notRun(Reason.CLAIM_UNAVAILABLE, CLAIM_COME_BACK));
@@ -138,7 +136,7 @@
 
     private Promise<HttpResponse> spend(ServiceCall call, Ticket ticket) {
         return switch (tickets.spend(ticket)) {
-            case GRANTED -> dispatch(call, new HashSet<>(), true);
+            case GRANTED -> dispatch(call, new ServiceTries(true));
             case SPENT -> refuse(call.head(), Refusals.unknown(Reason.ALREADY_CLAIMED));
             case EXPIRED -> refuse(call.head(), Refusals.unknown(Reason.ID_EXPIRED));
             case HOLDER_GONE -> refuse(call.head(), Refusals.unknown(Reason.TICKET_HOLDER_LOST));
@@ -161,15 +159,16 @@
                         e -> refuse(call.head(), Refusals.unknown(Reason.TICKET_HOLDER_LOST)));
     }
 
-    private Promise<HttpResponse> dispatch(ServiceCall call, Set<String> tried, boolean once) {
+    private Promise<HttpResponse> dispatch(ServiceCall call, ServiceTries tries) {
         ServicePool pool = pools.service(call.pool());
-        Optional<String> address = pool.choose(tried);
+        Optional<String> address = pool.choose(tries.addresses());
         if (address.isEmpty()) {
-            Reason reason = tried.isEmpty() ? Reason.NO_REPLICA : Reason.TRIES_EXHAUSTED;
-            return refuse(call.head(), Refusals.notRun(reason, COME_BACK));
+            Reason reason = tries.addresses().isEmpty() ? Reason.NO_REPLICA : Reason.TRIES_EXHAUSTED;
+            return refuse(call.head(), tries.refusal(reason, COME_BACK));
         }
-        HttpCaller caller =
-                once ? context.connections().fresh() : context.connections().kept(address.get());
+        HttpCaller caller = tries.once()
+                ? context.connections().fresh()
+                : context.connections().kept(address.get());
         return Promises.timeout(
                         CALL_LIMIT,
                         caller.open(call.toService(address.get()), CALL_LIMIT).then(response -> relay(call, response)))
@@ -178,21 +177,22 @@
                             pool.ended(address.get(), true);
                             return Promise.of(response);
                         },
-                        e -> failed(call, pool, address.get(), tried, once, e));
+                        e -> failed(call, pool, address.get(), tries, e));
     }
 
     private Promise<HttpResponse> failed(
-            ServiceCall call, ServicePool pool, String address, Set<String> tried, boolean once, Exception e) {
-        tried.add(address);
-        if (e instanceof ConnectException && (once || tried.size() < MAX_ATTEMPTS)) {
+            ServiceCall call, ServicePool pool, String address, ServiceTries tries, Exception e) {
+        if (e instanceof ConnectException && (tries.once() || tries.count() + 1 < MAX_ATTEMPTS)) {
             // No connection was opened, so nothing was sent: the claim still stands, and another replica may run it.
             pool.unreachable(address);
-            return dispatch(call, tried, once);
+            return dispatch(call, tries.unsent(address));
         }
         pool.ended(address, false);
         context.connections().retire(address);
-        boolean again = !once && tried.size() < MAX_ATTEMPTS && pool.retries().tryTake();
-        return again ? dispatch(call, tried, false) : refuse(call.head(), Refusals.unknown(Reason.ENDPOINT_LOST));
+        ServiceTries more = e instanceof ConnectException ? tries.unsent(address) : tries.lost(address);
+        boolean again =
+                !tries.once() && more.count() < MAX_ATTEMPTS && pool.retries().tryTake();
+        return again ? dispatch(call, more) : refuse(call.head(), more.refusal(Reason.TRIES_EXHAUSTED, COME_BACK));
     }
 
     private Promise<HttpResponse> relay(ServiceCall call, HttpResponse response) {
