--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.hornbeamhead.core.time.Clock;
 
@@ -64,7 +65,7 @@
     }
 
     /**
-     * Tells whether nothing is known, so that no request needs a look.
+     * Tells whether nothing is known, so that no request's content needs a look.
      *
      * @return true while no end is remembered
      */
@@ -97,6 +98,17 @@
         }
     }
 
+    /**
+     * Notes that a request ran to its end, and computes its fingerprint only if any end is remembered.
+     *
+     * @param request names the request
+     */
+    public void completed(Supplier<RequestFingerprint> request) {
+        if (!isEmpty()) {
+            completed(request.get());
+        }
+    }
+
     /**
      * Takes over what another router knows.
      *
@@ -189,6 +201,16 @@
         return OptionalLong.of(age < SETTLING_MILLIS ? SETTLING_MILLIS : left);
     }
 
+    /**
+     * Decides as {@link #heldMillis(RequestFingerprint)}, and computes the fingerprint only if any end is remembered.
+     *
+     * @param request names the request
+     * @return how long it is held back from now on, in milliseconds; empty when it may run
+     */
+    public OptionalLong heldMillis(Supplier<RequestFingerprint> request) {
+        return isEmpty() ? OptionalLong.empty() : heldMillis(request.get());
+    }
+
     private Set<RequestFingerprint> blamed() {
         if (blamed.isEmpty()) {
             blamed = Optional.of(CrashAttribution.blame(suspects()));
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
@@ -1,14 +1,19 @@
 package org.hornbeamhead.gateway.quarantine;
 
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
+import org.hornbeamhead.core.crash.CrashArchive;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.crash.CrashHistory;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
+import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
@@ -20,6 +25,8 @@
  * is looked at.
  */
 public final class Quarantine {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final CrashHistory history;
     private final CrashGossip gossip;
     private final CrashArchive archive;
@@ -58,7 +65,7 @@
         history = new CrashHistory(parts.clock());
         gossip = new CrashGossip(
                 history, parts.clock(), parts.timers(), parts.random(), parts.audience(), parts.datagrams()::send);
-        archive = new CrashArchive(parts.clock(), parts.timers(), parts.random(), parts.store(), history);
+        archive = new CrashArchive(parts.clock(), parts.timers(), parts.random(), this::write, history);
         witness = new CrashWitness(parts.clock(), parts.timers(), this::crashed);
     }
 
@@ -82,7 +89,30 @@
      * @param item the key {@link CrashArchive#KEY}
      */
     public void read(StoreItem item) {
-        archive.read(item);
+        if (!archive.read(item.revision(), item.value())) {
+            logger.atWarning()
+                    .with(Logs.INPUTS, "revision=" + item.revision())
+                    .log("key %s cannot be read and is passed over", item.key());
+        }
+    }
+
+    private CompletionStage<CrashArchive.Reply> write(long expectedRevision, String value) {
+        return parts.store()
+                .write(CrashArchive.KEY, OptionalLong.of(expectedRevision), value, Optional.empty())
+                .map(Quarantine::reply)
+                .toCompletableFuture();
+    }
+
+    private static CrashArchive.Reply reply(PlatformStore.WriteReply reply) {
+        if (reply instanceof PlatformStore.WriteReply.Written written) {
+            return new CrashArchive.Reply.Written(written.revision());
+        }
+        if (reply instanceof PlatformStore.WriteReply.Conflict conflict) {
+            return conflict.current()
+                    .map(item -> new CrashArchive.Reply.Conflict(item.revision(), item.value()))
+                    .orElseGet(() -> new CrashArchive.Reply.Conflict(0, ""));
+        }
+        return new CrashArchive.Reply.Failed();
     }
 
     /**
@@ -92,7 +122,7 @@
      * @return how long it is held back from now on, in milliseconds; empty when it may run
      */
     public OptionalLong heldMillis(Supplier<RequestFingerprint> request) {
-        return history.isEmpty() ? OptionalLong.empty() : history.heldMillis(request.get());
+        return history.heldMillis(request);
     }
 
     /**
@@ -101,9 +131,7 @@
      * @param request names the request
      */
     public void completed(Supplier<RequestFingerprint> request) {
-        if (!history.isEmpty()) {
-            history.completed(request.get());
-        }
+        history.completed(request);
     }
 
     /**
