A refused connection is told as such: the HTTP library wraps it

What callers saw, on the product's own interface: a call that must run at most once spent its id and was answered unknown when its replica was gone, instead of going to another; a stream of a lost engine was asked for three more times; a store that refuses connections was taken for one that may have written. Cause: calls ask whether the failure is a ConnectException; ActiveJ's client gives an HttpException with that as its cause, so that the answer was always no. Found when the test for requests that end engines stayed red: no end of an engine was ever seen. Evidence: HttpCallerTest red in 4 of 4 rows before (HttpException: ConnectException: Connection refused), green now. The platform's dialect is not concerned for requests (it has its own connections); its store and orders use the same client.

--- a/daemon/src/main/java/org/hornbeamhead/daemon/HttpCaller.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/HttpCaller.java
@@ -15,6 +15,7 @@
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
+import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 
@@ -82,10 +83,18 @@
      *
      * @param request the request
      * @param timeout how long the response's head may take
-     * @return the response
+     * @return the response; fails with {@link ConnectException} when no connection was opened, so that nothing was sent
      */
     public Promise<HttpResponse> open(HttpRequest request, Duration timeout) {
-        return Promises.timeout(timeout, client.request(request));
+        return Promises.timeout(timeout, send(request));
+    }
+
+    /** The library wraps the failure of a connection, and so hides that nothing was sent. */
+    private Promise<HttpResponse> send(HttpRequest request) {
+        return client.request(request)
+                .then(
+                        Promise::of,
+                        e -> Promise.ofException(e.getCause() instanceof ConnectException refused ? refused : e));
     }
 
     /**
@@ -95,7 +104,7 @@
      * @param url the URL with an IP number
      * @param body the body; empty to send none
      * @param timeout how long the whole call may take
-     * @return the answer
+     * @return the answer; fails with {@link ConnectException} when no connection was opened, so that nothing was sent
      */
     public Promise<HttpReply> call(HttpMethod method, String url, String body, Duration timeout) {
         HttpRequest.Builder request = HttpRequest.builder(method, url);
@@ -103,7 +112,7 @@
             request.withHeader(HttpHeaders.CONTENT_TYPE, "application/json");
             request.withBody(body.getBytes(StandardCharsets.UTF_8));
         }
-        return Promises.timeout(timeout, client.request(request.build()).then(HttpCaller::load));
+        return Promises.timeout(timeout, send(request.build()).then(HttpCaller::load));
     }
 
     /**
