Own interface: a request that ends the endpoints that run it is held back by all routers

Requests for models and calls to plain services are named by path, customer and body; an engine that had a stream and then refuses connections, or a replica that refuses them after a call was lost, has ended under it. Routers share what they saw over the membership's socket, and keep it in the platform's service; held requests are answered 503, not-run, held-back, with the time left, before any id is claimed. Stand-ins can end on a word (crashOn).

--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashNews.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashNews.java
@@ -9,7 +9,7 @@
 /** Crash reports as bytes: what routers send one another in datagrams, and keep in the platform's store. */
 public final class CrashNews {
     /** The first byte; no other datagram between routers begins with it. */
-    public static final byte FORMAT = (byte) 0xC5;
+    private static final byte FORMAT = (byte) 0xC5;
     /** What fits into one datagram on any path, in bytes. */
     public static final int DATAGRAM_BYTES = 1_200;
 
@@ -21,6 +21,16 @@
 
     private CrashNews() {}
 
+    /**
+     * Tells news from other datagrams.
+     *
+     * @param datagram the bytes
+     * @return whether they begin as news do
+     */
+    public static boolean isNews(byte[] datagram) {
+        return datagram.length > 0 && datagram[0] == FORMAT;
+    }
+
     /**
      * Takes reports as long as they fit.
      *
--- a/core/src/main/java/org/hornbeamhead/core/outcome/Reason.java
+++ b/core/src/main/java/org/hornbeamhead/core/outcome/Reason.java
@@ -38,6 +38,8 @@
     CORRUPT_ANSWER,
     /** Tries or time ran out before an endpoint took the request. */
     TRIES_EXHAUSTED,
+    /** Replicas ended while requests with this content ran there. */
+    HELD_BACK,
     /** The caller went away. */
     CALLER_GONE;
 
--- a/router/src/main/java/org/hornbeamhead/router/Connections.java
+++ b/router/src/main/java/org/hornbeamhead/router/Connections.java
@@ -1,8 +1,14 @@
 package org.hornbeamhead.router;
 
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
+import java.net.ConnectException;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.HttpCaller;
 
@@ -16,12 +22,16 @@
 final class Connections {
     private static final long RETIRED_MILLIS = 30_000;
 
+    private static final Duration CHECK_LIMIT = Duration.ofMillis(500);
+
+    private final NioReactor reactor;
     private final HttpCaller kept;
     private final HttpCaller fresh;
     private final Clock clock;
     private final Map<String, Long> retiredUntilMillis = new HashMap<>();
 
     Connections(NioReactor reactor, Clock clock) {
+        this.reactor = reactor;
         this.kept = HttpCaller.keepingAlive(reactor);
         this.fresh = HttpCaller.connectingAnew(reactor);
         this.clock = clock;
@@ -37,6 +47,18 @@
         return fresh;
     }
 
+    /** Finds out whether an endpoint's process has ended: its host refuses new connections then. */
+    Promise<Boolean> refused(String address) {
+        return Addresses.parse(address).fold(why -> Promise.of(false), to -> TcpSocket.connect(
+                        reactor, to, CHECK_LIMIT, SocketSettings.defaultInstance())
+                .then(
+                        socket -> {
+                            socket.close();
+                            return Promise.of(false);
+                        },
+                        e -> Promise.of(e instanceof ConnectException)));
+    }
+
     void retire(String address) {
         retiredUntilMillis.put(address, clock.monotonicMillis() + RETIRED_MILLIS);
     }
--- a/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
@@ -98,6 +98,7 @@
         sent = true;
         if (event == null) {
             ended = true;
+            context.quarantine().completed(request::fingerprint);
             if (!accounted) {
                 pool.table().ended(choice, NO_COUNT);
             }
@@ -174,6 +175,10 @@
             sent = true;
             return attempt.resume(RESUME_LIMIT).then(v -> Promise.complete(), this::recover);
         }
+        if (resumes > 0 && failed.failure() == AttemptFailure.NOT_SENT) {
+            // The engine had the request, and now refuses connections: its process has ended.
+            context.quarantine().crashed(request.fingerprint(), choice.replica().address());
+        }
         return elsewhere(failed);
     }
 
@@ -181,12 +186,15 @@
         blame(failed.failure());
         pool.table().abandoned(choice, attemptTokens > 0);
         if (failed.failure() == AttemptFailure.REJECTED) {
+            context.quarantine().completed(request::fingerprint);
             return Promise.ofException(failed);
         }
         boolean worked = sent || failed.failure() == AttemptFailure.CORRUPT;
         attempt.cancel();
         excluded.add(choice.replica().address());
-        boolean allowed = attempts < MAX_ATTEMPTS && (!worked || pool.retries().tryTake());
+        boolean held = context.quarantine().heldMillis(request::fingerprint).isPresent();
+        boolean allowed =
+                !held && attempts < MAX_ATTEMPTS && (!worked || pool.retries().tryTake());
         Optional<PlacementChoice> other =
                 allowed ? pool.placement().choose(pool.table(), request.chain(), target, excluded) : Optional.empty();
         if (other.isEmpty()) {
--- a/router/src/main/java/org/hornbeamhead/router/ModelPipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ModelPipeline.java
@@ -62,10 +62,20 @@
     }
 
     private Promise<HttpResponse> admit(ModelRequest request) {
+        Optional<Refusal> held = heldBack(request);
+        if (held.isPresent()) {
+            return refuseRunning(request, held.get());
+        }
         EnginePool pool = pools.engines(request.pool());
         return request.requestClass().batch() ? waitForSlack(request, pool) : admitInteractive(request, pool);
     }
 
+    private Optional<Refusal> heldBack(ModelRequest request) {
+        return context.quarantine().heldMillis(request::fingerprint).stream()
+                .mapToObj(millis -> Refusals.notRun(Reason.HELD_BACK, Duration.ofMillis(millis)))
+                .findFirst();
+    }
+
     private Promise<HttpResponse> admitInteractive(ModelRequest request, EnginePool pool) {
         PlacementTarget target =
                 new PlacementTarget(request.requestClass().firstToken().toMillis(), false);
@@ -103,7 +113,12 @@
         return answer;
     }
 
+    /** A batch request may have waited for long, and what it does to replicas may have shown meanwhile. */
     private Promise<HttpResponse> startBatch(ModelRequest request, EnginePool pool) {
+        Optional<Refusal> held = heldBack(request);
+        if (held.isPresent()) {
+            return refuseRunning(request, held.get());
+        }
         PlacementTarget target = batchTarget();
         return pool.placement()
                 .choose(pool.table(), request.chain(), target, Set.of())
--- a/router/src/main/java/org/hornbeamhead/router/ModelRequest.java
+++ b/router/src/main/java/org/hornbeamhead/router/ModelRequest.java
@@ -1,11 +1,14 @@
 package org.hornbeamhead.router;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import org.hornbeamhead.core.config.Customer;
 import org.hornbeamhead.core.config.Pool;
 import org.hornbeamhead.core.config.RequestClass;
+import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.prefix.PrefixChain;
 import org.hornbeamhead.core.prefix.PrefixSeed;
+import org.hornbeamhead.daemon.Json;
 
 /**
  * A model request that was decoded and identified.
@@ -32,6 +35,15 @@
         ObjectNode body,
         boolean stream,
         int maxTokens) {
+    /**
+     * Names the request by its content.
+     *
+     * @return the fingerprint
+     */
+    public RequestFingerprint fingerprint() {
+        return RequestFingerprint.of(path, customer.name(), Json.write(body).getBytes(StandardCharsets.UTF_8));
+    }
+
     /**
      * Tells whether the prompt is a list of messages.
      *
--- a/router/src/main/java/org/hornbeamhead/router/PeerNode.java
+++ b/router/src/main/java/org/hornbeamhead/router/PeerNode.java
@@ -8,14 +8,16 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.DatagramChannel;
 import java.util.function.Consumer;
+import org.hornbeamhead.core.crash.CrashNews;
 import org.hornbeamhead.core.membership.GossipMessage;
 import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.peer.GossipCodec;
 
-/** Sends and receives gossip as UDP datagrams. Owned by the reactor's thread. */
+/** Sends and receives gossip and news of crashes as UDP datagrams. Owned by the reactor's thread. */
 final class PeerNode {
     private final UdpSocket socket;
     private Consumer<GossipMessage> receiver = m -> {};
+    private Consumer<byte[]> crashReceiver = b -> {};
 
     /**
      * Opens the socket.
@@ -37,16 +39,33 @@
         receiveNext();
     }
 
+    /** Hands on news of crashes, which share the socket. */
+    void receiveCrashes(Consumer<byte[]> into) {
+        crashReceiver = into;
+    }
+
     private void receiveNext() {
         socket.receive().whenResult(packet -> {
-            GossipCodec.decode(packet.getBuf().asArray()).ifPresent(receiver);
+            byte[] bytes = packet.getBuf().asArray();
+            if (CrashNews.isNews(bytes)) {
+                crashReceiver.accept(bytes);
+            } else {
+                GossipCodec.decode(bytes).ifPresent(receiver);
+            }
             receiveNext();
         });
     }
 
+    void sendCrashes(String peerAddress, byte[] news) {
+        send(peerAddress, news);
+    }
+
     void send(String peerAddress, GossipMessage message) {
-        Addresses.parse(peerAddress)
-                .peek(to -> socket.send(UdpPacket.of(ByteBuf.wrapForReading(GossipCodec.encode(message)), to)));
+        send(peerAddress, GossipCodec.encode(message));
+    }
+
+    private void send(String peerAddress, byte[] datagram) {
+        Addresses.parse(peerAddress).peek(to -> socket.send(UdpPacket.of(ByteBuf.wrapForReading(datagram), to)));
     }
 
     void close() {
--- /dev/null
+++ b/router/src/main/java/org/hornbeamhead/router/Quarantine.java
@@ -0,0 +1,126 @@
+package org.hornbeamhead.router;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.hornbeamhead.core.crash.CrashArchive;
+import org.hornbeamhead.core.crash.CrashGossip;
+import org.hornbeamhead.core.crash.CrashHistory;
+import org.hornbeamhead.core.crash.RequestFingerprint;
+import org.hornbeamhead.core.store.KeyValueStore;
+import org.hornbeamhead.core.store.StoreReply;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
+import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.daemon.Metrics;
+
+/**
+ * Which requests may not run, since replicas ended under them. Routers tell one another what they saw, and keep it in
+ * the platform's store for the case that all of them start anew. Owned by the reactor's thread.
+ */
+final class Quarantine {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long READ_AGAIN_MILLIS = 1_000;
+    /** A replica is back some seconds after its end, so ends of one address that lie closer together are the same. */
+    private static final long ONE_END_MILLIS = 2_000;
+
+    private final Clock clock;
+    private final Timers timers;
+    private final KeyValueStore store;
+    private final Metrics metrics;
+    private final CrashHistory history;
+    private final CrashGossip gossip;
+    private final CrashArchive archive;
+
+    Quarantine(
+            Clock clock,
+            Timers timers,
+            KeyValueStore store,
+            Metrics metrics,
+            Supplier<List<String>> otherRouters,
+            BiConsumer<String, byte[]> send) {
+        this.clock = clock;
+        this.timers = timers;
+        this.store = store;
+        this.metrics = metrics;
+        Random random = new Random();
+        history = new CrashHistory(clock);
+        CrashGossip.Audience audience = new CrashGossip.Audience(otherRouters, otherRouters);
+        gossip = new CrashGossip(history, clock, timers, random, audience, send);
+        archive = new CrashArchive(clock, timers, random, this::write, history);
+    }
+
+    /** Starts to tell, and reads what former routers have kept. */
+    void start() {
+        history.listen(gossip::changed);
+        metrics.gauge("hornbeam_requests_held_back", history::held);
+        readKept();
+    }
+
+    /** Takes news of another router. */
+    void receive(byte[] datagram) {
+        gossip.receive(datagram);
+    }
+
+    /** Decides how long a request is held back from now on, in milliseconds; empty when it may run. */
+    OptionalLong heldMillis(Supplier<RequestFingerprint> request) {
+        return history.heldMillis(request);
+    }
+
+    /** A replica ran the request to its end. */
+    void completed(Supplier<RequestFingerprint> request) {
+        history.completed(request);
+    }
+
+    /** A replica ended while the request was under way there. */
+    void crashed(RequestFingerprint request, String address) {
+        logger.atInfo()
+                .with(Logs.DECISION, "replica ended")
+                .with(Logs.REPLICA, address)
+                .with(Logs.INPUTS, "content=" + request)
+                .log("replica %s ended", address);
+        metrics.count("hornbeam_requests_at_crash");
+        history.crashed(request, (address + '@' + clock.wallMillis() / ONE_END_MILLIS).hashCode());
+        archive.crashSeen();
+    }
+
+    private void readKept() {
+        store.read(CrashArchive.KEY).thenAccept(reply -> {
+            if (reply instanceof StoreReply.Found found) {
+                kept(found.entry().version(), found.entry().value());
+            } else if (!(reply instanceof StoreReply.Missing)) {
+                timers.schedule(READ_AGAIN_MILLIS, this::readKept);
+            }
+        });
+    }
+
+    private void kept(long version, String value) {
+        if (!archive.read(version, value)) {
+            logger.atWarning()
+                    .with(Logs.INPUTS, "version=" + version)
+                    .log("key %s cannot be read and is passed over", CrashArchive.KEY);
+        }
+    }
+
+    private CompletionStage<CrashArchive.Reply> write(long expectedVersion, String value) {
+        return store.compareAndSwap(CrashArchive.KEY, expectedVersion, value, Optional.empty())
+                .thenApply(Quarantine::reply);
+    }
+
+    private static CrashArchive.Reply reply(StoreReply reply) {
+        if (reply instanceof StoreReply.Found found) {
+            return new CrashArchive.Reply.Written(found.entry().version());
+        }
+        if (reply instanceof StoreReply.Conflict conflict) {
+            return conflict.current()
+                    .map(entry -> new CrashArchive.Reply.Conflict(entry.version(), entry.value()))
+                    .orElseGet(() -> new CrashArchive.Reply.Conflict(KeyValueStore.ABSENT, ""));
+        }
+        return new CrashArchive.Reply.Failed();
+    }
+}
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -72,6 +72,7 @@
     private final TicketOffice tickets;
     private final ClaimAgent claims;
     private final ConfigAgent configAgent;
+    private final Quarantine quarantine;
     private final RouterContext context;
     private final AsyncServlet routes;
     private boolean hostsKnown;
@@ -88,6 +89,11 @@
                 daemon.clock(), settings.answerTtl().plus(NEWS_MARGIN).toMillis());
         this.running = new RunningRequests(settings.maxRequests(), drain, config);
         this.entries = new EntryDirectory(settings.answerTtl());
+        HttpCaller platform = HttpCaller.keepingAlive(daemon.reactor());
+        HttpKeyValueStore store = new HttpKeyValueStore(
+                platform, Addresses.format(settings.keyValue()), HttpKeyValueStore.DAEMON_CALL_LIMIT);
+        this.quarantine =
+                new Quarantine(daemon.clock(), daemon.timers(), store, metrics, this::otherRouters, this::sendCrashes);
         this.context = new RouterContext(
                 settings,
                 daemon.clock(),
@@ -96,10 +102,8 @@
                 new Connections(daemon.reactor(), daemon.clock()),
                 metrics,
                 config,
-                new ClassHealth());
-        HttpCaller platform = HttpCaller.keepingAlive(daemon.reactor());
-        HttpKeyValueStore store = new HttpKeyValueStore(
-                platform, Addresses.format(settings.keyValue()), HttpKeyValueStore.DAEMON_CALL_LIMIT);
+                new ClassHealth(),
+                quarantine);
         this.hostList = new HostListClient(platform, Addresses.format(settings.hostList()));
         this.pools = new PoolDirectory(context, new HttpEngineControl(platform));
         this.server = daemon.listen(settings.http(), this::serve);
@@ -128,6 +132,17 @@
         metrics.gauge("hornbeam_members_serving", () -> gossip.serving().size());
     }
 
+    private List<String> otherRouters() {
+        return gossip.serving().stream()
+                .map(Member::peerAddress)
+                .filter(a -> !a.equals(gossip.self().peerAddress()))
+                .toList();
+    }
+
+    private void sendCrashes(String peerAddress, byte[] news) {
+        peerNode.sendCrashes(peerAddress, news);
+    }
+
     private Promise<HttpResponse> serve(HttpRequest request) throws Exception {
         return routes.serve(request);
     }
@@ -169,6 +184,8 @@
         config.onChange(c -> gossip.config(config.state().version()));
         config.onChange(c -> serveWhenReady());
         peerNode.receive(gossip::receive);
+        peerNode.receiveCrashes(quarantine::receive);
+        quarantine.start();
         gossip.start();
         membersChanged();
         fetchHosts();
--- a/router/src/main/java/org/hornbeamhead/router/RouterContext.java
+++ b/router/src/main/java/org/hornbeamhead/router/RouterContext.java
@@ -17,6 +17,7 @@
  * @param metrics the process's metrics
  * @param config the configuration in force
  * @param health how the classes stand against their targets
+ * @param quarantine which requests may not run
  */
 record RouterContext(
         RouterSettings settings,
@@ -26,4 +27,5 @@
         Connections connections,
         Metrics metrics,
         ConfigHolder config,
-        ClassHealth health) {}
+        ClassHealth health,
+        Quarantine quarantine) {}
--- a/router/src/main/java/org/hornbeamhead/router/ServiceCall.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServiceCall.java
@@ -5,6 +5,7 @@
 import io.activej.http.HttpRequest;
 import java.util.Arrays;
 import org.hornbeamhead.core.config.Customer;
+import org.hornbeamhead.core.crash.RequestFingerprint;
 
 /** A call to a plain service that was identified. Immutable. */
 final class ServiceCall {
@@ -34,6 +35,11 @@
         return pool;
     }
 
+    /** Names the call by its content. */
+    RequestFingerprint fingerprint() {
+        return RequestFingerprint.of(pool + path, customer.name(), body);
+    }
+
     /** Writes the call for a replica of the service. */
     HttpRequest toService(String address) {
         HttpRequest.Builder request = request("http://" + address + path);
--- a/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.UUID;
 import org.hornbeamhead.core.claim.Claim;
 import org.hornbeamhead.core.claim.ClaimResult;
@@ -89,6 +90,10 @@
             return refuse(head, Refusals.notRun(Reason.NOT_ALLOWED, Duration.ZERO));
         }
         ServiceCall call = new ServiceCall(head, customer.get(), name, path, body);
+        OptionalLong held = context.quarantine().heldMillis(call::fingerprint);
+        if (held.isPresent()) {
+            return refuse(head, Refusals.notRun(Reason.HELD_BACK, Duration.ofMillis(held.getAsLong())));
+        }
         boolean once = head.notRepeatable() || pool.isNotRepeatable(head.method(), path);
         return once ? claim(call) : dispatch(call, new ServiceTries(false));
     }
@@ -189,14 +194,28 @@
         }
         pool.ended(address, false);
         context.connections().retire(address);
-        ServiceTries more = e instanceof ConnectException ? tries.unsent(address) : tries.lost(address);
-        boolean again =
-                !tries.once() && more.count() < MAX_ATTEMPTS && pool.retries().tryTake();
-        return again ? dispatch(call, more) : refuse(call.head(), more.refusal(Reason.TRIES_EXHAUSTED, COME_BACK));
+        if (e instanceof ConnectException) {
+            return next(call, pool, tries.unsent(address));
+        }
+        return context.connections().refused(address).then(ended -> {
+            if (ended) {
+                context.quarantine().crashed(call.fingerprint(), address);
+            }
+            return next(call, pool, tries.lost(address));
+        });
+    }
+
+    private Promise<HttpResponse> next(ServiceCall call, ServicePool pool, ServiceTries tries) {
+        boolean again = !tries.once()
+                && tries.count() < MAX_ATTEMPTS
+                && context.quarantine().heldMillis(call::fingerprint).isEmpty()
+                && pool.retries().tryTake();
+        return again ? dispatch(call, tries) : refuse(call.head(), tries.refusal(Reason.TRIES_EXHAUSTED, COME_BACK));
     }
 
     private Promise<HttpResponse> relay(ServiceCall call, HttpResponse response) {
         return response.loadBody(BODY_LIMIT).then(buf -> {
+            context.quarantine().completed(call::fingerprint);
             settled(call.head(), call.customer().name(), new Outcome.Completed(response.getCode()));
             return copy(call, response, buf);
         });
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineFaults.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineFaults.java
@@ -10,9 +10,32 @@
  * @param crossed events say that they belong to another request
  * @param noEnd streams end without the end mark
  * @param refuse new requests are answered with 503
+ * @param crashOn the process ends soon after it begins a request whose body contains this; empty for never
  */
 public record EngineFaults(
-        boolean silent, int cutAfter, boolean duplicate, boolean swap, boolean crossed, boolean noEnd, boolean refuse) {
+        boolean silent,
+        int cutAfter,
+        boolean duplicate,
+        boolean swap,
+        boolean crossed,
+        boolean noEnd,
+        boolean refuse,
+        String crashOn) {
     /** Nothing goes wrong. */
-    public static final EngineFaults NONE = new EngineFaults(false, -1, false, false, false, false, false);
+    public static final EngineFaults NONE = new EngineFaults(false, -1, false, false, false, false, false, "");
+
+    /** A text that is left out is empty. */
+    public EngineFaults {
+        crashOn = crashOn == null ? "" : crashOn;
+    }
+
+    /**
+     * Tells whether a request ends the process.
+     *
+     * @param body the request's body
+     * @return true when the engine is to crash on it
+     */
+    boolean crashesOn(String body) {
+        return !crashOn.isEmpty() && body.contains(crashOn);
+    }
 }
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
@@ -24,6 +24,7 @@
  * event carries a number, and a cut stream can be asked for again from the last number seen.
  */
 public final class EngineServer {
+    private static final long CRASH_AFTER_MILLIS = 60;
     private static final int BODY_LIMIT = 16 << 20;
     private static final int KEPT_RECORDINGS = 512;
     private static final int DEFAULT_TOKENS = 16;
@@ -80,10 +81,15 @@
     private Promise<HttpResponse> complete(HttpRequest request) {
         String id = request.getHeader(HttpHeaders.of("X-Request-Id"));
         return request.loadBody(BODY_LIMIT).then(buf -> {
-            JsonNode body = Json.parse(buf.getString(StandardCharsets.UTF_8)).getOrNull();
+            String text = buf.getString(StandardCharsets.UTF_8);
+            JsonNode body = Json.parse(text).getOrNull();
             if (body == null) {
                 return HttpAnswers.text(400, "text/plain", "no JSON");
             }
+            if (faults.crashesOn(text)) {
+                daemon.timers()
+                        .schedule(CRASH_AFTER_MILLIS, () -> Runtime.getRuntime().halt(1));
+            }
             return start(id == null ? UUID.randomUUID().toString() : id, body);
         });
     }
--- a/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
@@ -20,6 +20,7 @@
 
 /** A stand-in plain service. It counts how often each id was run; that count judges whether anything ran twice. */
 public final class PlainServer {
+    private static final long CRASH_AFTER_MILLIS = 60;
     private static final int BODY_LIMIT = 1 << 20;
     private static final HttpHeader KEY = HttpHeaders.of("Idempotency-Key");
 
@@ -29,8 +30,16 @@
      * @param workMillis how long a call takes, in milliseconds
      * @param silentShare the share of calls that run and are never answered
      * @param refuseShare the share of calls that are refused with 503 before they run
+     * @param crashOn the process ends soon after it begins a call whose path contains this; empty for never
      */
-    public record ServiceFaults(long workMillis, double silentShare, double refuseShare) {}
+    public record ServiceFaults(long workMillis, double silentShare, double refuseShare, String crashOn) {
+        private static final ServiceFaults NONE = new ServiceFaults(0, 0, 0, "");
+
+        /** A text that is left out is empty. */
+        public ServiceFaults {
+            crashOn = crashOn == null ? "" : crashOn;
+        }
+    }
 
     /**
      * What the service counted.
@@ -44,7 +53,7 @@
     private final Daemon daemon;
     private final SplittableRandom random;
     private final Map<String, Integer> runs = new HashMap<>();
-    private ServiceFaults faults = new ServiceFaults(0, 0, 0);
+    private ServiceFaults faults = ServiceFaults.NONE;
     private long calls;
 
     /**
@@ -77,6 +86,11 @@
             return HttpAnswers.text(503, "text/plain", "refused before any work");
         }
         calls++;
+        if (!faults.crashOn().isEmpty() && request.getPath().contains(faults.crashOn())) {
+            daemon.timers()
+                    .schedule(CRASH_AFTER_MILLIS, () -> Runtime.getRuntime().halt(1));
+            return new SettablePromise<>();
+        }
         String id = request.getHeader(KEY);
         if (id != null) {
             runs.merge(id, 1, Integer::sum);
@@ -99,7 +113,7 @@
     private Promise<HttpResponse> fault(HttpRequest request) {
         return request.loadBody(BODY_LIMIT).then(buf -> {
             faults = Json.read(buf.getString(StandardCharsets.UTF_8), ServiceFaults.class)
-                    .getOrElse(new ServiceFaults(0, 0, 0));
+                    .getOrElse(ServiceFaults.NONE);
             return HttpAnswers.text(200, "text/plain", "set");
         });
     }
