Ends at one moment count once against a request; silence counts only where the process has ended

Cause: by reading. A rack that loses its power ends three replicas at once, and a popular page that was under way at all of them would have been held back for ten minutes, unable to clear itself. And a host without power is silent as a whole, so that the end of its entry says nothing of its requests. Ends within 100 ms of one another now count once, and a silent try counts only if the host then refuses connections.

--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -36,6 +36,8 @@
     private static final int LASTING_FROM = 2;
 
     private static final int MAX_DOUBLINGS = 5;
+    /** Ends of replicas with a common cause are noticed within this time of one another. */
+    private static final long ONE_MOMENT_MILLIS = 100;
     /** How long after an end other routers may still tell what else was under way there. */
     private static final long SETTLING_MILLIS = 1_000;
 
@@ -220,10 +222,31 @@
 
     private Map<RequestFingerprint, Set<Integer>> suspects() {
         return requests.entrySet().stream()
-                .filter(e -> e.getValue().size() >= CrashAttribution.BLAMED_FROM)
+                .filter(e -> moments(e.getValue()) >= CrashAttribution.BLAMED_FROM)
                 .collect(Collectors.toMap(Map.Entry::getKey, e -> uncleared(e.getValue())));
     }
 
+    /**
+     * Counts ends at different times. Failure: a rack loses its power, and with it three replicas that were all serving
+     * the same popular page. Symptom: the page is held back. A request that ends replicas does so each time it comes.
+     */
+    private static int moments(Map<Integer, Seen> crashes) {
+        long[] times = crashes.values().stream()
+                .filter(s -> !s.cleared())
+                .mapToLong(Seen::at)
+                .sorted()
+                .toArray();
+        int count = 0;
+        long since = Long.MIN_VALUE / 2;
+        for (long at : times) {
+            if (at - since >= ONE_MOMENT_MILLIS) {
+                since = at;
+                count++;
+            }
+        }
+        return count;
+    }
+
     private static Set<Integer> uncleared(Map<Integer, Seen> crashes) {
         return crashes.entrySet().stream()
                 .filter(c -> !c.getValue().cleared())
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashWitness.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashWitness.java
@@ -16,17 +16,20 @@
  * Finds out which requests were under way at a replica when its process ended.
  *
  * <p>A connection may break though the replica goes on: its answer was bad, or something between has reset it. The
- * replica has ended when it refuses a new connection, or when its registry entry goes soon afterwards. A replica that
- * announced its end is no witness against a request.
+ * process has ended when its host refuses a new connection, or when its registry entry goes soon afterwards. A replica
+ * that announced its end is no witness against a request, and neither is one whose host is silent as a whole: what
+ * became of that host has nothing to do with its requests.
  *
  * <p>Owned by one thread.
  */
 public final class CrashWitness {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** A process that dies may close its connections a moment before its listener. */
-    private static final long SECOND_CHECK_MILLIS = 100;
+    static final long SECOND_CHECK_MILLIS = 50;
     /** A registry drops a silent replica after three heartbeats. */
     private static final long REMEMBERED_MILLIS = 5_000;
+    /** Requests that are given up while their replica is silent ask for one new connection in this time. */
+    private static final long SILENT_CHECK_MILLIS = 1_000;
     /** Replicas with lost requests that are remembered at once; bounds the memory. */
     private static final int MAX_REPLICAS = 512;
     /** Requests that are remembered for one replica; more than its slots and its queue. */
@@ -39,9 +42,10 @@
 
     /** What was lost at one run of a replica. */
     private static final class Loss {
-        private final Set<RequestFingerprint> requests = new HashSet<>();
+        private final Set<RequestFingerprint> broken = new HashSet<>();
+        private final Set<RequestFingerprint> silent = new HashSet<>();
         private long lastAt;
-        private boolean checking;
+        private long silentCheckAt = Long.MIN_VALUE / 2;
         private boolean ended;
     }
 
@@ -68,30 +72,39 @@
         if (replica.entry().draining()) {
             return;
         }
-        Loss loss = note(request, replica);
-        if (!loss.checking && !loss.ended) {
-            loss.checking = true;
-            check(
-                    replica,
-                    loss,
-                    () -> timers.schedule(
-                            SECOND_CHECK_MILLIS, () -> check(replica, loss, () -> loss.checking = false)));
+        Loss loss = loss(replica);
+        if (loss.ended) {
+            onCrash.accept(request, replica);
+        } else if (loss.broken.size() < MAX_REQUESTS) {
+            loss.broken.add(request);
+            check(replica, loss);
+            timers.schedule(SECOND_CHECK_MILLIS, () -> check(replica, loss));
         }
     }
 
     /**
-     * Notes that a request was given up while its replica was silent: whether the replica has ended shows later.
+     * Notes that a request was given up while its replica was silent: the process may have ended unheard.
      *
      * @param request the request
      * @param replica where it was under way
      */
     public void silent(RequestFingerprint request, LiveReplica replica) {
-        if (!replica.entry().draining()) {
-            note(request, replica);
+        if (replica.entry().draining()) {
+            return;
+        }
+        Loss loss = loss(replica);
+        if (loss.ended) {
+            onCrash.accept(request, replica);
+        } else if (loss.silent.size() < MAX_REQUESTS) {
+            loss.silent.add(request);
+            if (loss.lastAt - loss.silentCheckAt >= SILENT_CHECK_MILLIS) {
+                loss.silentCheckAt = loss.lastAt;
+                check(replica, loss);
+            }
         }
     }
 
-    private Loss note(RequestFingerprint request, LiveReplica replica) {
+    private Loss loss(LiveReplica replica) {
         long now = clock.monotonicMillis();
         losses.values().removeIf(l -> now - l.lastAt > REMEMBERED_MILLIS);
         Loss loss = losses.getOrDefault(replica.entry().run(), new Loss());
@@ -99,21 +112,19 @@
             losses.put(replica.entry().run(), loss);
         }
         loss.lastAt = now;
-        if (loss.ended) {
-            onCrash.accept(request, replica);
-        } else if (loss.requests.size() < MAX_REQUESTS) {
-            loss.requests.add(request);
-        }
         return loss;
     }
 
-    private void check(LiveReplica replica, Loss loss, Runnable otherwise) {
+    private void check(LiveReplica replica, Loss loss) {
+        if (loss.ended) {
+            return;
+        }
         replica.connections().refused().whenResult(refused -> {
             if (refused) {
+                loss.broken.addAll(loss.silent);
                 ended(replica, loss, "it refuses connections");
-            } else {
-                otherwise.run();
             }
+            loss.silent.clear();
         });
     }
 
@@ -124,8 +135,7 @@
      */
     public void gone(LiveReplica replica) {
         Loss loss = losses.get(replica.entry().run());
-        boolean lately = loss != null && clock.monotonicMillis() - loss.lastAt <= REMEMBERED_MILLIS;
-        if (lately && !replica.entry().draining()) {
+        if (loss != null && clock.monotonicMillis() - loss.lastAt <= REMEMBERED_MILLIS) {
             ended(replica, loss, "its entry has gone");
         }
     }
@@ -139,9 +149,9 @@
                 .with(Logs.DECISION, "replica ended")
                 .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.REASON, why)
-                .with(Logs.INPUTS, "requestsUnderWay=" + loss.requests)
+                .with(Logs.INPUTS, "requestsUnderWay=" + loss.broken)
                 .log("replica %s ended", replica.entry().id());
-        loss.requests.forEach(r -> onCrash.accept(r, replica));
-        loss.requests.clear();
+        loss.broken.forEach(r -> onCrash.accept(r, replica));
+        loss.broken.clear();
     }
 }
