--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashGossip.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashGossip.java
@@ -2,8 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -42,7 +41,10 @@
     private final Random random;
     private final Audience audience;
     private final BiConsumer<String, byte[]> send;
-    private final Map<RequestFingerprint, Integer> tellings = new HashMap<>();
+    /** How often what is new was told, that which was told last at the end. */
+    private final Map<RequestFingerprint, Integer> fresh = new LinkedHashMap<>();
+
+    private int nextOld;
     private long round;
     private long toldAt = Long.MIN_VALUE / 2;
 
@@ -85,7 +87,7 @@
      * @param request the request
      */
     public void changed(RequestFingerprint request) {
-        tellings.put(request, 0);
+        fresh.put(request, 0);
         nextRound(Math.max(0, toldAt + GAP_MILLIS - clock.monotonicMillis()));
     }
 
@@ -110,24 +112,44 @@
 
     private void tell() {
         toldAt = clock.monotonicMillis();
-        history.sweep();
-        List<CrashReport> reports = history.reports();
-        tellings.keySet().retainAll(reports.stream().map(CrashReport::request).toList());
-        if (reports.isEmpty()) {
+        if (fresh.isEmpty()) {
+            history.sweep();
+        }
+        fresh.keySet().removeIf(r -> !history.knows(r));
+        if (history.isEmpty()) {
             return;
         }
-        List<CrashReport> told = CrashNews.fitting(leastTold(reports), CrashNews.DATAGRAM_BYTES);
-        byte[] datagram = CrashNews.encode(told);
+        byte[] datagram = CrashNews.encode(fresh.isEmpty() ? someOld() : someFresh());
         listeners().forEach(a -> send.accept(a, datagram));
-        told.forEach(r -> tellings.merge(r.request(), 1, Integer::sum));
-        boolean news = tellings.values().stream().anyMatch(t -> t < TELLINGS);
-        nextRound(news ? ROUND_MILLIS : SLOW_ROUND_MILLIS);
+        nextRound(fresh.isEmpty() ? SLOW_ROUND_MILLIS : ROUND_MILLIS);
     }
 
-    private List<CrashReport> leastTold(List<CrashReport> reports) {
-        return reports.stream()
-                .sorted(Comparator.comparingInt(r -> tellings.getOrDefault(r.request(), 0)))
-                .toList();
+    private List<CrashReport> someFresh() {
+        List<CrashReport> reports = CrashNews.fitting(
+                fresh.keySet().stream()
+                        .limit(CrashNews.MOST_REPORTS)
+                        .flatMap(r -> history.report(r).stream())
+                        .toList(),
+                CrashNews.DATAGRAM_BYTES);
+        reports.stream().map(CrashReport::request).forEach(this::told);
+        return reports;
+    }
+
+    /** What was told often enough is no longer new. */
+    private void told(RequestFingerprint request) {
+        int tellings = fresh.remove(request) + 1;
+        if (tellings < TELLINGS) {
+            fresh.put(request, tellings);
+        }
+    }
+
+    /** Each round goes on where the one before ended. */
+    private List<CrashReport> someOld() {
+        List<CrashReport> all = history.reports();
+        int from = nextOld < all.size() ? nextOld : 0;
+        List<CrashReport> reports = CrashNews.fitting(all.subList(from, all.size()), CrashNews.DATAGRAM_BYTES);
+        nextOld = from + reports.size();
+        return reports;
     }
 
     private List<String> listeners() {
--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.core.crash;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -75,6 +76,16 @@
         return requests.isEmpty();
     }
 
+    /**
+     * Tells whether anything is known of a request.
+     *
+     * @param request the request
+     * @return true while an end under it is remembered
+     */
+    public boolean knows(RequestFingerprint request) {
+        return requests.containsKey(request);
+    }
+
     /**
      * Notes that a replica ended while a request was under way there.
      *
@@ -222,6 +233,7 @@
 
     private Map<RequestFingerprint, Set<Integer>> suspects() {
         return requests.entrySet().stream()
+                .filter(e -> e.getValue().size() >= CrashAttribution.BLAMED_FROM)
                 .filter(e -> moments(e.getValue()) >= CrashAttribution.BLAMED_FROM)
                 .collect(Collectors.toMap(Map.Entry::getKey, e -> uncleared(e.getValue())));
     }
@@ -269,7 +281,8 @@
      * @return a report a request, the one that changed last first
      */
     public List<CrashReport> reports() {
-        List<CrashReport> all = requests.keySet().stream().map(this::report).collect(Collectors.toList());
+        List<CrashReport> all = new ArrayList<>(requests.size());
+        requests.forEach((request, crashes) -> all.add(report(request, crashes)));
         Collections.reverse(all);
         return all;
     }
@@ -285,11 +298,21 @@
                 .toList();
     }
 
-    private CrashReport report(RequestFingerprint request) {
+    /**
+     * Tells what is known of one request.
+     *
+     * @param request the request
+     * @return its report, empty when nothing is known of it any more
+     */
+    public Optional<CrashReport> report(RequestFingerprint request) {
+        return Optional.ofNullable(requests.get(request)).map(crashes -> report(request, crashes));
+    }
+
+    private CrashReport report(RequestFingerprint request, Map<Integer, Seen> crashes) {
         long now = clock.monotonicMillis();
         return new CrashReport(
                 request,
-                requests.get(request).entrySet().stream()
+                crashes.entrySet().stream()
                         .map(c -> new CrashReport.Crash(
                                 c.getKey(),
                                 Math.max(0, now - c.getValue().at()),
--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashNews.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashNews.java
@@ -16,6 +16,9 @@
     private static final int HEAD_BYTES = 3;
     private static final int REPORT_BYTES = 9;
     private static final int CRASH_BYTES = 8;
+    /** More reports never fit into one datagram, since each has an end at least. */
+    static final int MOST_REPORTS = DATAGRAM_BYTES / (REPORT_BYTES + CRASH_BYTES);
+
     /** The sign bit of the age says that the request was cleared. */
     private static final int CLEARED = Integer.MIN_VALUE;
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -44,6 +44,9 @@
     /** A view that may be old is renewed by the next waiting read, or by another router. */
     private static final long UNSURE_RETRY_MILLIS = 500;
 
+    /** Callers that are refused together come back over this time at most. */
+    private static final long MAX_SPREAD_MILLIS = 5_000;
+
     /** Another router is ready at once; a moment lets the caller's next answer name it. */
     private static final long ELSEWHERE_RETRY_MILLIS = 20;
 
@@ -253,7 +256,7 @@
     }
 
     void refuseUnrun(CallerRequest request, CallerAnswer answer, String why, long retryAfterMillis) {
-        long spread = retryAfterMillis + random.nextLong(retryAfterMillis + 1);
+        long spread = retryAfterMillis + random.nextLong(Math.min(retryAfterMillis, MAX_SPREAD_MILLIS) + 1);
         Headers headers = Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", spread / 1000.0));
         answer(request, answer, FinalAnswer.NOT_RUN.status(), why, headers);
     }
