Connections that break together are checked together

Cause: by reading. An engine that ends with twenty requests of one router under way was asked for forty new connections, and so was a replica whose connections were only reset; opening connections costs the replica a slot for a moment. Now two a round, and another round only for what broke meanwhile. The refusal of a held request names its content, so that on-call finds the ends in the logs.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -101,7 +101,8 @@
 
     /** Replicas ended under the request. It is answered at once: waiting does not change what it does to a replica. */
     private void holdBack(long millis) {
-        giveUp(forwarding.withoutAnotherTry(), "replicas ended under this request", Optional.empty(), millis);
+        String why = "replicas ended under requests with content " + fingerprint();
+        giveUp(forwarding.withoutAnotherTry(), why, Optional.empty(), millis);
     }
 
     private OptionalLong admission(Target target) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashWitness.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashWitness.java
@@ -46,6 +46,8 @@
         private final Set<RequestFingerprint> silent = new HashSet<>();
         private long lastAt;
         private long silentCheckAt = Long.MIN_VALUE / 2;
+        private boolean checking;
+        private boolean unchecked;
         private boolean ended;
     }
 
@@ -77,11 +79,30 @@
             onCrash.accept(request, replica);
         } else if (loss.broken.size() < MAX_REQUESTS) {
             loss.broken.add(request);
-            check(replica, loss);
-            timers.schedule(SECOND_CHECK_MILLIS, () -> check(replica, loss));
+            loss.unchecked = true;
+            if (!loss.checking) {
+                checkTwice(replica, loss);
+            }
         }
     }
 
+    /** Requests that are lost meanwhile are checked together, when these checks are over. */
+    private void checkTwice(LiveReplica replica, Loss loss) {
+        loss.checking = true;
+        loss.unchecked = false;
+        check(
+                replica,
+                loss,
+                () -> timers.schedule(
+                        SECOND_CHECK_MILLIS,
+                        () -> check(replica, loss, () -> {
+                            loss.checking = false;
+                            if (loss.unchecked) {
+                                checkTwice(replica, loss);
+                            }
+                        })));
+    }
+
     /**
      * Notes that a request was given up while its replica was silent: the process may have ended unheard.
      *
@@ -99,7 +120,7 @@
             loss.silent.add(request);
             if (loss.lastAt - loss.silentCheckAt >= SILENT_CHECK_MILLIS) {
                 loss.silentCheckAt = loss.lastAt;
-                check(replica, loss);
+                check(replica, loss, loss.silent::clear);
             }
         }
     }
@@ -115,16 +136,14 @@
         return loss;
     }
 
-    private void check(LiveReplica replica, Loss loss) {
-        if (loss.ended) {
-            return;
-        }
+    private void check(LiveReplica replica, Loss loss, Runnable otherwise) {
         replica.connections().refused().whenResult(refused -> {
             if (refused) {
                 loss.broken.addAll(loss.silent);
                 ended(replica, loss, "it refuses connections");
+            } else {
+                otherwise.run();
             }
-            loss.silent.clear();
         });
     }
 
