--- a/clients/src/main/java/org/hornbeamhead/clients/HttpKeyValueStore.java
+++ b/clients/src/main/java/org/hornbeamhead/clients/HttpKeyValueStore.java
@@ -23,7 +23,7 @@
     public static final Duration DAEMON_CALL_LIMIT = Duration.ofMillis(500);
     /**
      * Failure: a command's first call loads its classes on a busy host. Symptom: the command fails though the service
-     * has answered, and its operator does not learn which change won. Seen with 18 busy processes on 8 cores.
+     * has answered, and its operator does not learn which change won.
      */
     public static final Duration COMMAND_CALL_LIMIT = Duration.ofSeconds(5);
 
--- a/core/src/main/java/org/hornbeamhead/core/engine/AnswerLanes.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/AnswerLanes.java
@@ -13,11 +13,6 @@
  * Long answers share the first few engines of an order that every router computes alike, as many as their number needs,
  * and long prompts leave those engines time between their readings. No engine is set aside: when either kind needs
  * more, its costs lead it to the others' engines.
- *
- * <p>Played with eight routers that hear of one another after 30 ms, nothing cached before, after a burst of two
- * seconds: long answers on time on six engines 0.66 without a most of lanes and 0.94 with it, on 31 engines with the
- * load of 42 0.50 and 0.93. On a played day of 42 engines, 11 of them lost: of the 3,942 requests of eight seconds
- * after a change of weights 1,421 were on time without it and 1,877 with it.
  */
 final class AnswerLanes {
     /** An event of six tokens may take 500 ms on the sheets; what is read in that time holds it up. */
@@ -27,11 +22,11 @@
     /** With this much more reading every event is late. */
     private static final double HARM_RANGE_MILLIS = 250;
     /**
-     * What one late answer weighs, in milliseconds of the prompt's own wait. From 100 to 1,000 the plays' worth differs
-     * by less than 0.03; less lets prompts in among the answers, more refuses prompts that would have done no harm.
+     * What one late answer weighs, in milliseconds of the prompt's own wait. Less lets prompts in among the answers,
+     * more refuses prompts that would have done no harm.
      */
     private static final double HARMED_ANSWER_MILLIS = 300;
-    /** What an engine beyond the lanes weighs for a long answer, for each place; at 10 or 40 plays are the same. */
+    /** What an engine beyond the lanes weighs for a long answer, for each place. */
     private static final double PLACE_MILLIS = 20;
     /** Long answers for each lane; a step with as many takes a twentieth longer than alone. */
     private static final int LANE_ANSWERS = 12;
@@ -39,13 +34,12 @@
      * Lanes are at most this part of the engines, or those that reading leaves free if these are more. Failure: engines
      * are short, long answers take three times as long, so that three times as many run and share all engines; all
      * engines read long prompts too, and no answer gets on. Symptom: for ten seconds after a change of weights half of
-     * the long answers are late. A lane without long prompts bears 25 new answers a second.
+     * the long answers are late.
      */
     private static final double MOST_LANES_PART = 0.34;
     /**
      * Engines that a long answer may go to at least, so that a burst spreads and lanes that just changed their weights
-     * are not flooded. Under seven changes of weights in 34 s, 94.5% of the requests were served with two engines more
-     * than the lanes, and 96.1% with all eight.
+     * are not flooded.
      */
     private static final int MIN_OPEN = 8;
     /** With more engines, long answers may go to this many times the lanes. */
--- a/core/src/main/java/org/hornbeamhead/core/weights/RolloutPlan.java
+++ b/core/src/main/java/org/hornbeamhead/core/weights/RolloutPlan.java
@@ -28,14 +28,12 @@
      * The part of an engine's memory that may be in use while others stand in for it. Failure: half of six engines that
      * use a third of their memory change at once. Symptom: the others read prompts between the tokens of twice as many
      * answers, and the largest requests are late or given back. Beyond this part an engine has no time to spare,
-     * whatever its memory. Over twelve played days of six engines the worst-served kind of request earned 0.725 of its
-     * worth with 0.6 here and never fewer than two at once, and 0.751 with this and one at once where that is in time.
+     * whatever its memory.
      */
     private static final double BEARABLE_PART = 0.4;
     /**
-     * Beyond this part in use replicas are short before any of them changes. On the same days the mean worth was 0.717
-     * with 0.5 and 0.726 with this, one at a time in either case where none can be spared: answers that run longer
-     * because of the change itself are no shortage.
+     * Beyond this part in use replicas are short before any of them changes. Answers that run longer because of the
+     * change itself are no shortage.
      */
     private static final double SHORT_PART = 0.65;
     /** However idle the replicas are, this part of them goes on serving: a crash beside a change must not stop all. */
@@ -43,7 +41,7 @@
     /**
      * This part of the replicas changes at once however loaded they are. Failure: 42 busy engines change two at a time,
      * each waits seconds for its runs to end, and the bound on replaced weights comes first. Symptom: for two seconds
-     * nearly all requests are given back. On the sheets loads slow one another beyond 2 of 6 to 8 engines and 12 of 42.
+     * nearly all requests are given back.
      */
     private static final double ANYWAY_PART = 0.29;
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/EarlyRequests.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/EarlyRequests.java
@@ -14,10 +14,7 @@
  * waits for the configuration for a part of the time in which an answer would still be on time, then it is given back.
  */
 final class EarlyRequests {
-    /**
-     * Eight routers that started together on 0.75 of a core had the configuration 0.2 to 0.5 s after they listened; the
-     * shortest target of the sheets for a first event is 500 ms.
-     */
+    /** Shorter than the usual target of a first event, so that an answer can still be on time. */
     static final long HOLD_MILLIS = 400;
     /** Bounds the memory: at 64 KB a body this is 16 MB at most. */
     static final int MAX_HELD = 256;
