--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -180,13 +180,13 @@
         }
     }
 
-    private static long heldMillis(int crashes) {
+    private static long holdMillis(int crashes) {
         return HELD_MILLIS << Math.min(MAX_DOUBLINGS, Math.max(0, crashes - CrashAttribution.BLAMED_FROM));
     }
 
     /** Long enough that a request that ends a replica after it was held back is known again. */
     private static long keptMillis(int crashes) {
-        return 2 * heldMillis(crashes);
+        return 2 * holdMillis(crashes);
     }
 
     /**
@@ -207,7 +207,7 @@
                 .max()
                 .orElse(0);
         long age = clock.monotonicMillis() - last;
-        long left = heldMillis(crashes.size()) - age;
+        long left = holdMillis(crashes.size()) - age;
         if (left <= 0) {
             return OptionalLong.empty();
         }
