Ends of runs that follow one another count each, however close they lie

With ordinary requests it would be two to four more replicas lost to a request that ends them quickly.

Cause: ends of replicas that are noticed within 100 ms of one another count once, so that the loss of a rack does not blame a popular page. A request that ends its replica within 60 ms and is sent on at once ends two replicas within that time too. Log of a failing run: r2, r3 (65 ms later), r4, r5 had ended, known to all routers, and the next arrival was sent to r6 and r7, since four ends counted for two moments.

Ruled out: the store's key read too late (the later router held the request back in runs where the first routers had counted three moments), and crash reports that did not arrive (the log shows them).

Change: an end is told with the time that the request had been at the replica. A run that was sent after another's end cannot have ended by the same cause, so it counts for itself; runs shorter than 20 ms do not, since a kept connection to a process that is gone breaks that soon. LostRun carries the times on the paths of both routers; a report takes two bytes more an end.

New tests in CrashHistoryTest: endsOfRunsThatFollowOneAnotherCountEach and endsOfRunsThatFollowOneAnotherCountAtOtherRoutersToo fail without the rule (shown by setting the least run to hours), connectionsThatBreakAtOnceCount AsOneMoment guards the other side; endsAtOneMomentCountOnce stays, its runs now of differing lengths.

--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -39,6 +40,10 @@
     private static final int MAX_DOUBLINGS = 5;
     /** Ends of replicas with a common cause are noticed within this time of one another. */
     private static final long ONE_MOMENT_MILLIS = 100;
+    /** A kept connection to a process that is gone breaks sooner than this, so that nothing ran there. */
+    private static final long LEAST_RUN_MILLIS = 20;
+    /** How much later an end may seem to a router that heard of it than to the one that saw it. */
+    private static final long HEARD_LATER_MILLIS = 10;
     /** How long after an end other routers may still tell what else was under way there. */
     private static final long SETTLING_MILLIS = 1_000;
 
@@ -47,7 +52,26 @@
     private Consumer<RequestFingerprint> listener = r -> {};
     private Optional<Set<RequestFingerprint>> blamed = Optional.empty();
 
-    private record Seen(long at, boolean cleared) {}
+    private record Seen(long at, long ranMillis, boolean cleared) {
+        private static Seen of(CrashReport.Crash crash, long now) {
+            return new Seen(now - crash.ageMillis(), crash.ranMillis(), crash.cleared());
+        }
+
+        private Seen clear() {
+            return new Seen(at, ranMillis, true);
+        }
+
+        /** Whether what ended others until a moment cannot have ended this one too. */
+        private boolean isApartFrom(long moment) {
+            boolean sentLater = at - ranMillis >= moment - HEARD_LATER_MILLIS && ranMillis >= LEAST_RUN_MILLIS;
+            return sentLater || at - moment >= ONE_MOMENT_MILLIS;
+        }
+
+        private CrashReport.Crash report(int replica, long now) {
+            long ran = Math.min(Integer.MAX_VALUE, ranMillis);
+            return new CrashReport.Crash(replica, Math.max(0, now - at), (int) ran, cleared);
+        }
+    }
 
     /**
      * Makes a history without any end.
@@ -89,12 +113,12 @@
     /**
      * Notes that a replica ended while a request was under way there.
      *
-     * @param request the request
+     * @param run the run of the request
      * @param replica a hash that names the run of the replica
      */
-    public void crashed(RequestFingerprint request, int replica) {
-        if (add(request, replica, new Seen(clock.monotonicMillis(), false))) {
-            changed(request);
+    public void crashed(LostRun run, int replica) {
+        if (add(run.request(), replica, new Seen(run.lostAt(), run.millis(), false))) {
+            changed(run.request());
         }
     }
 
@@ -106,7 +130,7 @@
     public void completed(RequestFingerprint request) {
         Map<Integer, Seen> crashes = requests.getOrDefault(request, Map.of());
         if (crashes.values().stream().anyMatch(s -> !s.cleared())) {
-            crashes.replaceAll((replica, seen) -> new Seen(seen.at(), true));
+            crashes.replaceAll((replica, seen) -> seen.clear());
             changed(request);
         }
     }
@@ -132,7 +156,7 @@
         long kept = keptMillis(report.crashes().size());
         long news = report.crashes().stream()
                 .filter(c -> c.ageMillis() < kept)
-                .filter(c -> add(report.request(), c.replica(), new Seen(now - c.ageMillis(), c.cleared())))
+                .filter(c -> add(report.request(), c.replica(), Seen.of(c, now)))
                 .count();
         if (news > 0) {
             changed(report.request());
@@ -145,7 +169,7 @@
         if (before == null ? known.size() >= MAX_CRASHES : before.cleared() || !seen.cleared()) {
             return false;
         }
-        known.put(replica, before == null ? seen : new Seen(before.at(), true));
+        known.put(replica, before == null ? seen : before.clear());
         return true;
     }
 
@@ -243,16 +267,15 @@
      * the same popular page. Symptom: the page is held back. A request that ends replicas does so each time it comes.
      */
     private static int moments(Map<Integer, Seen> crashes) {
-        long[] times = crashes.values().stream()
+        List<Seen> inOrder = crashes.values().stream()
                 .filter(s -> !s.cleared())
-                .mapToLong(Seen::at)
-                .sorted()
-                .toArray();
+                .sorted(Comparator.comparingLong(Seen::at))
+                .toList();
         int count = 0;
-        long since = Long.MIN_VALUE / 2;
-        for (long at : times) {
-            if (at - since >= ONE_MOMENT_MILLIS) {
-                since = at;
+        long moment = Long.MIN_VALUE / 2;
+        for (Seen seen : inOrder) {
+            if (seen.isApartFrom(moment)) {
+                moment = seen.at();
                 count++;
             }
         }
@@ -313,10 +336,7 @@
         return new CrashReport(
                 request,
                 crashes.entrySet().stream()
-                        .map(c -> new CrashReport.Crash(
-                                c.getKey(),
-                                Math.max(0, now - c.getValue().at()),
-                                c.getValue().cleared()))
+                        .map(c -> c.getValue().report(c.getKey(), now))
                         .toList());
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashNews.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashNews.java
@@ -15,13 +15,15 @@
 
     private static final int HEAD_BYTES = 3;
     private static final int REPORT_BYTES = 9;
-    private static final int CRASH_BYTES = 8;
+    private static final int CRASH_BYTES = 10;
     /** More reports never fit into one datagram, since each has an end at least. */
     static final int MOST_REPORTS = DATAGRAM_BYTES / (REPORT_BYTES + CRASH_BYTES);
 
     /** The sign bit of the age says that the request was cleared. */
     private static final int CLEARED = Integer.MIN_VALUE;
 
+    private static final int MOST_RAN_MILLIS = 0xffff;
+
     private CrashNews() {}
 
     /**
@@ -66,7 +68,7 @@
         out.put(FORMAT).putShort((short) reports.size());
         reports.forEach(r -> {
             out.putLong(r.request().value()).put((byte) r.crashes().size());
-            r.crashes().forEach(c -> out.putInt(c.replica()).putInt(age(c)));
+            r.crashes().forEach(c -> out.putInt(c.replica()).putInt(age(c)).putShort(ran(c)));
         });
         return out.array();
     }
@@ -76,6 +78,10 @@
         return crash.cleared() ? age | CLEARED : age;
     }
 
+    private static short ran(CrashReport.Crash crash) {
+        return (short) Math.min(MOST_RAN_MILLIS, crash.ranMillis());
+    }
+
     /**
      * Reads reports.
      *
@@ -106,7 +112,8 @@
         for (int i = 0; i < count; i++) {
             int replica = in.getInt();
             int age = in.getInt();
-            crashes.add(new CrashReport.Crash(replica, age & ~CLEARED, (age & CLEARED) != 0));
+            int ran = in.getShort() & MOST_RAN_MILLIS;
+            crashes.add(new CrashReport.Crash(replica, age & ~CLEARED, ran, (age & CLEARED) != 0));
         }
         return new CrashReport(request, crashes);
     }
--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashReport.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashReport.java
@@ -14,9 +14,14 @@
      *
      * @param replica a hash that names the run of the replica
      * @param ageMillis how long ago it ended, in milliseconds
+     * @param ranMillis how long the request had been there by then, in milliseconds
      * @param cleared whether the request has since run to its end elsewhere, so that it was not the cause
      */
-    public record Crash(int replica, long ageMillis, boolean cleared) {}
+    public record Crash(int replica, long ageMillis, int ranMillis, boolean cleared) {
+        Crash older(long millis) {
+            return new Crash(replica, ageMillis + millis, ranMillis, cleared);
+        }
+    }
 
     /** Copies the crashes, so that the report cannot change. */
     public CrashReport {
@@ -31,9 +36,6 @@
      */
     public CrashReport older(long millis) {
         return new CrashReport(
-                request,
-                crashes.stream()
-                        .map(c -> new Crash(c.replica(), c.ageMillis() + millis, c.cleared()))
-                        .toList());
+                request, crashes.stream().map(c -> c.older(millis)).toList());
     }
 }
--- a/core/src/test/java/org/hornbeamhead/core/crash/CrashGossipTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/CrashGossipTest.java
@@ -80,7 +80,8 @@
     private static void crashesSeenBy(GossipingRouters routers, String... names) {
         IntStream.range(0, names.length).forEach(i -> {
             routers.timers.advance(CRASH_EVERY_MILLIS);
-            routers.histories.get(names[i]).crashed(REQUEST, i);
+            long now = routers.clock.monotonicMillis();
+            routers.histories.get(names[i]).crashed(new LostRun(REQUEST, now, now), i);
         });
     }
 }
--- a/core/src/test/java/org/hornbeamhead/core/crash/CrashHistoryTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/CrashHistoryTest.java
@@ -130,9 +130,9 @@
     @Test
     public void forgetsAndIsBounded() {
         crashed(A, 1, 2, 3);
-        LongStream.range(100, 20_000).forEach(i -> history.crashed(new RequestFingerprint(i), 4));
+        LongStream.range(100, 20_000).forEach(i -> history.crashed(run(new RequestFingerprint(i), 0), 4));
         assertTrue(history.reports().size() <= 4_096);
-        IntStream.range(1_000, 2_000).forEach(i -> history.crashed(B, i));
+        IntStream.range(1_000, 2_000).forEach(i -> history.crashed(run(B, 0), i));
         assertTrue(history.reports().stream().allMatch(r -> r.crashes().size() <= 32));
         assertTrue(history.heldMillis(A).isPresent());
         clock.advance(24 * 60 * MINUTE);
@@ -145,10 +145,10 @@
     public void whatRoutersTellIsJoinedInAnyOrder() {
         CrashHistory other = new CrashHistory(clock);
         crashed(A, 1, 2);
-        other.crashed(A, 2);
+        other.crashed(run(A, 0), 2);
         clock.advance(150);
-        other.crashed(A, 3);
-        other.crashed(B, 3);
+        other.crashed(run(A, 0), 3);
+        other.crashed(run(B, 0), 3);
         other.completed(B);
         for (int i = 0; i < 2; i++) {
             List<CrashReport> told = history.reports();
@@ -181,7 +181,7 @@
     /** Guards against holding back a popular page that was under way at all replicas of a rack that lost its power. */
     @Test
     public void endsAtOneMomentCountOnce() {
-        IntStream.range(0, 20).forEach(r -> history.crashed(A, r));
+        IntStream.range(0, 20).forEach(r -> history.crashed(run(A, 50L * r), r));
         assertFalse(history.heldMillis(A).isPresent());
         crashed(A, 21);
         assertFalse(history.heldMillis(A).isPresent());
@@ -189,10 +189,46 @@
         assertTrue(history.heldMillis(A).isPresent());
     }
 
+    /** Guards against missing a request that is sent to the next replica at once, and ends each within an instant. */
+    @Test
+    public void endsOfRunsThatFollowOneAnotherCountEach() {
+        IntStream.range(0, 3).forEach(r -> {
+            assertFalse(history.heldMillis(A).isPresent());
+            clock.advance(60);
+            history.crashed(run(A, 60), r);
+        });
+        assertTrue(history.heldMillis(A).isPresent());
+    }
+
+    /** Guards against counting fewer ends at routers that only heard of them, each a little later or earlier. */
+    @Test
+    public void endsOfRunsThatFollowOneAnotherCountAtOtherRoutersToo() {
+        IntStream.of(68, 52, 64).forEach(heardAfter -> {
+            clock.advance(heardAfter);
+            history.merge(new CrashReport(A, List.of(new CrashReport.Crash(heardAfter, 0, 60, false))));
+        });
+        assertTrue(history.heldMillis(A).isPresent());
+    }
+
+    /** Guards against blaming a request that was sent over connections whose replicas were gone already. */
+    @Test
+    public void connectionsThatBreakAtOnceCountAsOneMoment() {
+        IntStream.range(0, 12).forEach(r -> {
+            clock.advance(5);
+            history.crashed(run(A, 5), r);
+        });
+        assertFalse(history.heldMillis(A).isPresent());
+    }
+
     private void crashed(RequestFingerprint request, int... replicas) {
         Arrays.stream(replicas).forEach(r -> {
             clock.advance(150);
-            history.crashed(request, r);
+            history.crashed(run(request, 0), r);
         });
     }
+
+    private LostRun run(RequestFingerprint request, long millis) {
+        long now = clock.monotonicMillis();
+        return new LostRun(request, now - millis, now);
+    }
 }
--- a/core/src/test/java/org/hornbeamhead/core/crash/CrashNewsTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/CrashNewsTest.java
@@ -13,7 +13,7 @@
 public class CrashNewsTest {
     private static final CrashReport REPORT = new CrashReport(
             new RequestFingerprint(-7),
-            List.of(new CrashReport.Crash(-1, 0, false), new CrashReport.Crash(5, 7_200_000, true)));
+            List.of(new CrashReport.Crash(-1, 0, 65_535, false), new CrashReport.Crash(5, 7_200_000, 3, true)));
 
     @Test
     public void whatIsWrittenIsRead() {
--- a/core/src/test/java/org/hornbeamhead/core/crash/CrashPlay.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/CrashPlay.java
@@ -42,6 +42,7 @@
         private final String router;
         private final boolean ends;
         private int tries;
+        private long sentAt;
 
         Call(RequestFingerprint request, String router, boolean ends) {
             this.request = request;
@@ -88,6 +89,7 @@
         }
         Replica replica = free.get(random.nextInt(free.size()));
         call.tries++;
+        call.sentAt = now();
         replica.calls.add(call);
         if (call.ends) {
             sends.computeIfAbsent(call.request, r -> new ArrayList<>()).add(now());
@@ -111,7 +113,7 @@
         List<Call> lost = List.copyOf(replica.calls);
         replica.calls.clear();
         lost.forEach(call -> routers.timers.schedule(NOTICED_MILLIS + random.nextInt(10), () -> {
-            routers.histories.get(call.router).crashed(call.request, run);
+            routers.histories.get(call.router).crashed(new LostRun(call.request, call.sentAt, now()), run);
             if (call.tries < TRIES) {
                 send(call);
             }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -41,6 +41,7 @@
     private BufferedAnswer buffered;
     private boolean streaming;
     private boolean sent;
+    private long sentAt;
     private boolean over;
     private long lastHeardAt;
 
@@ -60,6 +61,11 @@
         return sent;
     }
 
+    /** When it was sent, if it was, in milliseconds of the monotonic clock. */
+    long sentAt() {
+        return sentAt;
+    }
+
     /** Tells whether the replica has the request and has said nothing for a while. */
     boolean isSilent() {
         return sent && !over && now() - lastHeardAt > SILENT_MILLIS;
@@ -99,7 +105,8 @@
     private void send(ReplicaConnection taken) {
         connection = taken;
         sent = true;
-        lastHeardAt = now();
+        sentAt = now();
+        lastHeardAt = sentAt;
         SendOrder order = exchange.orderFor(target);
         request.logSent(order);
         armSilence(request.patience().firstByteMillis());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.hornbeamhead.core.crash.LostRun;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.forward.AttemptEnd;
@@ -134,6 +135,7 @@
      */
     void attemptEnded(AttemptEnd end, String why, Optional<BufferedAnswer> failure) {
         LiveReplica replica = attempt.target().replica();
+        long sentAt = attempt.sentAt();
         attempt = null;
         if (over) {
             return;
@@ -142,7 +144,7 @@
                 timeLeft() >= MIN_TIME_LEFT_MILLIS,
                 dispatcher.picker().anyLeft(subject.service(), tried),
                 () -> dispatcher.takeRepeat(subject.service().name()));
-        witness(end, replica);
+        witness(end, replica, sentAt);
         NextStep step = forwarding.after(end, means);
         dispatcher.metrics().count("hornbeam_attempts_failed", "end", end.name());
         logger.atInfo()
@@ -159,14 +161,18 @@
         }
     }
 
-    private void witness(AttemptEnd end, LiveReplica replica) {
+    private void witness(AttemptEnd end, LiveReplica replica, long sentAt) {
         if (end == AttemptEnd.BROKEN) {
-            dispatcher.quarantine().broken(fingerprint(), replica);
+            dispatcher.quarantine().broken(lostRun(sentAt), replica);
         } else if (end == AttemptEnd.SILENT) {
-            dispatcher.quarantine().silent(fingerprint(), replica);
+            dispatcher.quarantine().silent(lostRun(sentAt), replica);
         }
     }
 
+    private LostRun lostRun(long sentAt) {
+        return new LostRun(fingerprint(), sentAt, dispatcher.clock().monotonicMillis());
+    }
+
     private String inputs(AttemptEnd end) {
         String content = end.mayHaveRun() ? " content=" + fingerprint() : "";
         return "millisLeft=" + timeLeft() + " tried=" + tried.size() + content;
@@ -219,7 +225,9 @@
     private void stopAttempt() {
         if (attempt != null) {
             if (attempt.isSilent()) {
-                dispatcher.quarantine().silent(fingerprint(), attempt.target().replica());
+                dispatcher
+                        .quarantine()
+                        .silent(lostRun(attempt.sentAt()), attempt.target().replica());
             }
             attempt.abandon();
             attempt = null;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashWitness.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashWitness.java
@@ -2,10 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
+import org.hornbeamhead.core.crash.LostRun;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
@@ -37,13 +36,13 @@
 
     private final Clock clock;
     private final Timers timers;
-    private final BiConsumer<RequestFingerprint, LiveReplica> onCrash;
+    private final BiConsumer<LostRun, LiveReplica> onCrash;
     private final Map<String, Loss> losses = new HashMap<>();
 
     /** What was lost at one run of a replica. */
     private static final class Loss {
-        private final Set<RequestFingerprint> broken = new HashSet<>();
-        private final Set<RequestFingerprint> silent = new HashSet<>();
+        private final Map<RequestFingerprint, LostRun> broken = new HashMap<>();
+        private final Map<RequestFingerprint, LostRun> silent = new HashMap<>();
         private long lastAt;
         private long silentCheckAt = Long.MIN_VALUE / 2;
         private boolean checking;
@@ -56,9 +55,9 @@
      *
      * @param clock the clock
      * @param timers the thread's timers
-     * @param onCrash takes each request that was under way at a replica that ended, and the replica
+     * @param onCrash takes each run that was under way at a replica that ended, and the replica
      */
-    public CrashWitness(Clock clock, Timers timers, BiConsumer<RequestFingerprint, LiveReplica> onCrash) {
+    public CrashWitness(Clock clock, Timers timers, BiConsumer<LostRun, LiveReplica> onCrash) {
         this.clock = clock;
         this.timers = timers;
         this.onCrash = onCrash;
@@ -67,18 +66,18 @@
     /**
      * Notes that the connection of a request broke.
      *
-     * @param request the request
+     * @param run the run of the request
      * @param replica where it was under way
      */
-    public void broken(RequestFingerprint request, LiveReplica replica) {
+    public void broken(LostRun run, LiveReplica replica) {
         if (replica.entry().draining()) {
             return;
         }
         Loss loss = loss(replica);
         if (loss.ended) {
-            onCrash.accept(request, replica);
+            onCrash.accept(run, replica);
         } else if (loss.broken.size() < MAX_REQUESTS) {
-            loss.broken.add(request);
+            loss.broken.putIfAbsent(run.request(), run);
             loss.unchecked = true;
             if (!loss.checking) {
                 checkTwice(replica, loss);
@@ -106,18 +105,18 @@
     /**
      * Notes that a request was given up while its replica was silent: the process may have ended unheard.
      *
-     * @param request the request
+     * @param run the run of the request
      * @param replica where it was under way
      */
-    public void silent(RequestFingerprint request, LiveReplica replica) {
+    public void silent(LostRun run, LiveReplica replica) {
         if (replica.entry().draining()) {
             return;
         }
         Loss loss = loss(replica);
         if (loss.ended) {
-            onCrash.accept(request, replica);
+            onCrash.accept(run, replica);
         } else if (loss.silent.size() < MAX_REQUESTS) {
-            loss.silent.add(request);
+            loss.silent.putIfAbsent(run.request(), run);
             if (loss.lastAt - loss.silentCheckAt >= SILENT_CHECK_MILLIS) {
                 loss.silentCheckAt = loss.lastAt;
                 check(replica, loss, loss.silent::clear);
@@ -139,7 +138,7 @@
     private void check(LiveReplica replica, Loss loss, Runnable otherwise) {
         replica.connections().refused().whenResult(refused -> {
             if (refused) {
-                loss.broken.addAll(loss.silent);
+                loss.silent.forEach(loss.broken::putIfAbsent);
                 ended(replica, loss, "it refuses connections");
             } else {
                 otherwise.run();
@@ -168,9 +167,9 @@
                 .with(Logs.DECISION, "replica ended")
                 .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.REASON, why)
-                .with(Logs.INPUTS, "requestsUnderWay=" + loss.broken)
+                .with(Logs.INPUTS, "requestsUnderWay=" + loss.broken.keySet())
                 .log("replica %s ended", replica.entry().id());
-        loss.broken.forEach(r -> onCrash.accept(r, replica));
+        loss.broken.values().forEach(r -> onCrash.accept(r, replica));
         loss.broken.clear();
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
@@ -9,6 +9,7 @@
 import org.hornbeamhead.core.crash.CrashArchive;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.crash.CrashHistory;
+import org.hornbeamhead.core.crash.LostRun;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.time.Clock;
@@ -77,9 +78,9 @@
         parts.metrics().gauge("hornbeam_requests_held_back", history::held);
     }
 
-    private void crashed(RequestFingerprint request, LiveReplica replica) {
+    private void crashed(LostRun run, LiveReplica replica) {
         parts.metrics().count("hornbeam_requests_at_crash");
-        history.crashed(request, replica.hash());
+        history.crashed(run, replica.hash());
         archive.crashSeen();
     }
 
@@ -137,20 +138,20 @@
     /**
      * Notes that the connection of a request broke.
      *
-     * @param request the request
+     * @param run the run of the request
      * @param replica where it was under way
      */
-    public void broken(RequestFingerprint request, LiveReplica replica) {
-        witness.broken(request, replica);
+    public void broken(LostRun run, LiveReplica replica) {
+        witness.broken(run, replica);
     }
 
     /**
      * Notes that a request was given up while its replica was silent.
      *
-     * @param request the request
+     * @param run the run of the request
      * @param replica where it was under way
      */
-    public void silent(RequestFingerprint request, LiveReplica replica) {
-        witness.silent(request, replica);
+    public void silent(LostRun run, LiveReplica replica) {
+        witness.silent(run, replica);
     }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashWitnessTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashWitnessTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.hornbeamhead.core.crash.LostRun;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.replica.ReplicaEntry;
 import org.hornbeamhead.core.time.ManualClock;
@@ -21,7 +22,7 @@
 
 /** Which lost requests count as under way at a replica that ended. */
 public class CrashWitnessTest {
-    private static final RequestFingerprint REQUEST = new RequestFingerprint(1);
+    private static final LostRun RUN = new LostRun(new RequestFingerprint(1), 0, 60);
     private static final String REPLICA = "r";
     private static final int CHECK_ROUNDS = 6;
 
@@ -35,7 +36,7 @@
     private ReplicaRegistry registry;
     private ServerSocket server;
     private CrashWitness witness;
-    private List<RequestFingerprint> reported;
+    private List<LostRun> reported;
 
     /** Starts a replica that listens. */
     @BeforeMethod
@@ -44,7 +45,7 @@
         registry = new ReplicaRegistry(reactor, clock);
         server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         reported = new ArrayList<>();
-        witness = new CrashWitness(clock, this::checkLater, (request, replica) -> reported.add(request));
+        witness = new CrashWitness(clock, this::checkLater, (run, replica) -> reported.add(run));
         registry.onGone(witness::gone);
         list(false);
     }
@@ -103,9 +104,9 @@
 
     private void lose(Lost loss, LiveReplica replica) {
         if (loss == Lost.BROKEN) {
-            witness.broken(REQUEST, replica);
+            witness.broken(RUN, replica);
         } else {
-            witness.silent(REQUEST, replica);
+            witness.silent(RUN, replica);
         }
     }
 
@@ -114,9 +115,9 @@
     public void laterLossesAtTheSameEndCountToo() throws IOException {
         LiveReplica replica = replica();
         server.close();
-        reactor.execute(() -> witness.broken(REQUEST, replica));
+        reactor.execute(() -> witness.broken(RUN, replica));
         runChecks();
-        witness.broken(new RequestFingerprint(2), replica);
+        witness.broken(new LostRun(new RequestFingerprint(2), 0, 60), replica);
         assertEquals(reported.size(), 2);
     }
 
--- a/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
@@ -49,6 +49,7 @@
     private EngineAttempt attempt;
     private PlacementChoice choice;
     private long dispatchedMillis;
+    private long lostMillis;
     private int attempts;
     private int resumes;
     private int givenTokens;
@@ -173,11 +174,13 @@
         if (resumable) {
             resumes++;
             sent = true;
+            lostMillis = context.clock().monotonicMillis();
             return attempt.resume(RESUME_LIMIT).then(v -> Promise.complete(), this::recover);
         }
         if (resumes > 0 && failed.failure() == AttemptFailure.NOT_SENT) {
             // The engine had the request, and now refuses connections: its process has ended.
-            context.quarantine().crashed(request.fingerprint(), choice.replica().address());
+            context.quarantine()
+                    .crashed(request.fingerprint(), choice.replica().address(), dispatchedMillis, lostMillis);
         }
         return elsewhere(failed);
     }
--- a/router/src/main/java/org/hornbeamhead/router/Quarantine.java
+++ b/router/src/main/java/org/hornbeamhead/router/Quarantine.java
@@ -11,6 +11,7 @@
 import org.hornbeamhead.core.crash.CrashArchive;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.crash.CrashHistory;
+import org.hornbeamhead.core.crash.LostRun;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.store.KeyValueStore;
 import org.hornbeamhead.core.store.StoreReply;
@@ -77,15 +78,16 @@
         history.completed(request);
     }
 
-    /** A replica ended while the request was under way there. */
-    void crashed(RequestFingerprint request, String address) {
+    /** A replica ended while the request was under way there. Times are in milliseconds of the monotonic clock. */
+    void crashed(RequestFingerprint request, String address, long sentAt, long lostAt) {
         logger.atInfo()
                 .with(Logs.DECISION, "replica ended")
                 .with(Logs.REPLICA, address)
                 .with(Logs.INPUTS, "content=" + request)
                 .log("replica %s ended", address);
         metrics.count("hornbeam_requests_at_crash");
-        history.crashed(request, (address + '@' + clock.wallMillis() / ONE_END_MILLIS).hashCode());
+        LostRun run = new LostRun(request, sentAt, lostAt);
+        history.crashed(run, (address + '@' + clock.wallMillis() / ONE_END_MILLIS).hashCode());
         archive.crashSeen();
     }
 
--- a/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
@@ -171,6 +171,7 @@
             Reason reason = tries.addresses().isEmpty() ? Reason.NO_REPLICA : Reason.TRIES_EXHAUSTED;
             return refuse(call.head(), tries.refusal(reason, COME_BACK));
         }
+        long sentAt = context.clock().monotonicMillis();
         HttpCaller caller = tries.once()
                 ? context.connections().fresh()
                 : context.connections().kept(address.get());
@@ -182,11 +183,11 @@
                             pool.ended(address.get(), true);
                             return Promise.of(response);
                         },
-                        e -> failed(call, pool, address.get(), tries, e));
+                        e -> failed(call, pool, address.get(), tries, sentAt, e));
     }
 
     private Promise<HttpResponse> failed(
-            ServiceCall call, ServicePool pool, String address, ServiceTries tries, Exception e) {
+            ServiceCall call, ServicePool pool, String address, ServiceTries tries, long sentAt, Exception e) {
         if (e instanceof ConnectException && (tries.once() || tries.count() + 1 < MAX_ATTEMPTS)) {
             // No connection was opened, so nothing was sent: the claim still stands, and another replica may run it.
             pool.unreachable(address);
@@ -197,9 +198,10 @@
         if (e instanceof ConnectException) {
             return next(call, pool, tries.unsent(address));
         }
+        long lostAt = context.clock().monotonicMillis();
         return context.connections().refused(address).then(ended -> {
             if (ended) {
-                context.quarantine().crashed(call.fingerprint(), address);
+                context.quarantine().crashed(call.fingerprint(), address, sentAt, lostAt);
             }
             return next(call, pool, tries.lost(address));
         });
