The soak plays requests that end each replica that runs them

Change: some callers send one request each under new ids at any router; a replica that runs it ends after 60 ms with its connections, refuses new ones, and another comes in its place after 3 s.

PromisesTest has the broken and the kept histories of the new promise.

--- a/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
@@ -1,10 +1,13 @@
 package org.hornbeamhead.soak;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.hornbeamhead.platform.StandinDocuments;
@@ -13,15 +16,19 @@
 import org.hornbeamhead.soak.history.History;
 import org.hornbeamhead.soak.history.History.Acknowledged;
 import org.hornbeamhead.soak.history.History.Change;
+import org.hornbeamhead.soak.history.History.Disturbed;
 
 /** The systems of a run: the store, replicas, routers, and what operators change. */
 final class SoakFleet implements AutoCloseable {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** The customer who shares no cached part. */
     static final String ISOLATED = "alone";
 
     private static final List<String> PLAIN_SERVICES = List.of("plain", "plain2", "plain3");
     private static final String ENGINES = "lm";
     private static final long HEARTBEAT_MILLIS = 700;
+    /** A replica that has ended is back after this time. */
+    private static final long BACK_MILLIS = 3_000;
 
     private final History history;
     private final Stopwatch clock;
@@ -37,6 +44,7 @@
     private long version;
     private long weights = 1;
     private int moves;
+    private boolean closed;
 
     SoakFleet(SoakSettings settings, History history, Stopwatch clock, Path directory) throws IOException {
         this.history = history;
@@ -76,7 +84,8 @@
 
     private SoakReplica add(String service, long seed) throws IOException {
         String id = "replica" + nextReplica.incrementAndGet();
-        SoakReplica r = new SoakReplica(id, service, service.equals(ENGINES) ? weights : 0, history, clock, seed);
+        SoakReplica r =
+                new SoakReplica(id, service, service.equals(ENGINES) ? weights : 0, history, clock, seed, this::ended);
         replicas.add(r);
         list(r, "ready");
         return r;
@@ -142,6 +151,39 @@
         store.remove(StandinDocuments.replicaKey(leaving.id()));
     }
 
+    /** A replica's process ends unannounced, and another one starts in its place some seconds later. */
+    private void ended(SoakReplica crashed) {
+        synchronized (this) {
+            if (!replicas.remove(crashed)) {
+                return;
+            }
+        }
+        long from = clock.millis();
+        history.add(new Disturbed("REPLICA_ENDED", crashed.id(), false, from, from + BACK_MILLIS));
+        CompletableFuture.delayedExecutor(BACK_MILLIS, TimeUnit.MILLISECONDS).execute(() -> comeBack(crashed));
+        close(crashed);
+    }
+
+    private synchronized void comeBack(SoakReplica crashed) {
+        if (closed) {
+            return;
+        }
+        store.remove(StandinDocuments.replicaKey(crashed.id()));
+        try {
+            add(crashed.service(), clock.millis());
+        } catch (IOException e) {
+            logger.atWarning().withCause(e).log("no replica came in the place of %s", crashed.id());
+        }
+    }
+
+    private static void close(SoakReplica r) {
+        try {
+            r.close();
+        } catch (IOException e) {
+            logger.atWarning().withCause(e).log("%s could not be closed", r.id());
+        }
+    }
+
     /** Where the routers' logs are. */
     Path directory() {
         return directory;
@@ -170,6 +212,9 @@
 
     @Override
     public void close() throws IOException {
+        synchronized (this) {
+            closed = true;
+        }
         for (RouterHandle r : routers) {
             try {
                 r.kill();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.hornbeamhead.platform.StandinEngine;
 import org.hornbeamhead.platform.StandinLink;
 import org.hornbeamhead.platform.StandinReplica;
@@ -14,6 +15,8 @@
     private static final int MAX_WORK_MILLIS = 30;
 
     private static final int EVENT_MILLIS = 5;
+    /** How long it works on a request that ends it. */
+    private static final long END_MILLIS = 60;
     /** One in so many requests fails at a grey replica. */
     private static final int GREY_ONE_IN = 2;
 
@@ -24,14 +27,23 @@
     private final History history;
     private final Stopwatch clock;
     private final Random random;
+    private final Consumer<SoakReplica> onEnd;
     private volatile boolean grey;
 
-    SoakReplica(String id, String service, long weights, History history, Stopwatch clock, long seed)
+    SoakReplica(
+            String id,
+            String service,
+            long weights,
+            History history,
+            Stopwatch clock,
+            long seed,
+            Consumer<SoakReplica> onEnd)
             throws IOException {
         this.service = service;
         this.history = history;
         this.clock = clock;
         this.random = new Random(seed);
+        this.onEnd = onEnd;
         this.engine = new StandinEngine(
                 weights,
                 this::work,
@@ -68,6 +80,10 @@
         boolean runs = failure != Failure.REFUSES;
         history.add(
                 new History.Arrived(r.id(), id(), service, r.customer(), r.salt(), r.weights(), runs, clock.millis()));
+        if (runs && CrashingCallers.content(r.head()).isPresent()) {
+            end(r);
+            return;
+        }
         Thread.sleep(random.nextInt(MAX_WORK_MILLIS));
         if (failure == Failure.REFUSES) {
             to.write(StandinReplica.unrun(503));
@@ -80,6 +96,13 @@
         }
     }
 
+    private void end(StandinReplica.Seen r) throws InterruptedException {
+        Thread.sleep(END_MILLIS);
+        String content = CrashingCallers.content(r.head()).orElseThrow();
+        history.add(new History.Ended(content, r.id(), id(), clock.millis()));
+        onEnd.accept(this);
+    }
+
     private enum Failure {
         NONE,
         REFUSES,
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReport.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReport.java
@@ -40,6 +40,7 @@
         ObjectNode tree = Json.object();
         tree.put("seed", settings.seed()).put("seconds", settings.seconds()).put("routers", settings.routers());
         tree.put("replicas", settings.replicas()).put("callers", settings.callers());
+        tree.put("crashing", settings.crashing());
         tree.put("requests", requests);
         byStatus.forEach((status, count) -> tree.withObject("/endings").put(Integer.toString(status), count));
         ArrayNode faults = tree.putArray("faults");
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -46,7 +46,11 @@
             Callers callers = new Callers(fleet, history, clock);
             IntStream.range(0, settings.callers())
                     .forEach(i -> threads.execute(() -> callers.run(settings.seed() * 1_000 + i)));
+            CrashingCallers crashing = new CrashingCallers(fleet, history, clock);
+            IntStream.range(0, settings.crashing())
+                    .forEach(i -> threads.execute(() -> crashing.run(i, settings.seed() + i)));
             strikeAll(plan, new FaultDriver(fleet, history, clock), clock, threads);
+            crashing.end();
             Thread.sleep(END_MILLIS);
             callers.end();
             threads.shutdownNow();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
@@ -8,11 +8,15 @@
  * @param routers the routers, each a process
  * @param replicas the replicas, half of them engines
  * @param callers callers that send one request after the other
+ * @param crashing requests that end each replica that runs them, each sent again and again
  */
-record SoakSettings(long seed, int seconds, int routers, int replicas, int callers) {
+record SoakSettings(long seed, int seconds, int routers, int replicas, int callers, int crashing) {
     SoakSettings {
         if (seconds < 1 || routers < 1 || replicas < 6 || callers < 1) {
             throw new IllegalArgumentException("a run needs a second, a router, six replicas and a caller at least");
         }
+        if (crashing < 0) {
+            throw new IllegalArgumentException("a run cannot have " + crashing + " requests that end replicas");
+        }
     }
 }
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -56,6 +56,16 @@
             boolean ran,
             long at) {}
 
+    /**
+     * A replica ended while it ran a request that ends each replica.
+     *
+     * @param content what all arrivals of that request have in common
+     * @param id the arrival
+     * @param replica the replica
+     * @param at when
+     */
+    public record Ended(String content, String id, String replica, long at) {}
+
     /**
      * An order came to an engine.
      *
@@ -105,6 +115,7 @@
     private final Collection<Asked> asked = new ConcurrentLinkedQueue<>();
     private final Collection<Answered> answered = new ConcurrentLinkedQueue<>();
     private final Collection<Arrived> arrived = new ConcurrentLinkedQueue<>();
+    private final Collection<Ended> ended = new ConcurrentLinkedQueue<>();
     private final Collection<Ordered> ordered = new ConcurrentLinkedQueue<>();
     private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
     private final Collection<Disturbed> disturbed = new ConcurrentLinkedQueue<>();
@@ -122,6 +133,8 @@
             answered.add(a);
         } else if (seen instanceof Arrived a) {
             arrived.add(a);
+        } else if (seen instanceof Ended e) {
+            ended.add(e);
         } else if (seen instanceof Ordered o) {
             ordered.add(o);
         } else if (seen instanceof Acknowledged a) {
@@ -171,6 +184,15 @@
         return List.copyOf(arrived);
     }
 
+    /**
+     * Lists the ends of replicas under requests that end them.
+     *
+     * @return the ends
+     */
+    public List<Ended> ended() {
+        return List.copyOf(ended);
+    }
+
     /**
      * Lists the orders.
      *
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -16,6 +16,7 @@
 import org.hornbeamhead.soak.history.History.Asked;
 import org.hornbeamhead.soak.history.History.Change;
 import org.hornbeamhead.soak.history.History.Disturbed;
+import org.hornbeamhead.soak.history.History.Ended;
 import org.hornbeamhead.soak.history.History.Ordered;
 import org.hornbeamhead.soak.history.RequestKind;
 import org.testng.annotations.DataProvider;
@@ -74,6 +75,16 @@
         return h;
     }
 
+    /** A request ends three replicas, and is sent more often after all routers know it. */
+    private static History ends(int late) {
+        History h = new History();
+        IntStream.range(0, 3 + late).forEach(i -> {
+            long at = i < 3 ? 1_000 + i : 6_000 + i;
+            h.add(asked("i" + i, RequestKind.SAFE, at)).add(new Ended("/safe/ends", "i" + i, "replica" + i, at + 60));
+        });
+        return h;
+    }
+
     /** The promise, a history that breaks it, and one like it that does not. */
     @DataProvider
     public Object[][] histories() {
@@ -186,6 +197,13 @@
                         .add(keptUnder("t", 2, "many"))
             },
             {"budget", repeats(70), repeats(50)},
+            {"requests that end replicas", ends(4), ends(3)},
+            {
+                "requests that end replicas",
+                ends(4).add(new Disturbed("ALL_KILLED", History.ALL_ROUTERS, false, 4_000, 5_000)),
+                ends(4).add(new Disturbed("ALL_KILLED", History.ALL_ROUTERS, false, 4_000, 5_000))
+                        .add(new Disturbed("STORE_BUSY", History.STORE, false, 1_000, 5_000))
+            },
             {"service back", lateRequests(80, 20), lateRequests(95, 5)},
         };
     }
