A controller that has given its leases back seeks none any more

What operators would see: after a planned stop of a controller its pool gets no orders until the lease has lapsed.

Cause: the controller's steps went on between the release and the end of the process, and a step without a lease seeks it.

Change: PoolControllers ends its steps with the release.

Test: ControllerDrainsTest.seeksNoLeaseOnceItGaveThemBack, red before (one lease held, none expected), green after. The stand-in store removes a lease's key with the lease now, as the platform's does; without that the test could not fail.

--- a/controller/src/main/java/org/hornbeamhead/controller/PoolControllers.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/PoolControllers.java
@@ -48,6 +48,7 @@
     private final Map<String, PoolController> pools = new HashMap<>();
     private List<Endpoint> hosts = List.of();
     private long lastRefreshMillis;
+    private boolean released;
 
     PoolControllers(
             KeyValueStore store,
@@ -75,6 +76,9 @@
 
     /** Looks at the configuration, the hosts and the pools whose lease this process seeks. */
     void step() {
+        if (released) {
+            return;
+        }
         hostList.get().whenResult(listed -> hosts = listed);
         List<PoolController> sought =
                 pools.values().stream().filter(this::isSeeker).toList();
@@ -137,8 +141,9 @@
         }
     }
 
-    /** Gives all leases back, so that the next holder need not wait for them to lapse. */
+    /** Gives all leases back for good, so that the next holder need not wait for them to lapse. */
     CompletionStage<Void> release() {
+        released = true;
         CompletableFuture<?>[] released = pools.values().stream()
                 .map(PoolController::lease)
                 .map(LeaseKeeper::release)
--- a/controller/src/test/java/org/hornbeamhead/controller/ControllerDrainsTest.java
+++ b/controller/src/test/java/org/hornbeamhead/controller/ControllerDrainsTest.java
@@ -151,6 +151,19 @@
         assertEquals(engine.undrainOrders().size(), 1);
     }
 
+    /**
+     * Guards against a process that wins a lease again while it ends, so that the next holder waits for it to lapse.
+     */
+    @Test
+    public void seeksNoLeaseOnceItGaveThemBack() {
+        steps(STEPS);
+        assertEquals(controllers.leasesHeld(), 1);
+        controllers.release();
+        steps(STEPS);
+        assertEquals(controllers.leasesHeld(), 0);
+        assertEquals(store.leases(), 0);
+    }
+
     /** An engine that does at once what it is told. */
     private static final class ObedientEngine implements EngineControl {
         private final List<Order> orders = new ArrayList<>();
--- a/controller/src/test/java/org/hornbeamhead/controller/DrainStore.java
+++ b/controller/src/test/java/org/hornbeamhead/controller/DrainStore.java
@@ -30,6 +30,7 @@
     private final Map<String, StoreEntry> entries = new HashMap<>();
     private final List<Runnable> held = new ArrayList<>();
     private final Set<String> leases = new HashSet<>();
+    private final Map<String, String> keysOfLeases = new HashMap<>();
     private Mode mode = Mode.ANSWER;
     private long versions;
 
@@ -53,6 +54,11 @@
         entries.keySet().removeIf(key -> key.startsWith("leases/"));
     }
 
+    /** Counts the leases that somebody holds. */
+    int leases() {
+        return leases.size();
+    }
+
     private StoreReply found(String key) {
         StoreEntry entry = entries.get(key);
         return entry == null ? new StoreReply.Missing() : new StoreReply.Found(entry);
@@ -79,6 +85,7 @@
             return CompletableFuture.completedFuture(new StoreReply.Conflict(Optional.ofNullable(current)));
         }
         put(key, value);
+        lease.ifPresent(id -> keysOfLeases.put(id, key));
         return CompletableFuture.completedFuture(found(key));
     }
 
@@ -98,6 +105,7 @@
     @Override
     public CompletionStage<StoreReply> revoke(String lease) {
         leases.remove(lease);
+        entries.remove(keysOfLeases.remove(lease));
         return CompletableFuture.completedFuture(new StoreReply.Leased(lease));
     }
 
