A drain order whose time cannot be read counts, and keeps no other from being read

What operators would see: one damaged line under the key of drain orders, and a new holder of a pool's lease gives no orders at all.

Cause: the time's NumberFormatException ended the reading of all lines.

Change: such an order counts with the time 0, since an endpoint must not get work because of a damaged time; lines that are no orders are passed over as before.

Test: DrainTest.anOrderWithoutAReadableTimeCounts, red before (NumberFormatException), green after.

--- a/core/src/main/java/org/hornbeamhead/core/drain/DrainOrders.java
+++ b/core/src/main/java/org/hornbeamhead/core/drain/DrainOrders.java
@@ -30,7 +30,7 @@
     }
 
     /**
-     * Reads the value.
+     * Reads the value. Lines that are no orders are passed over.
      *
      * @param text the value
      * @return the orders
@@ -39,10 +39,15 @@
         return new DrainOrders(text.lines()
                 .map(line -> line.split("\\" + SEPARATOR, -1))
                 .filter(f -> f.length == FIELDS)
-                .map(f -> new DrainOrder(f[0], f[1], Long.parseLong(f[2]), f[3], f[4]))
+                .map(f -> new DrainOrder(f[0], f[1], time(f[2]), f[3], f[4]))
                 .toList());
     }
 
+    /** An endpoint must not get work because the time of its order is damaged. */
+    private static long time(String wallMillis) {
+        return wallMillis.matches("[0-9]{1,18}") ? Long.parseLong(wallMillis) : 0;
+    }
+
     /**
      * Writes the value.
      *
--- a/core/src/test/java/org/hornbeamhead/core/drain/DrainTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/drain/DrainTest.java
@@ -39,6 +39,14 @@
         assertEquals(ended.orders().get(0).endedBy(), "rui");
     }
 
+    /** Guards against one damaged line that keeps all orders from being read. */
+    @Test
+    public void anOrderWithoutAReadableTimeCounts() {
+        DrainOrders read = DrainOrders.parse("e1|ana|yesterday|disk|\nnonsense\ne2|ana|5|disk|");
+        assertTrue(read.isDraining("e1") && read.isDraining("e2"));
+        assertEquals(read.orders().get(0).wallMillis(), 0);
+    }
+
     @Test
     public void oldEndedOrdersAreForgottenAndThoseInForceNever() {
         DrainOrders orders = new DrainOrders(List.of()).with(new DrainOrder("kept", "a", 0, "r", ""));
