A document that cannot be taken over does not stop the reading of all others

What callers would see: operators write a configuration that names two services alike, and from then on no router hears of any change: keys that are taken away work on, replicas that leave get requests, until each router is started anew. Nobody has reported it.

Cause: the reader of configurations threw (Duplicate key) where it should have reported, and the exception went through the copy of the store into the follower, which had not yet asked its next question and never did.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -6,6 +6,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import io.vavr.control.Try;
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
@@ -232,7 +233,15 @@
         return servlet.serve(request);
     }
 
+    /** One key that cannot be taken over must not keep the router from hearing of all others. */
     private void changed(StoreItem item) {
+        Try.run(() -> passOn(item)).onFailure(e -> logger.atSevere()
+                .withCause(e)
+                .with(Logs.INPUTS, "revision=" + item.revision())
+                .log("key %s cannot be taken over and is passed over", item.key()));
+    }
+
+    private void passOn(StoreItem item) {
         if (takeOver(item)) {
             view.changed(item);
             duties.look();
