A router's entry that lacks something is left out

What callers would see: one damaged entry among the routers' own keys (null, or an object without the address for callers), and no router answers for addresses any more.

Cause: JSON null was read as a record that is null, and absent fields as null; both were put into the list of routers.

Change: Json.read reports a text that holds no value; RouterEntry checks that nothing is missing, which the reader reports.

Test: RouterListTest.aDamagedEntryIsLeftOut, four of five rows red before (NullPointerException), green after.

--- a/daemon/src/main/java/org/hornbeamhead/daemon/Json.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Json.java
@@ -50,7 +50,8 @@
      */
     public static <T> Either<String, T> read(String text, Class<T> type) {
         try {
-            return Either.right(MAPPER.readValue(text, type));
+            T value = MAPPER.readValue(text, type);
+            return value == null ? Either.left("the text holds no value") : Either.right(value);
         } catch (JsonProcessingException e) {
             return Either.left(e.getOriginalMessage());
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterEntry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterEntry.java
@@ -1,5 +1,7 @@
 package org.hornbeamhead.gateway.state;
 
+import java.util.Objects;
+import java.util.stream.Stream;
 import org.hornbeamhead.daemon.Json;
 
 /**
@@ -24,6 +26,11 @@
     /** The beginning of the keys of routers. */
     public static final String PREFIX = "hornbeam/routers/";
 
+    /** Checks that nothing is missing. */
+    public RouterEntry {
+        Stream.of(node, caller, peer, hints, dataCentre).forEach(Objects::requireNonNull);
+    }
+
     /**
      * Gives the key under which the router is listed.
      *
--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/RouterListTest.java
@@ -0,0 +1,40 @@
+package org.hornbeamhead.gateway.state;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.time.ManualClock;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Whom callers are told to use. */
+public class RouterListTest {
+    private static final RouterEntry SELF = entry("n1", 1);
+    private static final RouterEntry OTHER = entry("n2", 2);
+
+    private final RouterList routers = new RouterList(SELF, () -> true, new ManualClock(0));
+
+    private static RouterEntry entry(String node, int host) {
+        String address = "10.0.0." + host + ":80";
+        return new RouterEntry(node, address, address, address, "z", 100, 0);
+    }
+
+    private static StoreItem item(String node, String text) {
+        return new StoreItem(RouterEntry.PREFIX + node, 1, text, false);
+    }
+
+    @DataProvider
+    public Object[][] damaged() {
+        return new Object[][] {{""}, {"null"}, {"{}"}, {"7"}, {OTHER.text().replace("\"10.0.0.2:80\"", "null")}};
+    }
+
+    /** Guards against one damaged entry after which callers are told nothing at all. */
+    @Test(dataProvider = "damaged")
+    public void aDamagedEntryIsLeftOut(String text) {
+        routers.changed(item("n2", OTHER.text()));
+        routers.changed(item("n3", text));
+        assertEquals(
+                routers.callerAddresses(8, 1_000).stream().sorted().toList(), List.of(SELF.caller(), OTHER.caller()));
+    }
+}
