A datagram that cannot be taken over does not stop the next one

What would be seen: after one datagram whose listener throws, the router hears neither hints nor news of crashes until it is started anew, while its own still reach the others.

Cause: the next datagram was asked for after the listeners had run.

Change: what a listener throws is logged, and the other listeners and the next datagram follow.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerDatagrams.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerDatagrams.java
@@ -5,8 +5,10 @@
 import io.activej.net.socket.udp.UdpPacket;
 import io.activej.net.socket.udp.UdpSocket;
 import io.activej.reactor.nio.NioReactor;
+import io.vavr.control.Try;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.channels.DatagramChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -22,6 +24,7 @@
     private final NioReactor reactor;
     private final List<BiConsumer<String, byte[]>> listeners = new ArrayList<>();
     private UdpSocket socket;
+    private SocketAddress address;
 
     /**
      * Makes a socket that is not open yet.
@@ -51,10 +54,16 @@
         DatagramChannel channel = DatagramChannel.open();
         channel.configureBlocking(false);
         channel.bind(address);
+        this.address = channel.getLocalAddress();
         socket = UdpSocket.connect(reactor, channel).getResult();
         receive();
     }
 
+    /** Where it listens. */
+    SocketAddress address() {
+        return address;
+    }
+
     /**
      * Sends a datagram, which may be lost.
      *
@@ -74,8 +83,15 @@
             }
             String from = Addresses.format(packet.getSocketAddress());
             byte[] bytes = packet.getBuf().asArray();
-            listeners.forEach(l -> l.accept(from, bytes));
+            listeners.forEach(l -> passOn(l, from, bytes));
             receive();
         });
     }
+
+    /** A listener that fails must not keep the router from hearing the next datagram. */
+    private static void passOn(BiConsumer<String, byte[]> listener, String from, byte[] bytes) {
+        Try.run(() -> listener.accept(from, bytes))
+                .onFailure(e -> logger.atSevere().withCause(e).log(
+                        "a datagram of %s cannot be taken over and is passed over", from));
+    }
 }
