A damaged entry of the configuration's log is reported

What operators would see: a configuration that no longer changes, without a line that says why (own interface). Nobody has seen it.

Cause: the reader of an entry threw whatever a damaged text led to (a missing header, two alike, a count beyond the end), where its page named one exception that nobody caught; the exception ended a chain of futures without a word. The key that tells where the log stands was read alike.

Change: both readers give what is wrong, which their callers already log or answer.

--- a/core/src/main/java/org/hornbeamhead/core/config/ConfigLog.java
+++ b/core/src/main/java/org/hornbeamhead/core/config/ConfigLog.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.core.config;
 
 import io.vavr.control.Either;
+import io.vavr.control.Try;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -27,9 +28,13 @@
     private record Head(long version, long full, long storeVersion) {
         private static final Head NONE = new Head(0, 0, KeyValueStore.ABSENT);
 
-        static Head parse(StoreEntry entry) {
-            String[] parts = entry.value().split(" ", 2);
-            return new Head(Long.parseLong(parts[0]), Long.parseLong(parts[1]), entry.version());
+        static Either<String, Head> read(StoreEntry entry) {
+            return Try.of(() -> {
+                        String[] parts = entry.value().split(" ", 2);
+                        return new Head(Long.parseLong(parts[0]), Long.parseLong(parts[1]), entry.version());
+                    })
+                    .toEither()
+                    .mapLeft(e -> "key " + HEAD + " cannot be read: " + e);
         }
     }
 
@@ -125,7 +130,13 @@
     }
 
     private CompletionStage<AppendResult> settle(ConfigState base, ConfigRecord record, StoreEntry present) {
-        ConfigRecord found = ConfigRecord.parse(present.value());
+        return ConfigRecord.read(present.value())
+                .fold(
+                        why -> CompletableFuture.completedFuture(new AppendResult.NotMade(why)),
+                        found -> settle(base, record, found));
+    }
+
+    private CompletionStage<AppendResult> settle(ConfigState base, ConfigRecord record, ConfigRecord found) {
         if (found.changeId().equals(record.changeId())) {
             return accepted(base, record);
         }
@@ -156,7 +167,7 @@
     private CompletionStage<Either<String, Head>> readHead() {
         return store.read(HEAD).thenApply(reply -> {
             if (reply instanceof StoreReply.Found found) {
-                return Either.right(Head.parse(found.entry()));
+                return Head.read(found.entry());
             }
             return reply instanceof StoreReply.Missing ? Either.right(Head.NONE) : Either.left(why(reply));
         });
@@ -171,7 +182,7 @@
     public CompletionStage<Either<String, Optional<ConfigRecord>>> readRecord(long version) {
         return store.read(key(version)).thenApply(reply -> {
             if (reply instanceof StoreReply.Found found) {
-                return Either.right(Optional.of(ConfigRecord.parse(found.entry().value())));
+                return ConfigRecord.read(found.entry().value()).map(Optional::of);
             }
             return reply instanceof StoreReply.Missing ? Either.right(Optional.empty()) : Either.left(why(reply));
         });
--- a/core/src/main/java/org/hornbeamhead/core/config/ConfigRecord.java
+++ b/core/src/main/java/org/hornbeamhead/core/config/ConfigRecord.java
@@ -1,5 +1,7 @@
 package org.hornbeamhead.core.config;
 
+import io.vavr.control.Either;
+import io.vavr.control.Try;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -50,7 +52,7 @@
     /**
      * Writes the entry.
      *
-     * @return the text that {@link #parse} reads
+     * @return the text that {@link #read} takes
      */
     public String format() {
         StringBuilder s = new StringBuilder();
@@ -85,10 +87,13 @@
      * Reads an entry.
      *
      * @param text the value in the platform's service
-     * @return the entry
-     * @throws IllegalArgumentException when the text was not written by this class
+     * @return the entry, or why the text is none
      */
-    public static ConfigRecord parse(String text) {
+    public static Either<String, ConfigRecord> read(String text) {
+        return Try.of(() -> parse(text)).toEither().mapLeft(e -> "a configuration entry cannot be read: " + e);
+    }
+
+    private static ConfigRecord parse(String text) {
         int blank = text.indexOf("\n\n");
         if (blank < 0) {
             throw new IllegalArgumentException("a configuration entry has no header");
--- a/core/src/test/java/org/hornbeamhead/core/config/ConfigRecordTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/config/ConfigRecordTest.java
@@ -33,7 +33,7 @@
 
     @Test(dataProvider = "records")
     public void whatIsWrittenIsRead(ConfigRecord record) {
-        assertEquals(ConfigRecord.parse(record.format()), record);
+        assertEquals(ConfigRecord.read(record.format()).get(), record);
     }
 
     @DataProvider
@@ -60,4 +60,20 @@
         ConfigDocument base = ConfigDocument.of("[a]\nx = 1\n[b]\ny = 1\n");
         assertTrue(base.changesTo(ConfigDocument.of("[b]\ny = 1\n[a]\nx = 1\n")).isEmpty());
     }
+
+    @DataProvider
+    public Object[][] damaged() {
+        return new Object[][] {
+            {""},
+            {"version: 2\n\n"},
+            {"version: 2\nversion: 3\n\n"},
+            {"version: 2\ntime: 5\nkind: edit\n\nset 9 x\ny\n"},
+        };
+    }
+
+    /** Guards against a damaged entry that ends the reading without a word. */
+    @Test(dataProvider = "damaged")
+    public void aDamagedEntryIsReported(String text) {
+        assertTrue(ConfigRecord.read(text).isLeft());
+    }
 }
