Damaged inputs before all readers of foreign bytes, in tests and by Jazzer

Cause: of twelve readers three had tests with damaged bytes; a trial with a fuzzer found that two services of one name in a configuration stop all routers' reading of the store.

Change: module fuzz (tests only).

--- /dev/null
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -0,0 +1,121 @@
+package org.hornbeamhead.fuzz;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hornbeamhead.core.config.ConfigRecord;
+import org.hornbeamhead.core.config.OperatorsConfigReader;
+import org.hornbeamhead.core.crash.ArchiveReading;
+import org.hornbeamhead.core.crash.CrashHistory;
+import org.hornbeamhead.core.crash.CrashNews;
+import org.hornbeamhead.core.drain.DrainOrders;
+import org.hornbeamhead.core.engine.WorkHint;
+import org.hornbeamhead.core.ticket.Ticket;
+import org.hornbeamhead.core.time.ManualClock;
+import org.hornbeamhead.gateway.state.PeerReading;
+import org.hornbeamhead.platform.DocumentReading;
+
+/** The readers of bytes that others wrote, and inputs that they take. */
+final class FuzzTargets {
+    static final List<FuzzTarget> ALL = List.of(
+            // What callers send.
+            target(
+                    "REQUESTS",
+                    HttpReading::requests,
+                    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
+                    "PUT /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2;q\r\nab\r\n0\r\nt: u\r\n\r\n"),
+            // What replicas answer.
+            target(
+                    "RESPONSES",
+                    HttpReading::response,
+                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                    "HTTP/1.1 204 -\r\nContent-Length: 0\r\n\r\n"),
+            // What replicas stream.
+            target("EVENTS", StreamReading::events, "id: 1\ndata: x\n\nid: 22\r\ndata: y\r\ndata: z\r\n\r\n"),
+            // What routers tell one another of their work.
+            target(
+                    "HINTS",
+                    FuzzTargets::hints,
+                    latin(new WorkHint(
+                                    7, List.of(new WorkHint.Total(1, 2, 3, 4)), List.of(new WorkHint.Send(5, 6, 7, 8)))
+                            .encode())),
+            // What routers tell one another of crashes.
+            target("CRASH_NEWS", FuzzTargets::crashNews, "\u00c5\0\1\0\0\0\0\0\0\0\7\1\0\0\0\5\0\0\0\u0009\0\u0008"),
+            // What routers keep in the store of crashes.
+            target("CRASH_ARCHIVE", texts(ArchiveReading::read), "5 xQABAAAAAAAAAAcBAAAABQAAAAkACA=="),
+            // What routers answer one another, and how they list themselves.
+            target(
+                    "PEERS",
+                    texts(PeerReading::read),
+                    "{\"revision\":3,\"whole\":true,\"ageMillis\":4,\"named\":[{\"model\":\"m\",\"version\":2,\"millisAgo\":7}],"
+                            + "\"items\":[{\"key\":\"k\",\"revision\":2,\"value\":\"v\",\"removed\":false}]}",
+                    "{\"node\":\"n2\",\"caller\":\"10.0.0.2:80\",\"peer\":\"10.0.0.2:81\",\"hints\":\"10.0.0.2:82\","
+                            + "\"dataCentre\":\"z\",\"capacity\":100.0,\"startedWallMillis\":0}"),
+            // What operators and replicas write into the platform's store.
+            target(
+                    "DOCUMENTS",
+                    texts(DocumentReading::read),
+                    "{\"version\":1,\"limits\":{\"max_header_bytes\":1000},\"routes\":[{\"name\":\"r\",\"host\":\"H\","
+                            + "\"prefix\":\"/\",\"kind\":\"streaming\",\"backends\":[{\"service\":\"s\",\"weight\":1}]}],"
+                            + "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":3,\"models\":[{\"name\":\"m\"}]}},"
+                            + "{\"name\":\"t\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":3}]}",
+                    "{\"service\":\"s\",\"address\":\"127.0.0.1:33\",\"zone\":\"z\",\"slots\":8,\"state\":\"ready\","
+                            + "\"models\":[{\"name\":\"m\",\"version\":3}],\"seq\":1}"),
+            // Drain orders of the own interface.
+            target("DRAIN_ORDERS", texts(FuzzTargets::drainOrders), "e|a|5|r|\nf|b|6|q|z"),
+            // Operators' settings of the own interface.
+            target(
+                    "SETTINGS",
+                    texts(text -> OperatorsConfigReader.read("fuzz", text)),
+                    "[fleet]\nname = a\n[pool lm]\nkind = engine\nmodel = m\nweights = w1\n"),
+            // Versions of those settings, as they stand in the store.
+            target(
+                    "SETTINGS_LOG",
+                    texts(ConfigRecord::read),
+                    "version: 2\nchange: c\nauthor: a\ntime: 5\nreason: r\nkind: full\n\n[fleet]\nname = a\n",
+                    "version: 2\nchange: c\nauthor: a\ntime: 5\nreason: r\nkind: delta\n\nput 1 pool lm\nkind = engine\n"),
+            // Tickets of the own interface.
+            target("TICKETS", texts(FuzzTargets::tickets), "ticket:10.0.0.1:80~5!77"));
+
+    private FuzzTargets() {}
+
+    private static FuzzTarget target(String name, Consumer<byte[]> reader, String... seeds) {
+        return new FuzzTarget(name, reader, List.of(seeds));
+    }
+
+    private static Consumer<byte[]> texts(Consumer<String> reader) {
+        return bytes -> reader.accept(new String(bytes, StandardCharsets.UTF_8));
+    }
+
+    private static String latin(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private static void hints(byte[] bytes) {
+        WorkHint.decode(bytes).ifPresent(h -> assertEquals(WorkHint.decode(h.encode()), Optional.of(h)));
+    }
+
+    private static void crashNews(byte[] bytes) {
+        CrashHistory history = new CrashHistory(new ManualClock(0));
+        CrashNews.decode(bytes).ifPresent(news -> {
+            assertEquals(CrashNews.decode(CrashNews.encode(news)), Optional.of(news));
+            news.forEach(history::merge);
+        });
+        history.sweep();
+        history.held();
+        CrashNews.encode(CrashNews.fitting(history.reports(), CrashNews.DATAGRAM_BYTES));
+    }
+
+    private static void drainOrders(String text) {
+        DrainOrders orders = DrainOrders.parse(text);
+        assertEquals(DrainOrders.parse(orders.format()), orders);
+    }
+
+    private static void tickets(String text) {
+        Ticket.parse(text).ifPresent(t -> assertEquals(Ticket.parse(t.format()), Optional.of(t)));
+        Ticket.parse(text).ifPresent(Ticket::address);
+    }
+}
