An action that a daemon repeats goes on after a run that failed

What operators would see (own interface): a controller that gives no order any more, or a router whose list of hosts stands still, while the process is up.

Cause: the next run was asked for after the action, so that an exception ended the series; the reactor logs it and goes on.

Change: the next run is asked for in any case.

--- a/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
@@ -120,15 +120,18 @@
     }
 
     /**
-     * Runs an action again and again.
+     * Runs an action again and again, also after a run that failed.
      *
      * @param every the pause between two runs
      * @param action the action
      */
     public void repeat(Duration every, Runnable action) {
         reactor.delayBackground(every, () -> {
-            action.run();
-            repeat(every, action);
+            try {
+                action.run();
+            } finally {
+                repeat(every, action);
+            }
         });
     }
 
