--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerDatagrams.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PeerDatagrams.java
@@ -24,7 +24,7 @@
     private final NioReactor reactor;
     private final List<BiConsumer<String, byte[]>> listeners = new ArrayList<>();
     private UdpSocket socket;
-    private SocketAddress address;
+    private SocketAddress bound;
 
     /**
      * Makes a socket that is not open yet.
@@ -54,14 +54,14 @@
         DatagramChannel channel = DatagramChannel.open();
         channel.configureBlocking(false);
         channel.bind(address);
-        this.address = channel.getLocalAddress();
+        bound = channel.getLocalAddress();
         socket = UdpSocket.connect(reactor, channel).getResult();
         receive();
     }
 
     /** Where it listens. */
     SocketAddress address() {
-        return address;
+        return bound;
     }
 
     /**
