--- a/controller/src/main/java/org/hornbeamhead/controller/PoolControllers.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/PoolControllers.java
@@ -144,11 +144,11 @@
     /** Gives all leases back for good, so that the next holder need not wait for them to lapse. */
     CompletionStage<Void> release() {
         released = true;
-        CompletableFuture<?>[] released = pools.values().stream()
+        CompletableFuture<?>[] givenBack = pools.values().stream()
                 .map(PoolController::lease)
                 .map(LeaseKeeper::release)
                 .map(CompletionStage::toCompletableFuture)
                 .toArray(CompletableFuture<?>[]::new);
-        return CompletableFuture.allOf(released);
+        return CompletableFuture.allOf(givenBack);
     }
 }
--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -31,7 +31,8 @@
             target(
                     "RESPONSES",
                     HttpReading::response,
-                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + "2\r\nab\r\n0\r\n\r\n",
                     "HTTP/1.1 204 -\r\nContent-Length: 0\r\n\r\n"),
             // What replicas stream.
             target("EVENTS", StreamReading::events, "id: 1\ndata: x\n\nid: 22\r\ndata: y\r\ndata: z\r\n\r\n"),
@@ -50,7 +51,8 @@
             target(
                     "PEERS",
                     texts(PeerReading::read),
-                    "{\"revision\":3,\"whole\":true,\"ageMillis\":4,\"named\":[{\"model\":\"m\",\"version\":2,\"millisAgo\":7}],"
+                    "{\"revision\":3,\"whole\":true,\"ageMillis\":4,"
+                            + "\"named\":[{\"model\":\"m\",\"version\":2,\"millisAgo\":7}],"
                             + "\"items\":[{\"key\":\"k\",\"revision\":2,\"value\":\"v\",\"removed\":false}]}",
                     "{\"node\":\"n2\",\"caller\":\"10.0.0.2:80\",\"peer\":\"10.0.0.2:81\",\"hints\":\"10.0.0.2:82\","
                             + "\"dataCentre\":\"z\",\"capacity\":100.0,\"startedWallMillis\":0}"),
@@ -58,8 +60,10 @@
             target(
                     "DOCUMENTS",
                     texts(DocumentReading::read),
-                    "{\"version\":1,\"limits\":{\"max_header_bytes\":1000},\"routes\":[{\"name\":\"r\",\"host\":\"H\","
-                            + "\"prefix\":\"/\",\"kind\":\"streaming\",\"backends\":[{\"service\":\"s\",\"weight\":1}]}],"
+                    "{\"version\":1,\"limits\":{\"max_header_bytes\":1000},"
+                            + "\"routes\":[{\"name\":\"r\",\"host\":\"H\","
+                            + "\"prefix\":\"/\",\"kind\":\"streaming\","
+                            + "\"backends\":[{\"service\":\"s\",\"weight\":1}]}],"
                             + "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":3,\"models\":[{\"name\":\"m\"}]}},"
                             + "{\"name\":\"t\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":3}]}",
                     "{\"service\":\"s\",\"address\":\"127.0.0.1:33\",\"zone\":\"z\",\"slots\":8,\"state\":\"ready\","
@@ -76,7 +80,8 @@
                     "SETTINGS_LOG",
                     texts(ConfigRecord::read),
                     "version: 2\nchange: c\nauthor: a\ntime: 5\nreason: r\nkind: full\n\n[fleet]\nname = a\n",
-                    "version: 2\nchange: c\nauthor: a\ntime: 5\nreason: r\nkind: delta\n\nput 1 pool lm\nkind = engine\n"),
+                    "version: 2\nchange: c\nauthor: a\ntime: 5\nreason: r\nkind: edit\n\n"
+                            + "set 1 p\nkind = e\nremove q\n"),
             // Tickets of the own interface.
             target("TICKETS", texts(FuzzTargets::tickets), "ticket:10.0.0.1:80~5!77"));
 
