--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,41 +37,14 @@
     private static final int LASTING_FROM = 2;
 
     private static final int MAX_DOUBLINGS = 5;
-    /** Ends of replicas with a common cause are noticed within this time of one another. */
-    private static final long ONE_MOMENT_MILLIS = 100;
-    /** A kept connection to a process that is gone breaks sooner than this, so that nothing ran there. */
-    private static final long LEAST_RUN_MILLIS = 20;
-    /** How much later an end may seem to a router that heard of it than to the one that saw it. */
-    private static final long HEARD_LATER_MILLIS = 10;
     /** How long after an end other routers may still tell what else was under way there. */
     private static final long SETTLING_MILLIS = 1_000;
 
     private final Clock clock;
-    private final Map<RequestFingerprint, Map<Integer, Seen>> requests = new LinkedHashMap<>();
+    private final Map<RequestFingerprint, Map<Integer, SeenCrash>> requests = new LinkedHashMap<>();
     private Consumer<RequestFingerprint> listener = r -> {};
     private Optional<Set<RequestFingerprint>> blamed = Optional.empty();
 
-    private record Seen(long at, long ranMillis, boolean cleared) {
-        private static Seen of(CrashReport.Crash crash, long now) {
-            return new Seen(now - crash.ageMillis(), crash.ranMillis(), crash.cleared());
-        }
-
-        private Seen clear() {
-            return new Seen(at, ranMillis, true);
-        }
-
-        /** Whether what ended others until a moment cannot have ended this one too. */
-        private boolean isApartFrom(long moment) {
-            boolean sentLater = at - ranMillis >= moment - HEARD_LATER_MILLIS && ranMillis >= LEAST_RUN_MILLIS;
-            return sentLater || at - moment >= ONE_MOMENT_MILLIS;
-        }
-
-        private CrashReport.Crash report(int replica, long now) {
-            long ran = Math.min(Integer.MAX_VALUE, ranMillis);
-            return new CrashReport.Crash(replica, Math.max(0, now - at), (int) ran, cleared);
-        }
-    }
-
     /**
      * Makes a history without any end.
      *
@@ -117,7 +89,7 @@
      * @param replica a hash that names the run of the replica
      */
     public void crashed(LostRun run, int replica) {
-        if (add(run.request(), replica, new Seen(run.lostAt(), run.millis(), false))) {
+        if (add(run.request(), replica, new SeenCrash(run.lostAt(), run.millis(), false))) {
             changed(run.request());
         }
     }
@@ -128,7 +100,7 @@
      * @param request the request
      */
     public void completed(RequestFingerprint request) {
-        Map<Integer, Seen> crashes = requests.getOrDefault(request, Map.of());
+        Map<Integer, SeenCrash> crashes = requests.getOrDefault(request, Map.of());
         if (crashes.values().stream().anyMatch(s -> !s.cleared())) {
             crashes.replaceAll((replica, seen) -> seen.clear());
             changed(request);
@@ -156,16 +128,16 @@
         long kept = keptMillis(report.crashes().size());
         long news = report.crashes().stream()
                 .filter(c -> c.ageMillis() < kept)
-                .filter(c -> add(report.request(), c.replica(), Seen.of(c, now)))
+                .filter(c -> add(report.request(), c.replica(), SeenCrash.of(c, now)))
                 .count();
         if (news > 0) {
             changed(report.request());
         }
     }
 
-    private boolean add(RequestFingerprint request, int replica, Seen seen) {
-        Map<Integer, Seen> known = requests.computeIfAbsent(request, r -> new HashMap<>());
-        Seen before = known.get(replica);
+    private boolean add(RequestFingerprint request, int replica, SeenCrash seen) {
+        Map<Integer, SeenCrash> known = requests.computeIfAbsent(request, r -> new HashMap<>());
+        SeenCrash before = known.get(replica);
         if (before == null ? known.size() >= MAX_CRASHES : before.cleared() || !seen.cleared()) {
             return false;
         }
@@ -197,7 +169,7 @@
         long now = clock.monotonicMillis();
         boolean gone = requests.values()
                 .removeIf(crashes ->
-                        crashes.values().stream().mapToLong(Seen::at).max().orElse(0)
+                        crashes.values().stream().mapToLong(SeenCrash::at).max().orElse(0)
                                 < now - keptMillis(crashes.size()));
         if (gone) {
             blamed = Optional.empty();
@@ -224,10 +196,10 @@
         if (!blamed().contains(request)) {
             return OptionalLong.empty();
         }
-        Map<Integer, Seen> crashes = requests.get(request);
+        Map<Integer, SeenCrash> crashes = requests.get(request);
         long last = crashes.values().stream()
                 .filter(s -> !s.cleared())
-                .mapToLong(Seen::at)
+                .mapToLong(SeenCrash::at)
                 .max()
                 .orElse(0);
         long age = clock.monotonicMillis() - last;
@@ -258,31 +230,11 @@
     private Map<RequestFingerprint, Set<Integer>> suspects() {
         return requests.entrySet().stream()
                 .filter(e -> e.getValue().size() >= CrashAttribution.BLAMED_FROM)
-                .filter(e -> moments(e.getValue()) >= CrashAttribution.BLAMED_FROM)
+                .filter(e -> SeenCrash.moments(e.getValue().values()) >= CrashAttribution.BLAMED_FROM)
                 .collect(Collectors.toMap(Map.Entry::getKey, e -> uncleared(e.getValue())));
     }
 
-    /**
-     * Counts ends at different times. Failure: a rack loses its power, and with it three replicas that were all serving
-     * the same popular page. Symptom: the page is held back. A request that ends replicas does so each time it comes.
-     */
-    private static int moments(Map<Integer, Seen> crashes) {
-        List<Seen> inOrder = crashes.values().stream()
-                .filter(s -> !s.cleared())
-                .sorted(Comparator.comparingLong(Seen::at))
-                .toList();
-        int count = 0;
-        long moment = Long.MIN_VALUE / 2;
-        for (Seen seen : inOrder) {
-            if (seen.isApartFrom(moment)) {
-                moment = seen.at();
-                count++;
-            }
-        }
-        return count;
-    }
-
-    private static Set<Integer> uncleared(Map<Integer, Seen> crashes) {
+    private static Set<Integer> uncleared(Map<Integer, SeenCrash> crashes) {
         return crashes.entrySet().stream()
                 .filter(c -> !c.getValue().cleared())
                 .map(Map.Entry::getKey)
@@ -331,7 +283,7 @@
         return Optional.ofNullable(requests.get(request)).map(crashes -> report(request, crashes));
     }
 
-    private CrashReport report(RequestFingerprint request, Map<Integer, Seen> crashes) {
+    private CrashReport report(RequestFingerprint request, Map<Integer, SeenCrash> crashes) {
         long now = clock.monotonicMillis();
         return new CrashReport(
                 request,
--- a/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.stream.Collectors;
+import org.hornbeamhead.core.crash.LostRun;
 import org.hornbeamhead.core.outcome.Reason;
 import org.hornbeamhead.core.placement.PlacementChoice;
 import org.hornbeamhead.core.placement.PlacementTarget;
@@ -179,8 +180,8 @@
         }
         if (resumes > 0 && failed.failure() == AttemptFailure.NOT_SENT) {
             // The engine had the request, and now refuses connections: its process has ended.
-            context.quarantine()
-                    .crashed(request.fingerprint(), choice.replica().address(), dispatchedMillis, lostMillis);
+            LostRun run = new LostRun(request.fingerprint(), dispatchedMillis, lostMillis);
+            context.quarantine().crashed(run, choice.replica().address());
         }
         return elsewhere(failed);
     }
--- a/router/src/main/java/org/hornbeamhead/router/Quarantine.java
+++ b/router/src/main/java/org/hornbeamhead/router/Quarantine.java
@@ -78,15 +78,14 @@
         history.completed(request);
     }
 
-    /** A replica ended while the request was under way there. Times are in milliseconds of the monotonic clock. */
-    void crashed(RequestFingerprint request, String address, long sentAt, long lostAt) {
+    /** A replica ended while a request was under way there. */
+    void crashed(LostRun run, String address) {
         logger.atInfo()
                 .with(Logs.DECISION, "replica ended")
                 .with(Logs.REPLICA, address)
-                .with(Logs.INPUTS, "content=" + request)
+                .with(Logs.INPUTS, "content=" + run.request())
                 .log("replica %s ended", address);
         metrics.count("hornbeam_requests_at_crash");
-        LostRun run = new LostRun(request, sentAt, lostAt);
         history.crashed(run, (address + '@' + clock.wallMillis() / ONE_END_MILLIS).hashCode());
         archive.crashSeen();
     }
--- a/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
@@ -19,6 +19,7 @@
 import org.hornbeamhead.core.claim.ClaimResult;
 import org.hornbeamhead.core.config.Customer;
 import org.hornbeamhead.core.config.Pool;
+import org.hornbeamhead.core.crash.LostRun;
 import org.hornbeamhead.core.outcome.Outcome;
 import org.hornbeamhead.core.outcome.Reason;
 import org.hornbeamhead.core.settings.Finding;
@@ -198,10 +199,10 @@
         if (e instanceof ConnectException) {
             return next(call, pool, tries.unsent(address));
         }
-        long lostAt = context.clock().monotonicMillis();
+        LostRun run = new LostRun(call.fingerprint(), sentAt, context.clock().monotonicMillis());
         return context.connections().refused(address).then(ended -> {
             if (ended) {
-                context.quarantine().crashed(call.fingerprint(), address, sentAt, lostAt);
+                context.quarantine().crashed(run, address);
             }
             return next(call, pool, tries.lost(address));
         });
