--- a/peer/src/main/java/org/hornbeamhead/peer/PeerClient.java
+++ b/peer/src/main/java/org/hornbeamhead/peer/PeerClient.java
@@ -52,14 +52,18 @@
      *
      * @param peerAddress the router to ask
      * @param knownVersion the version known already
-     * @return the entries after it
+     * @return the entries after it; fails when the router does not answer, or one of them cannot be read
      */
     public CompletionStage<List<ConfigRecord>> configSince(String peerAddress, long knownVersion) {
         FetchConfigRequest request =
                 FetchConfigRequest.newBuilder().setKnownVersion(knownVersion).build();
         return onOwner(stub(peerAddress, CONFIG_LIMIT).fetchConfig(request))
                 .thenApply(reply ->
-                        reply.getRecordsList().stream().map(ConfigRecord::parse).toList());
+                        reply.getRecordsList().stream().map(PeerClient::record).toList());
+    }
+
+    private static ConfigRecord record(String text) {
+        return ConfigRecord.read(text).getOrElseThrow(why -> new IllegalArgumentException(why));
     }
 
     /**
