A replica's own failure no longer clears a request that ends replicas

What callers saw: a request that ends the replicas that run it, and now and then meets one that answers 500 (as replicas that fail part of their requests do), went on to be sent until no replica was left.

Cause: whole answers with a 5xx were taken as a run to the end, which clears all ends counted so far. A replica may fail before it begins, so that its failure shows only that the replica is there.

Why it works: only a whole answer below 500 clears now. A sound request is answered so when it comes again.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -223,7 +223,6 @@
             refused();
         } else if (head.status() >= FIRST_FAILURE) {
             replica.guard().failed(now());
-            exchange.completed();
             endAndGiveBack(AttemptEnd.FAILED, "the replica answered " + head.status(), Optional.of(buffered));
         } else if (streaming && cutter.insideEvent()) {
             end(AttemptEnd.BROKEN, "the stream ended inside an event", Optional.empty());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -255,7 +255,7 @@
         times.relayed(dispatcher.clock().monotonicMillis());
     }
 
-    /** A replica ran the request to its end and is still there. */
+    /** A replica ran the request to its end. Its own failure would not show that: it may fail before it begins. */
     void completed() {
         dispatcher.quarantine().completed(this::fingerprint);
     }
