Own interface: only an endpoint's answer below 500 clears a call

Cause: each relayed answer cleared the call, also a 5xx of an endpoint, and also the answer of another router to which a ticket's call was forwarded, such as its own "held back".

The stand-in service can fail on a path for it (failOn).

Why it works: the place that talks to an endpoint clears, and only below 500. An engine's refusal as 4xx still does, since it found fault with the request itself; its 5xx never did. The forwarded answer has no test of its own.

--- a/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
@@ -43,6 +43,8 @@
     private static final Duration COME_BACK = Duration.ofMillis(500);
     private static final Duration CLAIM_COME_BACK = Duration.ofSeconds(1);
     private static final int MAX_ATTEMPTS = 3;
+    /** An endpoint's own failures are 5xx. */
+    private static final int FIRST_FAILURE = 500;
 
     private final RouterContext context;
     private final PoolDirectory pools;
@@ -182,11 +184,19 @@
                 .then(
                         response -> {
                             pool.ended(address.get(), true);
+                            answered(call, response.getCode());
                             return Promise.of(response);
                         },
                         e -> failed(call, pool, address.get(), tries, sentAt, e));
     }
 
+    /** An endpoint may fail before it begins, so that only another answer shows that the call ran to its end. */
+    private void answered(ServiceCall call, int status) {
+        if (status < FIRST_FAILURE) {
+            context.quarantine().completed(call::fingerprint);
+        }
+    }
+
     private Promise<HttpResponse> failed(
             ServiceCall call, ServicePool pool, String address, ServiceTries tries, long sentAt, Exception e) {
         if (e instanceof ConnectException && (tries.once() || tries.count() + 1 < MAX_ATTEMPTS)) {
@@ -218,7 +228,6 @@
 
     private Promise<HttpResponse> relay(ServiceCall call, HttpResponse response) {
         return response.loadBody(BODY_LIMIT).then(buf -> {
-            context.quarantine().completed(call::fingerprint);
             settled(call.head(), call.customer().name(), new Outcome.Completed(response.getCode()));
             return copy(call, response, buf);
         });
--- a/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
@@ -30,15 +30,22 @@
      * @param workMillis how long a call takes, in milliseconds
      * @param silentShare the share of calls that run and are never answered
      * @param refuseShare the share of calls that are refused with 503 before they run
+     * @param failOn calls whose path contains this are answered with 500; empty for none
      * @param crashOn the process ends soon after it begins a call whose path contains this; empty for never
      */
-    public record ServiceFaults(long workMillis, double silentShare, double refuseShare, String crashOn) {
-        private static final ServiceFaults NONE = new ServiceFaults(0, 0, 0, "");
+    public record ServiceFaults(
+            long workMillis, double silentShare, double refuseShare, String failOn, String crashOn) {
+        private static final ServiceFaults NONE = new ServiceFaults(0, 0, 0, "", "");
 
         /** A text that is left out is empty. */
         public ServiceFaults {
+            failOn = failOn == null ? "" : failOn;
             crashOn = crashOn == null ? "" : crashOn;
         }
+
+        private static boolean meets(String text, String path) {
+            return !text.isEmpty() && path.contains(text);
+        }
     }
 
     /**
@@ -86,7 +93,10 @@
             return HttpAnswers.text(503, "text/plain", "refused before any work");
         }
         calls++;
-        if (!faults.crashOn().isEmpty() && request.getPath().contains(faults.crashOn())) {
+        if (ServiceFaults.meets(faults.failOn(), request.getPath())) {
+            return HttpAnswers.text(500, "text/plain", "failed");
+        }
+        if (ServiceFaults.meets(faults.crashOn(), request.getPath())) {
             daemon.timers()
                     .schedule(CRASH_AFTER_MILLIS, () -> Runtime.getRuntime().halt(1));
             return new SettablePromise<>();
