--- a/fleet/src/test/java/org/hornbeamhead/fleet/CrashingRequestTest.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/CrashingRequestTest.java
@@ -63,9 +63,7 @@
         for (ProcessHandleBox endpoint : endpoints) {
             fleet.fault(
                     endpoint.awaitReady(),
-                    engines
-                            ? "{\"silent\":false,\"cutAfter\":-1," + CRASHES
-                            : SERVICE + CRASHES);
+                    engines ? "{\"silent\":false,\"cutAfter\":-1," + CRASHES : SERVICE + CRASHES);
         }
         List<ProcessHandleBox> routers = fleet.routers(2, engines ? ENDPOINTS : 0);
         for (ProcessHandleBox router : routers) {
