Copies of a request that wait at replicas are taken back once it is held back

What callers saw: when a request that ends replicas had been found out, its copies that were waiting at replicas still ended one more replica each as they began, with all that was under way there. Their own callers waited until the deadline (504) where the replica did not get to them.

Cause: a request was checked when it was sent and before each further try, not while it waited.

Changed: the quarantine tells the dispatcher of each request that is held back from now on, by what this router saw or what others told. Copies of which nothing has come yet are taken back: their connection is closed, and their caller is told 502 where the replica may have begun, 503 with Retry-After where nothing was sent. A stream that has already begun goes on: it ends its replica or clears itself.

The own interface's routers do not take copies back.

--- a/core/src/main/java/org/hornbeamhead/core/forward/Forwarding.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/Forwarding.java
@@ -78,6 +78,11 @@
         return new NextStep.GiveUp(giveUp(end));
     }
 
+    /** Notes that a try was given up after it had been sent, though nothing failed: the replica may have begun. */
+    public void takenBack() {
+        possibleRuns++;
+    }
+
     private boolean mayRepeat(AttemptEnd end) {
         if (end.mayHaveRun()) {
             return route.repeatable() && possibleRuns < route.limits().maxAttempts();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -41,6 +41,7 @@
     private BufferedAnswer buffered;
     private boolean streaming;
     private boolean sent;
+    private boolean begun;
     private long sentAt;
     private boolean over;
     private long lastHeardAt;
@@ -61,6 +62,11 @@
         return sent;
     }
 
+    /** Tells whether the replica has shown that it works on the request. */
+    boolean hasBegun() {
+        return begun;
+    }
+
     /** When it was sent, if it was, in milliseconds of the monotonic clock. */
     long sentAt() {
         return sentAt;
@@ -186,6 +192,7 @@
         if (over || bytes.length == 0) {
             return Promise.complete();
         }
+        begun = true;
         timers.begun();
         if (!streaming) {
             buffered.add(bytes);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -63,6 +63,7 @@
     private final BudgetLimits budgetLimits;
     private final WorkingRouters routers;
     private final Quarantine quarantine;
+    private final RequestsUnderWay underWay = new RequestsUnderWay();
     private WorkHints hints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
 
@@ -123,6 +124,7 @@
         this.budgetLimits = parts.budgetLimits();
         this.routers = parts.routers();
         this.quarantine = parts.quarantine();
+        quarantine.onHeld(underWay::held);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = parts.weights();
         this.early = new EarlyRequests(timers);
@@ -293,6 +295,10 @@
         return quarantine;
     }
 
+    RequestsUnderWay underWay() {
+        return underWay;
+    }
+
     BeginLimits beginLimits() {
         return beginLimits;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -64,6 +64,7 @@
     }
 
     void start() {
+        dispatcher.underWay().began(this);
         answer.onGone(this::callerGone);
         deadlineTimer = dispatcher.reactor().delayBackground(Math.max(0, timeLeft()), this::timeIsOver);
         tryNext();
@@ -106,6 +107,22 @@
         giveUp(forwarding.withoutAnotherTry(), why, Optional.empty(), millis);
     }
 
+    /** Whether a replica has the request, or is about to get it, and has sent nothing that shows that it has begun. */
+    boolean awaits(RequestFingerprint content) {
+        return attempt != null && !attempt.hasBegun() && fingerprint().equals(content);
+    }
+
+    /** The request is held back since it was sent. */
+    void takeBack() {
+        if (attempt.wasSent()) {
+            forwarding.takenBack();
+        }
+        attempt.abandon();
+        attempt = null;
+        dispatcher.metrics().count("hornbeam_requests_taken_back");
+        holdBack(dispatcher.quarantine().heldMillis(this::fingerprint).orElse(0));
+    }
+
     private OptionalLong admission(Target target) {
         return target.choice()
                 .map(c -> EngineAdmission.refuse(c, subject.route().limits().targetMillis(), timeLeft()))
@@ -267,6 +284,7 @@
 
     private void finish(String how) {
         over = true;
+        dispatcher.underWay().ended(this);
         deadlineTimer.cancel();
         dispatcher
                 .metrics()
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hornbeamhead.core.crash.CrashArchive;
 import org.hornbeamhead.core.crash.CrashGossip;
@@ -33,6 +34,7 @@
     private final CrashArchive archive;
     private final CrashWitness witness;
     private final Parts parts;
+    private Consumer<RequestFingerprint> onHeld = r -> {};
 
     /**
      * What a quarantine works with.
@@ -72,12 +74,28 @@
 
     /** Starts to see replicas go, and to hear of what other routers saw. */
     public void start() {
-        history.listen(gossip::changed);
+        history.listen(this::changed);
         parts.registry().onGone(witness::gone);
         parts.datagrams().listen((from, bytes) -> gossip.receive(bytes));
         parts.metrics().gauge("hornbeam_requests_held_back", history::held);
     }
 
+    /**
+     * Tells of each request that is held back from now on, and again whenever more is known of it.
+     *
+     * @param listener takes the request
+     */
+    public void onHeld(Consumer<RequestFingerprint> listener) {
+        onHeld = listener;
+    }
+
+    private void changed(RequestFingerprint request) {
+        gossip.changed(request);
+        if (history.heldMillis(request).isPresent()) {
+            onHeld.accept(request);
+        }
+    }
+
     private void crashed(LostRun run, LiveReplica replica) {
         parts.metrics().count("hornbeam_requests_at_crash");
         history.crashed(run, replica.hash());
