The buffer of an HTTP answer is given back once

What callers saw: nothing that was traced to it. What could be seen: bytes of one connection in another's. Each answer that a router loaded from the store, and each answer of a plain endpoint that the own interface relayed, gave its buffer back to the pool twice.

Cause: a loaded body belongs to its message, which gives it back when the answer is over. The code read it by the call that gives it back as well (asString, asArray). Between the two the buffer may have been taken by another connection, and is then taken by a third.

Evidence: with assertions on, as in tests, the library reports "Attempt to use recycled ByteBuf" as a fatal error of the connection. Without assertions, as routers run, the library does nothing if the buffer has not been taken meanwhile.

Changed: both places read the bytes by the calls that leave the buffer alone, as all others do already. The place in ServicePipeline has no test of its own: its tests run processes without assertions.

--- a/daemon/src/main/java/org/hornbeamhead/daemon/HttpCaller.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/HttpCaller.java
@@ -123,7 +123,7 @@
      */
     public static Promise<HttpReply> load(HttpResponse response) {
         return response.loadBody(MAX_REPLY_BYTES)
-                .map(body -> new HttpReply(response.getCode(), body.asString(StandardCharsets.UTF_8)));
+                .map(body -> new HttpReply(response.getCode(), body.getString(StandardCharsets.UTF_8)));
     }
 
     /** Resolves nothing: addresses are IP numbers. */
--- a/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
@@ -240,7 +240,7 @@
                 .withHeader(HttpHeaders.CONTENT_TYPE, type == null ? "application/octet-stream" : type)
                 .withHeader(HttpHeaders.of("X-Request-Id"), call.head().id())
                 .withHeader(Refusals.OUTCOME, outcome == null ? "completed" : outcome)
-                .withBody(body.asArray())
+                .withBody(body.getArray())
                 .toPromise();
     }
 
