--- a/controller/src/main/java/org/hornbeamhead/controller/Controller.java
+++ b/controller/src/main/java/org/hornbeamhead/controller/Controller.java
@@ -43,6 +43,7 @@
                         .with(HttpMethod.GET, "/metrics", r -> metrics.scrape())
                         .build());
         metrics.gauge("hornbeam_leases_held", pools::leasesHeld);
+        metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
     }
 
     void run() {
--- a/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hornbeamhead/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.daemon;
 
+import com.google.common.flogger.FluentLogger;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpServer;
@@ -11,12 +12,14 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
 
 /** A process's reactor, its HTTP listener, and its end on a signal. */
 public final class Daemon {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration READ_WRITE_TIMEOUT = Duration.ofMinutes(10);
     private static final int MAX_BODY_BYTES = 8 << 20;
     private static final long SHUTDOWN_LIMIT_SECONDS = 600;
@@ -25,6 +28,7 @@
     private final Eventloop reactor;
     private final Clock clock = new ReactorClock();
     private final CountDownLatch ended = new CountDownLatch(1);
+    private final AtomicLong uncaughtErrors = new AtomicLong();
 
     /** Makes a daemon on the calling thread. */
     public Daemon() {
@@ -32,9 +36,15 @@
         this.reactor = Eventloop.builder()
                 .withTimeProvider(clock::monotonicMillis)
                 .withCurrentThread()
+                .withFatalErrorHandler(this::uncaught)
                 .build();
     }
 
+    private void uncaught(Throwable e, Object context) {
+        uncaughtErrors.incrementAndGet();
+        logger.atSevere().atMostEvery(1, TimeUnit.SECONDS).withCause(e).log("nothing caught an error in %s", context);
+    }
+
     /**
      * Listens for HTTP.
      *
@@ -135,6 +145,16 @@
         });
     }
 
+    /**
+     * Counts the errors that nothing caught. Each has ended one step of the reactor, such as the reading of a
+     * connection or a timer's action; the reactor itself goes on. One a second at most is logged.
+     *
+     * @return their number since the start
+     */
+    public long uncaughtErrors() {
+        return uncaughtErrors.get();
+    }
+
     /**
      * Returns the reactor's timers.
      *
--- a/daemon/src/test/java/org/hornbeamhead/daemon/DaemonTest.java
+++ b/daemon/src/test/java/org/hornbeamhead/daemon/DaemonTest.java
@@ -24,5 +24,6 @@
         daemon.reactor().delayBackground(LIMIT, daemon::end);
         daemon.run();
         assertEquals(runs.get(), 2);
+        assertEquals(daemon.uncaughtErrors(), 1);
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -210,6 +210,7 @@
         metrics.gauge("hornbeam_replicas", () -> registry.all().size());
         metrics.gauge("hornbeam_store_away", () -> view.away() ? 1 : 0);
         metrics.gauge("hornbeam_reads_store", () -> view.readsStore() ? 1 : 0);
+        metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
         quarantine.start();
         datagrams.start(settings.hints());
         hints.start();
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -128,6 +128,7 @@
                 routes(new ModelPipeline(context, pools, running), new RouterStatus(context, pools, gossip, running));
         metrics.gauge("hornbeam_config_version", () -> config.state().version());
         metrics.gauge("hornbeam_running_requests", running::count);
+        metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
         metrics.gauge("hornbeam_claim_writes", batcher::writes);
         metrics.gauge("hornbeam_members_serving", () -> gossip.serving().size());
     }
