The soak's routers run with assertions, and none of them may have an error that nothing caught

Cause: an error that ends one step of a router was in no promise of the soak, and the libraries' own checks were off there as they are on hosts.

PromisesTest shows it red on a history with such a line and green without.

--- a/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
@@ -3,13 +3,18 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.hornbeamhead.platform.StandinDocuments;
 import org.hornbeamhead.platform.StandinPorts;
 
 /** A router as a process of its own, and the signals that it gets. */
 final class RouterHandle {
     private static final String MAIN_CLASS = "org.hornbeamhead.platform.PlatformRouterMain";
+    /** What a router's log says of an error that nothing caught. */
+    private static final String UNCAUGHT = "nothing caught an error";
+
     private static final int PORTS = 6;
     private static final int DIRECTORY = 2;
 
@@ -31,6 +36,7 @@
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         builder = new ProcessBuilder(
                 java,
+                "-enableassertions",
                 "-Xmx64m",
                 "-Xss256k",
                 "-XX:+UseSerialGC",
@@ -58,6 +64,13 @@
         return log;
     }
 
+    /** Finds what the log of all processes so far tells of errors that nothing caught. */
+    List<String> uncaughtErrors() throws IOException {
+        try (Stream<String> lines = Files.lines(log)) {
+            return lines.filter(l -> l.contains(UNCAUGHT)).toList();
+        }
+    }
+
     /** The number of the process, from 1. */
     synchronized int process() {
         return started;
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -56,6 +56,9 @@
             threads.shutdownNow();
             threads.awaitTermination(END_MILLIS, TimeUnit.MILLISECONDS);
             Runtime.getRuntime().removeShutdownHook(cutOff);
+            for (RouterHandle router : fleet.routers()) {
+                router.uncaughtErrors().forEach(line -> history.add(new History.Uncaught(router.name(), line)));
+            }
         } finally {
             threads.shutdownNow();
         }
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -107,6 +107,14 @@
      */
     public record Disturbed(String kind, String subject, boolean planned, long from, long to) {}
 
+    /**
+     * A router's log tells of an error that nothing caught.
+     *
+     * @param router the router
+     * @param line the log's line
+     */
+    public record Uncaught(String router, String line) {}
+
     /** The subject of disturbances of the platform's store. */
     public static final String STORE = "store";
     /** The subject of disturbances of all routers together. */
@@ -119,6 +127,7 @@
     private final Collection<Ordered> ordered = new ConcurrentLinkedQueue<>();
     private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
     private final Collection<Disturbed> disturbed = new ConcurrentLinkedQueue<>();
+    private final Collection<Uncaught> uncaught = new ConcurrentLinkedQueue<>();
 
     /**
      * Adds what was seen.
@@ -141,6 +150,8 @@
             acknowledged.add(a);
         } else if (seen instanceof Disturbed d) {
             disturbed.add(d);
+        } else if (seen instanceof Uncaught u) {
+            uncaught.add(u);
         } else {
             throw new IllegalArgumentException("no part of a history: " + seen);
         }
@@ -220,6 +231,15 @@
         return List.copyOf(disturbed);
     }
 
+    /**
+     * Lists the errors that nothing caught.
+     *
+     * @return what the logs of routers tell of them
+     */
+    public List<Uncaught> uncaught() {
+        return List.copyOf(uncaught);
+    }
+
     /**
      * Tells whether a router could act as promised throughout a time.
      *
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.hornbeamhead.soak.history.History;
 
 /** All promises that a run checks. */
@@ -31,6 +32,11 @@
         checks.put("budget", LoadChecks::budget);
         checks.put("requests that end replicas", CrashChecks::sentFewTimes);
         checks.put("service back", LoadChecks::serviceBack);
+        checks.put("no uncaught errors", Promises::noUncaughtErrors);
+    }
+
+    private static Stream<Breach> noUncaughtErrors(History h) {
+        return h.uncaught().stream().map(u -> new Breach("no uncaught errors", u.router() + ": " + u.line(), 0));
     }
 
     /**
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -18,6 +18,7 @@
 import org.hornbeamhead.soak.history.History.Disturbed;
 import org.hornbeamhead.soak.history.History.Ended;
 import org.hornbeamhead.soak.history.History.Ordered;
+import org.hornbeamhead.soak.history.History.Uncaught;
 import org.hornbeamhead.soak.history.RequestKind;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -168,6 +169,11 @@
 
     private static Object[][] loadHistories() {
         return new Object[][] {
+            {
+                "no uncaught errors",
+                served("i", RequestKind.SAFE, 10).add(new Uncaught("router0", "nothing caught an error in a timer")),
+                served("i", RequestKind.SAFE, 10)
+            },
             {
                 "one holder",
                 new History().add(new Ordered("r1", "a", 7, true, 10)).add(new Ordered("r2", "b", 7, true, 20)),
