hornbeamctl ends when its task meets an error that nothing caught

Cause: the reactor goes on after what a step throws, and the task's result never came.

The command prints it and ends with 1, or with 4 where it may have made a change (apply, drain, undrain), as the usage text says of both codes. The exit codes have no test of their own.

--- a/ctl/src/main/java/org/hornbeamhead/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/CtlMain.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -36,6 +37,8 @@
                         3 another operator's change came first, 4 not known whether the change was made
             """;
 
+    private static final Set<String> CHANGES = Set.of("apply", "drain", "undrain");
+
     private final OptionParser parser = new OptionParser();
     private final OptionSpec<String> platform = parser.accepts(
                     "platform", "address of the platform's key-value service")
@@ -76,7 +79,7 @@
                 parser.printHelpOn(System.out);
                 return ExitCode.OK;
             }
-            return words.isEmpty() ? usage("a command is missing") : command(words, options);
+            return words.isEmpty() ? usage("a command is missing") : settled(words, options);
         } catch (OptionException | IllegalArgumentException e) {
             return usage(e.getMessage());
         } catch (IOException e) {
@@ -85,6 +88,16 @@
         }
     }
 
+    /** A change whose task failed may have been made. */
+    private ExitCode settled(List<String> words, OptionSet options) throws IOException {
+        try {
+            return command(words, options);
+        } catch (TaskFailedException e) {
+            System.err.println("hornbeamctl: " + e.getMessage());
+            return CHANGES.contains(words.get(0)) ? ExitCode.IN_DOUBT : ExitCode.FAILED;
+        }
+    }
+
     private ExitCode command(List<String> words, OptionSet options) throws IOException {
         String name = words.get(0);
         return switch (name) {
