The fleet's programs run with assertions, and none may have an error that nothing caught

Changed: the test fleet starts its programs with assertions, and at the end of each test asks the logs of all of them for a line about such an error.

--- a/fleet/src/test/java/org/hornbeamhead/fleet/ProcessHandleBox.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/ProcessHandleBox.java
@@ -3,15 +3,21 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** One program of the system or one stand-in, started by a test as a process of its own. */
 final class ProcessHandleBox {
+    /** What a program's log says of an error that nothing caught. */
+    private static final String UNCAUGHT = "nothing caught an error";
+
     private static final Pattern ADDRESS = Pattern.compile("(http|peer)=([0-9.:]+)");
 
     private final Process process;
@@ -28,6 +34,7 @@
     static ProcessHandleBox start(Path log, Class<?> main, String... args) throws IOException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-enableassertions",
                 "-Xmx96m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
@@ -106,6 +113,15 @@
         new ProcessBuilder("kill", name, Long.toString(process.pid())).start().waitFor();
     }
 
+    /** Finds what the program's log tells of errors that nothing caught. */
+    Stream<String> uncaughtErrors() {
+        try {
+            return Files.readAllLines(log).stream().filter(l -> l.contains(UNCAUGHT));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/fleet/src/test/java/org/hornbeamhead/fleet/TestFleet.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/TestFleet.java
@@ -1,5 +1,7 @@
 package org.hornbeamhead.fleet;
 
+import static org.testng.Assert.assertEquals;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -330,5 +332,8 @@
         for (ProcessHandleBox box : processes) {
             box.kill();
         }
+        List<String> errors =
+                processes.stream().flatMap(ProcessHandleBox::uncaughtErrors).toList();
+        assertEquals(errors.size(), 0, String.join("\n", errors));
     }
 }
