Read numbers and durations of settings as any decimal, within stated bounds

Cause: a number of the settings file was refused when it had more than nine digits on either side of the point, or an exponent. Durations took whole numbers only, and counts no fraction of zero.

Change: Decimals reads plain, fractional and exponent forms up to 40 characters and refuses NaN, infinities, hexadecimal and suffixes with the place and what was expected; a number out of bounds is reported with the bounds.

--- a/core/src/main/java/org/hornbeamhead/core/settings/SectionReader.java
+++ b/core/src/main/java/org/hornbeamhead/core/settings/SectionReader.java
@@ -11,6 +11,8 @@
 
 /** Reads typed values from one section and reports keys that are unknown to its caller. */
 public final class SectionReader {
+    private static final int MAX_INTEGER = 999_999_999;
+
     private final IniSection section;
     private final Findings findings;
     private final Set<String> requestedKeys = new HashSet<>();
@@ -86,7 +88,19 @@
      * @return the number; empty if it is absent or invalid
      */
     public Optional<Integer> positiveInteger(String key) {
-        return optional(key, SectionReader::positiveNumber);
+        return optional(key, text -> Decimals.parseWhole(text, 1, MAX_INTEGER));
+    }
+
+    /**
+     * Reads an optional number.
+     *
+     * @param key the key
+     * @param min the lowest valid number
+     * @param max the highest valid number
+     * @return the number; empty if it is absent or invalid
+     */
+    public Optional<Double> decimal(String key, double min, double max) {
+        return optional(key, text -> Decimals.parse(text, min, max));
     }
 
     /**
@@ -116,14 +130,6 @@
         return text.isBlank() ? Either.left("the value is empty") : Either.right(text.trim());
     }
 
-    private static Either<String, Integer> positiveNumber(String text) {
-        boolean digits = !text.isEmpty() && text.length() < 10 && text.chars().allMatch(Character::isDigit);
-        if (!digits || Integer.parseInt(text) == 0) {
-            return Either.left("'" + text + "' is no whole number above zero");
-        }
-        return Either.right(Integer.parseInt(text));
-    }
-
     private static List<String> splitNames(String text) {
         return Arrays.stream(text.split(",", -1))
                 .map(String::trim)
--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.fuzz;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -13,6 +14,8 @@
 import org.hornbeamhead.core.crash.CrashReportCodec;
 import org.hornbeamhead.core.drain.DrainOrders;
 import org.hornbeamhead.core.engine.LoadHint;
+import org.hornbeamhead.core.settings.Decimals;
+import org.hornbeamhead.core.settings.Durations;
 import org.hornbeamhead.core.ticket.Ticket;
 import org.hornbeamhead.core.time.ManualClock;
 import org.hornbeamhead.gateway.state.PeerReading;
@@ -72,6 +75,15 @@
                             + "\"models\":[{\"name\":\"m\",\"version\":3}],\"seq\":1}"),
             // Drain orders of the own interface.
             target("DRAIN_ORDERS", texts(FuzzTargets::drainOrders), "e|a|5|r|\nf|b|6|q|z"),
+            // Numbers and durations of all settings files.
+            target(
+                    "NUMBERS",
+                    texts(FuzzTargets::numbers),
+                    "38.2608695652174",
+                    "1e-05",
+                    "1500.5 ms",
+                    "8.0 s",
+                    "-2.5E+3"),
             // Operators' settings of the own interface.
             target(
                     "SETTINGS",
@@ -116,6 +128,12 @@
         CrashReportCodec.encode(CrashReportCodec.limitToSize(history.reports(), CrashReportCodec.MAX_DATAGRAM_BYTES));
     }
 
+    private static void numbers(String text) {
+        Decimals.parse(text)
+                .forEach(d -> assertEquals(Decimals.parse(Double.toString(d)).get(), d));
+        Durations.parse(text).forEach(d -> assertFalse(d.isNegative()));
+    }
+
     private static void drainOrders(String text) {
         DrainOrders orders = DrainOrders.parse(text);
         assertEquals(DrainOrders.parse(orders.format()), orders);
