Hold each customer's quota over all routers

Cause: nothing in the tree knew the rate and burst that the configuration gives a customer. What a hot customer sends beyond them took the engines from all others, and the rule on quotas was broken wherever one did.

Change: core/quota. A QuotaLedger at each router keeps a token bucket a customer. What it admits is subtracted at once; totals since the start of the router go to the others (changes every 50 ms to routers with callers, recent use every 500 ms to all), and all evaluate the sum. Totals make lost, repeated and reordered hints harmless. QuotaContacts gives the part of a quota that a router may use: the routers in contact out of those known to serve callers, so that the sides of a partition and routers that hear nobody divide the quota. What was left to routers out of contact pays for what they turn out to have admitted. A router that restarts takes over the levels it is told. A request beyond the quota is refused with 429 before any engine is asked, with the time at which the bucket has enough, one caller after the other. What no replica ran is given back; a repeat counts once.

With sockets: RouterQuotaTest. Fuzz target for the hints.

--- a/core/src/main/java/org/hornbeamhead/core/forward/FinalResponse.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/FinalResponse.java
@@ -4,6 +4,8 @@
 public enum FinalResponse {
     /** No replica ran the request and none will; the caller may retry. */
     NOT_RUN(503),
+    /** The request is beyond its customer's quota; no replica was asked, and the caller may retry. */
+    OVER_QUOTA(429),
     /** A replica may have run the request; its response was lost. */
     OUTCOME_UNKNOWN(502),
     /** A replica may have run the request; it did not respond in time. */
--- a/core/src/test/java/org/hornbeamhead/core/route/RoutingConfigTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/route/RoutingConfigTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
@@ -69,7 +70,7 @@
     public void keysStayRequiredAfterTheLastKeyIsRemoved() {
         assertTrue(config(true, Map.of()).requiresKeys());
         assertTrue(config(true, Map.of()).findKeyOwner("k").isEmpty());
-        KeyOwner owner = new KeyOwner("c", OptionalInt.empty(), false);
+        KeyOwner owner = new KeyOwner("c", OptionalInt.empty(), false, Optional.empty());
         assertEquals(config(true, Map.of("k", owner)).findKeyOwner("k").orElseThrow(), owner);
     }
 
--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.hornbeamhead.core.config.ConfigRecord;
 import org.hornbeamhead.core.config.OperatorsConfigReader;
@@ -14,6 +15,9 @@
 import org.hornbeamhead.core.crash.CrashReportCodec;
 import org.hornbeamhead.core.drain.DrainOrders;
 import org.hornbeamhead.core.engine.LoadHint;
+import org.hornbeamhead.core.quota.QuotaContacts;
+import org.hornbeamhead.core.quota.QuotaHint;
+import org.hornbeamhead.core.quota.QuotaLedger;
 import org.hornbeamhead.core.settings.Decimals;
 import org.hornbeamhead.core.settings.Durations;
 import org.hornbeamhead.core.ticket.Ticket;
@@ -48,6 +52,11 @@
                                     List.of(new LoadHint.ReplicaLoad(1, 2, 3, 4)),
                                     List.of(new LoadHint.SentRequest(5, 6, 7, 8)))
                             .encode())),
+            // What routers tell one another of the use of quotas.
+            target(
+                    "QUOTA_HINTS",
+                    FuzzTargets::quotaHints,
+                    latin(new QuotaHint(1, 2, true, false, List.of(new QuotaHint.Use(3, 4, 5))).encode())),
             // What routers tell one another of crashes.
             target("CRASH_NEWS", FuzzTargets::crashNews, "\u00c5\0\1\0\0\0\0\0\0\0\7\1\0\0\0\5\0\0\0\u0009\0\u0008"),
             // What routers keep in the store of crashes.
@@ -70,7 +79,8 @@
                             + "\"prefix\":\"/\",\"kind\":\"streaming\","
                             + "\"backends\":[{\"service\":\"s\",\"weight\":1}]}],"
                             + "\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":3,\"models\":[{\"name\":\"m\"}]}},"
-                            + "{\"name\":\"t\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":3}]}",
+                            + "{\"name\":\"t\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"],\"priority\":3,"
+                            + "\"unit\":\"tokens\",\"uncached_tokens\":2,\"rate_per_s\":5,\"burst\":1e3}]}",
                     "{\"service\":\"s\",\"address\":\"127.0.0.1:33\",\"zone\":\"z\",\"slots\":8,\"state\":\"ready\","
                             + "\"models\":[{\"name\":\"m\",\"version\":3}],\"seq\":1}"),
             // Drain orders of the own interface.
@@ -117,6 +127,15 @@
         LoadHint.decode(bytes).ifPresent(h -> assertEquals(LoadHint.decode(h.encode()), Optional.of(h)));
     }
 
+    private static void quotaHints(byte[] bytes) {
+        QuotaLedger ledger =
+                new QuotaLedger(0, new QuotaContacts(0, 1), () -> new QuotaContacts.Fleet(Set.of("a"), 0, Set.of()));
+        QuotaHint.decode(bytes).ifPresent(h -> {
+            assertEquals(QuotaHint.decode(h.encode()), Optional.of(h));
+            ledger.merge("a", h, 0);
+        });
+    }
+
     private static void crashNews(byte[] bytes) {
         CrashHistory history = new CrashHistory(new ManualClock(0));
         CrashReportCodec.decode(bytes).ifPresent(news -> {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -10,12 +10,15 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.crash.CrashHistoryPersister;
 import org.hornbeamhead.core.entry.ActiveRouters;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.quota.QuotaContacts;
+import org.hornbeamhead.core.quota.QuotaLedger;
 import org.hornbeamhead.core.route.CallerLimits;
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.time.Clock;
@@ -31,6 +34,8 @@
 import org.hornbeamhead.gateway.duty.PeerChangeNotifier;
 import org.hornbeamhead.gateway.duty.ReplicaOrderClient;
 import org.hornbeamhead.gateway.quarantine.Quarantine;
+import org.hornbeamhead.gateway.quota.QuotaGate;
+import org.hornbeamhead.gateway.quota.QuotaGossip;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.HttpMirrorClient;
 import org.hornbeamhead.gateway.state.LoadHints;
@@ -72,6 +77,7 @@
     private final LeaderTasks leaderTasks;
     private final PeerDatagrams datagrams;
     private final Quarantine quarantine;
+    private final QuotaGossip quotaGossip;
     private final Dispatcher dispatcher;
     private final LoadHints loadHints;
     private final CallerServer callerServer;
@@ -135,6 +141,9 @@
                 state);
         datagrams = new PeerDatagrams(reactor);
         quarantine = new Quarantine(quarantineDependencies(ports, random));
+        QuotaContacts contacts = new QuotaContacts(clock.monotonicMillis(), QuotaGossip.MAX_PEERS);
+        QuotaLedger ledger = new QuotaLedger(random.nextLong(), contacts, this::fleet);
+        quotaGossip = new QuotaGossip(clock, daemon.timers(), ledger, activeRouters, routers::hintAddresses, datagrams);
         dispatcher = new Dispatcher(new Dispatcher.Dependencies(
                 reactor,
                 clock,
@@ -148,7 +157,8 @@
                 !settings.firstStart(),
                 settings.budget(),
                 activeRouters,
-                quarantine));
+                quarantine,
+                new QuotaGate(ledger, clock)));
         loadHints = new LoadHints(
                 reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
         dispatcher.setLoadHints(loadHints);
@@ -169,6 +179,14 @@
                 metrics);
     }
 
+    private QuotaContacts.Fleet fleet() {
+        long now = clock.monotonicMillis();
+        return new QuotaContacts.Fleet(
+                Set.copyOf(routers.hintAddresses()),
+                now - state.confirmedAt(),
+                Set.copyOf(activeRouters.activePeers(now)));
+    }
+
     private void onSuspension(long suspendedMillis) {
         state.addSuspendedTime(suspendedMillis, clock.monotonicMillis());
         weights.addSuspendedTime(suspendedMillis);
@@ -219,6 +237,7 @@
         quarantine.start();
         datagrams.start(settings.hintAddress());
         loadHints.start();
+        quotaGossip.start();
         storeView.start();
         registration.start();
         suspensionDetector.start();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/CallerRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.gateway.dispatch;
 
+import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.hornbeamhead.core.engine.Prompt;
@@ -14,6 +15,8 @@
  * @param key the customer's key
  * @param timeLeftMillis how long the caller will wait, in milliseconds
  * @param prompt the parsed prompt, for requests to engines
+ * @param tokenCount the number of prompt tokens and of output tokens at most; empty if the caller stated none, or a
+ *     message that says why what it stated is invalid
  * @param lastEventId the id of the event after which the caller wants to resume a stream
  */
 public record CallerRequest(
@@ -23,4 +26,5 @@
         Optional<String> key,
         OptionalLong timeLeftMillis,
         Optional<Prompt> prompt,
+        Either<String, OptionalLong> tokenCount,
         OptionalLong lastEventId) {}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.WholeRequest;
+import org.hornbeamhead.core.quota.QuotaDecision;
 import org.hornbeamhead.core.retry.SharedRetryBudget;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
@@ -27,6 +28,7 @@
 import org.hornbeamhead.gateway.caller.CallerHandler;
 import org.hornbeamhead.gateway.caller.CallerResponse;
 import org.hornbeamhead.gateway.quarantine.Quarantine;
+import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.LoadHints;
@@ -75,6 +77,7 @@
     private final RetryBudgetLimits budgetLimits;
     private final ActiveRouters routers;
     private final Quarantine quarantine;
+    private final QuotaGate quotas;
     private final InFlightRequests inFlight = new InFlightRequests();
     private LoadHints loadHints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -104,6 +107,7 @@
      * @param budgetLimits the limits of the shared retry budget
      * @param routers the routers that share limits
      * @param quarantine the quarantined requests
+     * @param quotas the quotas of customers
      */
     public record Dependencies(
             NioReactor reactor,
@@ -118,7 +122,8 @@
             boolean priorTraffic,
             RetryBudgetLimits budgetLimits,
             ActiveRouters routers,
-            Quarantine quarantine) {}
+            Quarantine quarantine,
+            QuotaGate quotas) {}
 
     /**
      * Creates a dispatcher.
@@ -136,6 +141,7 @@
         this.budgetLimits = dependencies.budgetLimits();
         this.routers = dependencies.routers();
         this.quarantine = dependencies.quarantine();
+        this.quotas = dependencies.quotas();
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
@@ -202,9 +208,37 @@
                     routed.callerRequest(), response, "service " + name + " is not configured", STALE_RETRY_MILLIS);
             return;
         }
-        budget(name).recordRequest(clock.monotonicMillis());
         routers.recordRequest(clock.monotonicMillis());
-        new Exchange(this, new ServiceRequest(routed, service.get()), response).start();
+        quotas.admit(routed.quotaOwner(), routed.callerRequest().tokenCount())
+                .peek(decision -> decision.filter(d -> !d.admitted())
+                        .ifPresentOrElse(
+                                d -> rejectOverQuota(routed, response, d),
+                                () -> startExchange(new ServiceRequest(routed, service.get()), response)))
+                .peekLeft(reason -> respond(routed.callerRequest(), response, BAD_REQUEST, reason, Headers.NONE));
+    }
+
+    private void startExchange(ServiceRequest request, CallerResponse response) {
+        budget(request.service().name()).recordRequest(clock.monotonicMillis());
+        new Exchange(this, request, response).start();
+    }
+
+    private void rejectOverQuota(RoutedRequest routed, CallerResponse response, QuotaDecision decision) {
+        String customer = routed.owner().map(KeyOwner::customer).orElse("");
+        metrics.count("hornbeam_quota_refusals", "customer", customer);
+        logger.atInfo()
+                .with(Logs.REQUEST, routed.callerRequest().id())
+                .with(Logs.DECISION, "refused over quota")
+                .with(
+                        Logs.INPUTS,
+                        "customer=" + customer + " cost=" + decision.cost() + " level=" + Math.round(decision.level())
+                                + " share=" + decision.share() + " hintAgeMillis=" + decision.hintAgeMillis())
+                .log("request is over its customer's quota");
+        respond(
+                routed.callerRequest(),
+                response,
+                FinalResponse.OVER_QUOTA.status(),
+                "the customer's quota is used up",
+                retryAfter(decision.retryAfterMillis()));
     }
 
     /** Returns a hash that is spread over all values, since the ids themselves may come from a counter. */
@@ -274,8 +308,11 @@
 
     void rejectNotExecuted(CallerRequest request, CallerResponse response, String reason, long retryAfterMillis) {
         long delayMillis = retryAfterMillis + random.nextLong(Math.min(retryAfterMillis, MAX_JITTER_MILLIS) + 1);
-        Headers headers = Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", delayMillis / 1000.0));
-        respond(request, response, FinalResponse.NOT_RUN.status(), reason, headers);
+        respond(request, response, FinalResponse.NOT_RUN.status(), reason, retryAfter(delayMillis));
+    }
+
+    private static Headers retryAfter(long millis) {
+        return Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", millis / 1000.0));
     }
 
     void respond(CallerRequest request, CallerResponse response, int status, String reason, Headers headers) {
@@ -310,6 +347,10 @@
         return quarantine;
     }
 
+    QuotaGate quotas() {
+        return quotas;
+    }
+
     InFlightRequests inFlight() {
         return inFlight;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -107,6 +107,7 @@
         }
         OptionalLong retryMillis = tried.isEmpty() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
         if (retryMillis.isPresent()) {
+            giveBackQuota();
             finish("REFUSED_FOR_LOAD");
             dispatcher.rejectNotExecuted(
                     serviceRequest.callerRequest(),
@@ -235,6 +236,9 @@
 
     private void sendFinalAnswer(
             FinalResponse finalAnswer, String reason, Optional<BufferedResponse> failure, long retryAfterMillis) {
+        if (finalAnswer == FinalResponse.NOT_RUN) {
+            giveBackQuota();
+        }
         finish(finalAnswer.name());
         if (finalAnswer == FinalResponse.BROKEN_OFF) {
             response.abort();
@@ -262,11 +266,23 @@
 
     private void callerDisconnected() {
         if (!finished) {
+            if (forwarding.responseAtDeadline(attempt != null && attempt.wasSent()) == FinalResponse.NOT_RUN) {
+                giveBackQuota();
+            }
             stopAttempt();
             finish("CALLER_GONE");
         }
     }
 
+    /** Takes back what the request counts in its customer's quota, since no replica has run it. */
+    private void giveBackQuota() {
+        dispatcher
+                .quotas()
+                .giveBack(
+                        serviceRequest.routed().quotaOwner(),
+                        serviceRequest.callerRequest().tokenCount());
+    }
+
     private void stopAttempt() {
         if (attempt != null) {
             if (attempt.isSilent()) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
@@ -15,4 +15,9 @@
  * @param arrivedAt the monotonic arrival time, in milliseconds
  */
 record RoutedRequest(
-        RoutingConfig config, Route route, Optional<KeyOwner> owner, CallerRequest callerRequest, long arrivedAt) {}
+        RoutingConfig config, Route route, Optional<KeyOwner> owner, CallerRequest callerRequest, long arrivedAt) {
+    /** Returns the customer whose quota the request counts against; empty on routes that allow anonymous requests. */
+    Optional<KeyOwner> quotaOwner() {
+        return route.allowsAnonymous() ? Optional.empty() : owner;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quota/QuotaGossip.java
@@ -0,0 +1,103 @@
+package org.hornbeamhead.gateway.quota;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.hornbeamhead.core.entry.ActiveRouters;
+import org.hornbeamhead.core.quota.QuotaHint;
+import org.hornbeamhead.core.quota.QuotaLedger;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
+import org.hornbeamhead.gateway.state.PeerDatagrams;
+
+/**
+ * Exchanges the use of quotas with other routers. Routers with callers hear of changes soon; all routers hear of recent
+ * use regularly, since callers may come to any of them.
+ */
+public final class QuotaGossip {
+    /** The largest number of routers that receive a hint; more would increase the load as the fleet grows. */
+    public static final int MAX_PEERS = 96;
+
+    /** The interval of changes. What arrives in it may exceed a quota. */
+    private static final long CHANGES_INTERVAL_MILLIS = 50;
+    /**
+     * With more routers with callers than this, changes are told less often, so that the load of each stays bounded.
+     */
+    private static final int MAX_FULL_RATE_ROUTERS = 16;
+
+    private static final long SUMMARY_INTERVAL_MILLIS = 500;
+    /** A router whose callers left says so several times, since each datagram may be lost. */
+    private static final int IDLE_HINTS = 3;
+
+    private final Clock clock;
+    private final Timers timers;
+    private final QuotaLedger ledger;
+    private final ActiveRouters activeRouters;
+    private final Supplier<List<String>> listedRouters;
+    private final PeerDatagrams datagrams;
+    private long lastSummaryMillis;
+    private int idleHintsLeft;
+
+    /**
+     * Creates an exchange that is not started yet.
+     *
+     * @param clock the clock
+     * @param timers the timers
+     * @param ledger the accounts of the customers
+     * @param activeRouters the routers with callers
+     * @param listedRouters supplies the addresses at which other routers receive hints
+     * @param datagrams the socket for hints
+     */
+    public QuotaGossip(
+            Clock clock,
+            Timers timers,
+            QuotaLedger ledger,
+            ActiveRouters activeRouters,
+            Supplier<List<String>> listedRouters,
+            PeerDatagrams datagrams) {
+        this.clock = clock;
+        this.timers = timers;
+        this.ledger = ledger;
+        this.activeRouters = activeRouters;
+        this.listedRouters = listedRouters;
+        this.datagrams = datagrams;
+    }
+
+    /** Starts to send and receive hints. */
+    public void start() {
+        datagrams.addListener((from, bytes) ->
+                QuotaHint.decode(bytes).ifPresent(hint -> ledger.merge(from, hint, clock.monotonicMillis())));
+        tick();
+    }
+
+    private void tick() {
+        long now = clock.monotonicMillis();
+        List<String> active = activeRouters.activePeers(now);
+        if (ledger.hasChanges()) {
+            send(ledger.takeChanges(now), active);
+        }
+        if (now - lastSummaryMillis >= SUMMARY_INTERVAL_MILLIS) {
+            lastSummaryMillis = now;
+            sendSummary(active, now);
+        }
+        long factor = Math.max(1, active.size() / MAX_FULL_RATE_ROUTERS);
+        timers.schedule(CHANGES_INTERVAL_MILLIS * factor, this::tick);
+    }
+
+    private void sendSummary(List<String> active, long now) {
+        boolean idle = activeRouters.ownRate(now) == 0;
+        idleHintsLeft = idle ? Math.max(0, idleHintsLeft - 1) : IDLE_HINTS + 1;
+        if (!idle || idleHintsLeft > 0) {
+            // Routers with callers come first, since the number of receivers is bounded.
+            Set<String> all = new LinkedHashSet<>(active);
+            all.addAll(listedRouters.get());
+            send(ledger.summary(idle, now), List.copyOf(all));
+        }
+    }
+
+    private void send(QuotaHint hint, List<String> to) {
+        byte[] datagram = hint.encode();
+        to.stream().limit(MAX_PEERS).forEach(p -> datagrams.send(p, datagram));
+    }
+}
