Drop requests whose callers left while the router stood still

Change: StallDetector notes that the thread was late for a check. For a second after a stall, a request waits two turns of the reactor (about 2 ms), in which the end of its connection is read; it is dropped then. Outside of stalls nothing changes.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -162,7 +162,7 @@
         loadHints = new LoadHints(
                 reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
         dispatcher.setLoadHints(loadHints);
-        callerServer = new CallerServer(reactor, this::handle, this::callerLimits, metrics);
+        callerServer = new CallerServer(reactor, clock, this::handle, this::callerLimits, metrics);
         shutdown = new Shutdown(daemon, callerServer, registration, leaderTasks, settings.grace());
         mirror.addListener(this::onStoreChange);
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
@@ -125,7 +125,7 @@
                 request.head().method().equals("HEAD"),
                 this::responseCompleted);
         server.requestStarted();
-        server.handler().handle(request, response);
+        server.handle(request, response);
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
+import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.route.CallerLimits;
+import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Metrics;
 
 /** Accepts and tracks the connections of callers. */
@@ -26,6 +28,7 @@
     private final CallerHandler handler;
     private final Supplier<CallerLimits> limits;
     private final Metrics metrics;
+    private final StallDetector stallDetector;
     private final Set<CallerConnection> openConnections = new HashSet<>();
     private SimpleServer server;
     private int inFlight;
@@ -35,15 +38,18 @@
      * Creates a server that does not listen yet.
      *
      * @param reactor the reactor of the current thread
+     * @param clock the clock
      * @param handler handles the requests
      * @param limits the limits for callers, read for each new connection
      * @param metrics the metrics of the process
      */
-    public CallerServer(NioReactor reactor, CallerHandler handler, Supplier<CallerLimits> limits, Metrics metrics) {
+    public CallerServer(
+            NioReactor reactor, Clock clock, CallerHandler handler, Supplier<CallerLimits> limits, Metrics metrics) {
         this.reactor = reactor;
         this.handler = handler;
         this.limits = limits;
         this.metrics = metrics;
+        this.stallDetector = new StallDetector(clock, (delay, action) -> reactor.delayBackground(delay, action));
     }
 
     /**
@@ -57,6 +63,7 @@
                 .withListenAddress(address)
                 .build();
         server.listen();
+        stallDetector.start();
     }
 
     private void accept(ITcpSocket socket) {
@@ -65,8 +72,24 @@
         connection.start();
     }
 
-    CallerHandler handler() {
-        return handler;
+    /**
+     * Handles a request. After a stall, the request may have been waiting for long, and its caller may have left; the
+     * reactor then looks for the end of the connection first, which takes two of its turns.
+     */
+    void handle(WholeRequest request, ResponseWriter response) {
+        if (!stallDetector.mayHaveBacklog()) {
+            handler.handle(request, response);
+            return;
+        }
+        reactor.delayBackground(1, () -> reactor.delayBackground(1, () -> handleUnlessDisconnected(request, response)));
+    }
+
+    private void handleUnlessDisconnected(WholeRequest request, ResponseWriter response) {
+        if (response.isFinished()) {
+            metrics.count("hornbeam_callers_gone_unserved");
+        } else {
+            handler.handle(request, response);
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/ResponseWriter.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/ResponseWriter.java
@@ -95,6 +95,11 @@
         }
     }
 
+    /** Returns whether the response is complete, or its caller has left. */
+    boolean isFinished() {
+        return finished;
+    }
+
     private void finish(boolean reusable) {
         if (!finished) {
             finished = true;
