Tell busy routers of sent requests every 40 ms, however many others have a few

Change: ActiveRouters.busyPeers names those with at least a quarter of the highest rate. They get hints every 40 ms x busy / 16; the other active ones as often as before. Quota hints follow the same groups: changes to busy routers every 50 ms, recent use to others with callers every 200 ms, to all every 500.

Test: ActiveRoutersTest.

--- a/core/src/main/java/org/hornbeamhead/core/entry/ActiveRouters.java
+++ b/core/src/main/java/org/hornbeamhead/core/entry/ActiveRouters.java
@@ -26,6 +26,9 @@
     /** Window over which this router's own rate is computed. */
     private static final long RATE_WINDOW_MILLIS = 2_000;
 
+    /** Share of the highest request rate from which on a router counts as busy. */
+    private static final double BUSY_SHARE = 0.25;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final IntSupplier listedCount;
@@ -103,6 +106,25 @@
                 .toList();
     }
 
+    /**
+     * Returns the other routers that receive a considerable part of the requests. Callers may send nearly all requests
+     * to eight of 68 routers and a few to each of the rest; the choices of the eight depend on one another most.
+     *
+     * @param nowMillis the monotonic time
+     * @return their addresses
+     */
+    public List<String> busyPeers(long nowMillis) {
+        double highestRate = peers.values().stream()
+                .filter(peer -> isActive(peer, nowMillis))
+                .mapToDouble(PeerRate::rate)
+                .reduce(ownRate(nowMillis), Math::max);
+        return peers.entrySet().stream()
+                .filter(e -> isActive(e.getValue(), nowMillis))
+                .filter(e -> e.getValue().rate() >= highestRate * BUSY_SHARE)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /**
      * Returns the total request rate of all routers.
      *
--- a/core/src/test/java/org/hornbeamhead/core/entry/ActiveRoutersTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/entry/ActiveRoutersTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.testng.annotations.Test;
 
@@ -59,4 +60,22 @@
     public void routerWithoutPeersTakesEqualShare() {
         assertEquals(new ActiveRouters(() -> 63).limitShare(), 1.0 / 63);
     }
+
+    /** Guards against hints that are late at the few routers with nearly all callers, because many have a few. */
+    @Test
+    public void routersWithFewRequestsAreNotBusy() {
+        ActiveRouters routers = new ActiveRouters(() -> 68);
+        routers.recordPeer("large", 40, 0);
+        routers.recordPeer("half", 20, 0);
+        IntStream.range(0, 50).forEach(i -> routers.recordPeer("small" + i, 1, 0));
+        assertEquals(Set.copyOf(routers.busyPeers(0)), Set.of("large", "half"));
+        assertEquals(routers.activePeers(0).size(), 52);
+    }
+
+    @Test
+    public void equalRoutersAreAllBusy() {
+        ActiveRouters routers = new ActiveRouters(() -> 8);
+        IntStream.range(0, 7).forEach(i -> routers.recordPeer("r" + i, 1, 0));
+        assertEquals(routers.busyPeers(0).size(), 7);
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quota/QuotaGossip.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quota/QuotaGossip.java
@@ -12,8 +12,8 @@
 import org.hornbeamhead.gateway.state.PeerDatagrams;
 
 /**
- * Exchanges the use of quotas with other routers. Routers with callers hear of changes soon; all routers hear of recent
- * use regularly, since callers may come to any of them.
+ * Exchanges the use of quotas with other routers. Routers with many callers hear of changes soon; all routers hear of
+ * recent use regularly, since callers may come to any of them.
  */
 public final class QuotaGossip {
     /** The largest number of routers that receive a hint; more would increase the load as the fleet grows. */
@@ -27,6 +27,8 @@
     private static final int MAX_FULL_RATE_ROUTERS = 16;
 
     private static final long SUMMARY_INTERVAL_MILLIS = 500;
+    /** The interval of hints to routers that have callers, but few. */
+    private static final long OTHERS_INTERVAL_MILLIS = 200;
     /** A router whose callers left says so several times, since each datagram may be lost. */
     private static final int IDLE_HINTS = 3;
 
@@ -37,6 +39,7 @@
     private final Supplier<List<String>> listedRouters;
     private final PeerDatagrams datagrams;
     private long lastSummaryMillis;
+    private long lastToOthersMillis;
     private int idleHintsLeft;
 
     /**
@@ -73,18 +76,32 @@
 
     private void tick() {
         long now = clock.monotonicMillis();
-        List<String> active = activeRouters.activePeers(now);
+        List<String> busy = activeRouters.busyPeers(now);
         if (ledger.hasChanges()) {
-            send(ledger.takeChanges(now), active);
+            send(ledger.takeChanges(now), busy);
         }
         if (now - lastSummaryMillis >= SUMMARY_INTERVAL_MILLIS) {
             lastSummaryMillis = now;
-            sendSummary(active, now);
+            lastToOthersMillis = now;
+            sendSummary(activeRouters.activePeers(now), now);
+        } else if (now - lastToOthersMillis >= OTHERS_INTERVAL_MILLIS) {
+            lastToOthersMillis = now;
+            sendToOthers(busy, now);
         }
-        long factor = Math.max(1, active.size() / MAX_FULL_RATE_ROUTERS);
+        long factor = Math.max(1, busy.size() / MAX_FULL_RATE_ROUTERS);
         timers.schedule(CHANGES_INTERVAL_MILLIS * factor, this::tick);
     }
 
+    /** Tells routers that have few callers, whose own decisions admit little. */
+    private void sendToOthers(List<String> busy, long now) {
+        List<String> others = activeRouters.activePeers(now).stream()
+                .filter(p -> !busy.contains(p))
+                .toList();
+        if (!others.isEmpty() && activeRouters.ownRate(now) > 0) {
+            send(ledger.summary(false, now), others);
+        }
+    }
+
     private void sendSummary(List<String> active, long now) {
         boolean idle = activeRouters.ownRate(now) == 0;
         idleHintsLeft = idle ? Math.max(0, idleHintsLeft - 1) : IDLE_HINTS + 1;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/LoadHints.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/LoadHints.java
@@ -2,7 +2,6 @@
 
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -20,10 +19,10 @@
  * lost datagram results in a worse choice, nothing else.
  */
 public final class LoadHints {
-    /** Interval of hints to other active routers. A replica needs about this long to read a long prompt. */
+    /** Interval of hints to other busy routers. A replica needs about this long to read a long prompt. */
     private static final long FLUSH_INTERVAL_MILLIS = 40;
     /**
-     * With more active routers than this, hints are sent less often, so that their total size grows no faster than the
+     * With more receivers than this, hints are sent less often, so that their total size grows no faster than the
      * number of routers.
      */
     private static final int MAX_FULL_RATE_ROUTERS = 16;
@@ -42,8 +41,9 @@
     private final ActiveRouters activeRouters;
     private final PeerDatagrams datagrams;
     private final BiConsumer<LiveReplica, LoadHint.SentRequest> onSend;
-    private final List<LoadHint.SentRequest> pendingSends = new ArrayList<>();
-    private List<LoadHint.ReplicaLoad> lastTotals = List.of();
+    private final HintSequence toBusy = new HintSequence();
+    private final HintSequence toOthers = new HintSequence();
+    private long lastToOthersMillis;
     private long lastBroadcastMillis;
     private ScheduledRunnable nextFlush;
     private boolean idleInterval;
@@ -91,7 +91,10 @@
     public void recordSent(LiveReplica replica, EngineChoice choice) {
         int readMillis = (int) Math.round(choice.prefillMillis());
         int storeMillis = (int) Math.round(choice.storeMillis());
-        pendingSends.add(new LoadHint.SentRequest(replica.runHash(), choice.prefixHash(), readMillis, storeMillis));
+        LoadHint.SentRequest sent =
+                new LoadHint.SentRequest(replica.runHash(), choice.prefixHash(), readMillis, storeMillis);
+        toBusy.recordSent(sent);
+        toOthers.recordSent(sent);
         if (idleInterval) {
             nextFlush.cancel();
             scheduleFlush(FLUSH_INTERVAL_MILLIS);
@@ -114,23 +117,30 @@
                         r.load().ownMemoryTokens()))
                 .toList();
         int rate = (int) Math.ceil(activeRouters.ownRate(now));
-        boolean hasChanges = !pendingSends.isEmpty() || !totals.equals(lastTotals);
         boolean broadcast = (rate > 0 || !totals.isEmpty()) && now - lastBroadcastMillis > BROADCAST_INTERVAL_MILLIS;
-        Set<String> activePeers = Set.copyOf(activeRouters.activePeers(now));
-        if (hasChanges || broadcast) {
-            send(new LoadHint(rate, withFinished(totals), List.copyOf(pendingSends)), activePeers);
-            lastTotals = totals;
+        Set<String> busyPeers = Set.copyOf(activeRouters.busyPeers(now));
+        Set<String> otherPeers = new HashSet<>(activeRouters.activePeers(now));
+        otherPeers.removeAll(busyPeers);
+        if (broadcast || toBusy.hasChanges(totals)) {
+            send(toBusy.next(rate, totals), busyPeers);
+        }
+        boolean othersDue = now - lastToOthersMillis >= interval(otherPeers.size());
+        if (broadcast || (othersDue && toOthers.hasChanges(totals))) {
+            send(toOthers.next(rate, totals), otherPeers);
+            lastToOthersMillis = now;
         }
         if (broadcast) {
             Set<String> idlePeers = new HashSet<>(peers.get());
-            idlePeers.removeAll(activePeers);
+            idlePeers.removeAll(busyPeers);
+            idlePeers.removeAll(otherPeers);
             send(new LoadHint(rate, totals, List.of()), idlePeers);
             lastBroadcastMillis = now;
         }
-        pendingSends.clear();
-        long intervalFactor = Math.max(1, activePeers.size() / MAX_FULL_RATE_ROUTERS);
-        scheduleFlush(
-                totals.isEmpty() && rate == 0 ? BROADCAST_INTERVAL_MILLIS : FLUSH_INTERVAL_MILLIS * intervalFactor);
+        scheduleFlush(totals.isEmpty() && rate == 0 ? BROADCAST_INTERVAL_MILLIS : interval(busyPeers.size()));
+    }
+
+    private static long interval(int receivers) {
+        return FLUSH_INTERVAL_MILLIS * Math.max(1, receivers / MAX_FULL_RATE_ROUTERS);
     }
 
     private void send(LoadHint hint, Set<String> to) {
@@ -138,15 +148,6 @@
         to.stream().limit(MAX_PEERS).forEach(p -> datagrams.send(p, datagram));
     }
 
-    /** Adds a zero total for each replica on which all requests of this router have ended. */
-    private List<LoadHint.ReplicaLoad> withFinished(List<LoadHint.ReplicaLoad> totals) {
-        List<LoadHint.ReplicaLoad> result = new ArrayList<>(totals);
-        lastTotals.stream()
-                .filter(t -> totals.stream().noneMatch(n -> n.replica() == t.replica()))
-                .forEach(t -> result.add(new LoadHint.ReplicaLoad(t.replica(), 0, 0, 0)));
-        return result;
-    }
-
     private void apply(String from, LoadHint hint) {
         long now = clock.monotonicMillis();
         if (hint.requestsPerSecond() > 0 || !hint.sentRequests().isEmpty()) {
