Test that long answers need fresh hints between routers

Plays the mix of the shifted deployment in the model of engines: 93 long prompts and 246 long answers a second at 31 of 42 engines after a burst, eight routers. Hints 30 ms old must keep .92 of the long answers on time, the bound of the other rows of EngineMixTest; hints 120 ms old, as they were with 50 active routers, must not.

--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineMixTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineMixTest.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.core.engine;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -53,6 +54,32 @@
         assertOnTime(runs, promptLoad, minPrompts);
     }
 
+    @DataProvider
+    public Object[][] hintDelays() {
+        return new Object[][] {{30, true}, {120, false}};
+    }
+
+    /**
+     * Guards against long prompts that meet at the engines of long answers since routers learn too late of one
+     * another's requests: eight routers carry 93 long prompts and 246 long answers a second, and a quarter of 42
+     * engines is lost.
+     */
+    @Test(dataProvider = "hintDelays")
+    public void longAnswersAreOnTimeIfRoutersHearOfOneAnotherSoon(int hintDelayMillis, boolean onTime) {
+        EngineSimulation.Workload prompts =
+                new EngineSimulation.Workload("long prompts", 93, 6_300, 801, 2_890, 7, 1.4, 800);
+        EngineSimulation.Workload answers =
+                new EngineSimulation.Workload("long answers", 246, 198, 1_223, 628, 42, 0.69, 500);
+        double share = LongStream.rangeClosed(1, 3)
+                .mapToObj(seed -> new EngineSimulation(31, ROUTERS, List.of(prompts, answers), seed)
+                        .withHintDelay(hintDelayMillis)
+                        .runAfterBurst(BURST_MILLIS, BURST_FACTOR, SIMULATED_MILLIS))
+                .mapToDouble(run -> run.get(answers.name()).onTimeShare())
+                .average()
+                .orElse(0);
+        assertEquals(share >= 0.92, onTime, "long answers on time: " + share);
+    }
+
     private static EngineSimulation.Workload scaled(EngineSimulation.Workload workload, double factor) {
         return new EngineSimulation.Workload(
                 workload.name(),
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineSimulation.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineSimulation.java
@@ -54,15 +54,17 @@
     private static final long TIME_LEFT_MILLIS = 5_000;
     private static final double OWN_TOKENS_SIGMA = 1.0;
     private static final double MAX_OUTPUT_FACTOR = 4.0;
+    private static final int DEFAULT_HINT_DELAY_MILLIS = 30;
+    /** Interval at which routers send their work at each engine. */
+    private static final int LOAD_INTERVAL_MILLIS = 40;
+
+    private final int slots;
     /**
      * Delay until other routers know of a request that a router sent: the transfer and the average time until it is
      * sent.
      */
-    private static final int HINT_DELAY_MILLIS = 30;
-    /** Interval at which routers send their work at each engine. */
-    private static final int LOAD_INTERVAL_MILLIS = 40;
+    private int hintDelayMillis = DEFAULT_HINT_DELAY_MILLIS;
 
-    private final int slots;
     private final Random random;
     private final List<Workload> workloads;
     private final List<Router> routers = new ArrayList<>();
@@ -225,6 +227,12 @@
         workloads.forEach(workload -> counts.put(workload, new int[5]));
     }
 
+    /** Sets the delay of hints between routers, and returns this simulation. */
+    EngineSimulation withHintDelay(int millis) {
+        hintDelayMillis = millis;
+        return this;
+    }
+
     /** Simulates the load for a time and returns the results of each workload by its name. */
     Map<String, Results> run(long millis) {
         return runAfterBurst(0, 1, millis);
@@ -259,7 +267,7 @@
             SentHint hint = hints.removeFirst();
             routers.stream().filter(r -> r != hint.from()).forEach(r -> r.receiveHint(hint.choice(), now));
         }
-        if (now % LOAD_INTERVAL_MILLIS == 0) {
+        if (now % (LOAD_INTERVAL_MILLIS + hintDelayMillis - DEFAULT_HINT_DELAY_MILLIS) == 0) {
             routers.forEach(from -> routers.stream().filter(r -> r != from).forEach(r -> r.receiveLoad(from, now)));
         }
     }
@@ -327,7 +335,7 @@
         router.load(engine.id)
                 .recordSent(id, choice.prefillMillis(), prompt.memoryTokens(), prompt.hasLongAnswer(), now);
         router.recordSent(choice, now);
-        hints.addLast(new SentHint(router, choice, now + HINT_DELAY_MILLIS));
+        hints.addLast(new SentHint(router, choice, now + hintDelayMillis));
         boolean isCached =
                 !engine.cachedPrefixes.add(sharedId) || choice.fetchFrom().isPresent();
         int prefilled = isCached ? prompt.sharedTokens() : 0;
