Space the returns of refused callers by the router's own part

Cause: a refused caller was told to return after those refused before it, as if each router in contact admitted an equal part of the quota.

Change: the part is what this router has admitted of all that was admitted to the customer.

Test: QuotaLedgerTest.returnsAreSpacedByThePartOfTheRouter.

--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaAccount.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaAccount.java
@@ -75,13 +75,13 @@
      * router's part of the rate admits them; those that were refused together would otherwise return together.
      *
      * @param cost what the request counts
-     * @param routers the number of routers that divide the rate among them
+     * @param part the part of the customer's requests that come to this router
      * @return the time until the return, in milliseconds
      */
-    double bookReturnMillis(long cost, int routers, long nowMillis) {
+    double bookReturnMillis(long cost, double part, long nowMillis) {
         double coveredAt = nowMillis + millisUntilCovered(cost);
         double returnAt = Math.max(coveredAt, (double) returnsBookedUntilMillis);
-        double costMillis = cost * routers / (limit.ratePerSecond() * share) * MILLIS_PER_SECOND;
+        double costMillis = cost / (limit.ratePerSecond() * share * part) * MILLIS_PER_SECOND;
         returnsBookedUntilMillis = (long) Math.min(returnAt + costMillis, nowMillis + MAX_BOOKED_MILLIS);
         return returnAt - nowMillis;
     }
--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaLedger.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaLedger.java
@@ -104,8 +104,7 @@
         account.update(limit, currentShare, contacts.isInformed(nowMillis), nowMillis);
         double level = account.level();
         if (!account.covers(cost)) {
-            long millis =
-                    (long) Math.ceil(account.bookReturnMillis(cost, contacts.countInContact(nowMillis) + 1, nowMillis));
+            long millis = (long) Math.ceil(account.bookReturnMillis(cost, ownPart(key, account), nowMillis));
             return new QuotaDecision(
                     false, cost, level, currentShare, contacts.oldestHintMillis(nowMillis), Math.max(1, millis));
         }
@@ -128,6 +127,13 @@
         }
     }
 
+    /** Returns the part of the customer's admitted requests that came to this router. */
+    private double ownPart(long customer, QuotaAccount account) {
+        double own = 1.0 + account.admittedUnits();
+        long others = toldUses(customer).mapToLong(t -> t.use().admittedUnits()).sum();
+        return own / (own + others);
+    }
+
     private double share(long nowMillis) {
         if (nowMillis - shareComputedMillis >= SHARE_INTERVAL_MILLIS) {
             share = contacts.share(fleet.get(), nowMillis);
--- a/core/src/test/java/org/hornbeamhead/core/quota/QuotaLedgerTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/quota/QuotaLedgerTest.java
@@ -73,6 +73,17 @@
         assertEquals(returns, List.of(100L, 200L, 300L));
     }
 
+    /** Guards against telling callers to return far too late since many routers serve a few of them. */
+    @Test
+    public void returnsAreSpacedByThePartOfTheRouter() {
+        admitted(1_000, STARTED);
+        peer.admit("c", LIMIT, 1_000, STARTED);
+        ledger.merge(PEER, peer.takeChanges(STARTED), STARTED);
+        long first = ledger.admit("c", LIMIT, 100, STARTED).retryAfterMillis();
+        long second = ledger.admit("c", LIMIT, 100, STARTED).retryAfterMillis();
+        assertTrue(Math.abs(second - first - 200) <= 1, first + " and " + second);
+    }
+
     @Test
     public void requestThatDidNotRunIsGivenBack() {
         assertTrue(admitted(1_000, STARTED));
