Look for short prefixes in the store while its link is idle

Cause: an engine that has evicted a short prefix earlier than the routers expect prefills it again; only prefixes of 1,000 tokens and more were looked for in the store then.

Change: prefixes from 100 tokens on are looked for, unless the store's link has a queue longer than the prefill itself takes.

Test: EngineChooserTest.looksForShortPrefixesInAnIdleStore (fails before).

--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -227,7 +227,7 @@
                 + (candidate.superseded() ? SUPERSEDED_MILLIS : 0);
         boolean saveToStore = prompt.sharedTokens() > 0 && tracker.shouldSave(prefixHash, nowMillis);
         String reason = (isHome ? "home " : "away ") + source.label();
-        boolean queryStore = source.storeMillis() > 0 || PrefixSources.shouldQueryStore(prompt);
+        boolean queryStore = source.storeMillis() > 0 || sources.shouldQueryStore(prompt, prefixHash);
         return new EngineChoice(
                 candidate,
                 prefixHash,
--- a/core/src/main/java/org/hornbeamhead/core/engine/PrefixSources.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/PrefixSources.java
@@ -22,6 +22,8 @@
     private static final double RECOMPUTE_MILLIS_PER_TOKEN = 0.05;
     /** Prefilling fewer tokens takes less than 25 ms, which a fetch that was not predicted may take as well. */
     private static final int MIN_STORE_QUERY_TOKENS = 1_000;
+    /** Prefilling fewer tokens takes about as long as a query that finds nothing. */
+    private static final int MIN_IDLE_STORE_QUERY_TOKENS = 100;
 
     private final PrefixCacheTracker tracker;
     private final KvTransferLinks links;
@@ -89,13 +91,24 @@
     }
 
     /**
-     * Returns whether an engine should query the store when its cache lacks a prefix that it was expected to hold.
+     * Returns whether an engine should query the store when its cache lacks a prefix that it was expected to hold. A
+     * short prefix is worth the query only while the store's link is not busy.
      *
      * @param prompt the prompt
+     * @param prefixHash a hash of the shared prefix with its salt
      * @return whether prefilling the prefix again would cost more than the query
      */
-    static boolean shouldQueryStore(Prompt prompt) {
-        return prompt.sharedTokens() >= MIN_STORE_QUERY_TOKENS;
+    boolean shouldQueryStore(Prompt prompt, long prefixHash) {
+        int tokens = prompt.sharedTokens();
+        return tokens >= MIN_STORE_QUERY_TOKENS
+                || (tokens >= MIN_IDLE_STORE_QUERY_TOKENS
+                        && storeWaitMillis(prefixHash) < PrefillCost.prefillMillis(0, tokens));
+    }
+
+    private double storeWaitMillis(long prefixHash) {
+        return links.storeFor(prefixHash)
+                .map(store -> tracker.storeWaitMillis(store.address(), nowMillis))
+                .orElse(Double.MAX_VALUE);
     }
 
     /** Returns the cost of a source until the whole prompt is prefilled. */
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineChooserTest.java
@@ -264,6 +264,16 @@
         assertFalse(away.queryStore());
     }
 
+    /** Guards against prefilling short prefixes again that an engine has evicted earlier than expected. */
+    @Test
+    public void looksForShortPrefixesInAnIdleStore() {
+        Prompt query = new Prompt(
+                "m", List.of(new PromptPart("house", 119), new PromptPart("q", 79), new PromptPart("own", 628)), 49);
+        assertTrue(choose(query, candidates()).queryStore());
+        IntStream.range(0, 20).forEach(i -> chooser.recordSent(i, "e1", 0, LINKS, 25, NOW));
+        assertFalse(choose(query, candidates()).queryStore());
+    }
+
     /**
      * The engine that should have prefilled and saved a prefix was full and rejected the request: the next request must
      * save it.
