Refuse nobody over quota because a router stood still or started

Three reasons. A cold router handles requests before it has read the hints that came while it stood still, takes all others for lost, and cuts its bucket to a 68th. What a router left to others and they did not use never came back. A router with a small part of a quota told its level scaled to the whole, so that the debt of one request became a debt of 68, which all others took over.

Change: QuotaContacts does not count time in which this router stood still. What was set aside and not used returns to the bucket 700 ms after full contact. Routers tell what is missing in a bucket, which means the same whatever part they may use.

Tests: routerThatStoodStillKeepsItsShare, whatWasSetAsideAndNotUsedReturns, useOfARouterWithAPartOfTheQuotaIsTakenAsItIs.

--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaAccount.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaAccount.java
@@ -16,8 +16,11 @@
     private static final double MAX_SET_ASIDE_SECONDS = 60;
     /** The latest booked return; callers that are told to wait longer give up. */
     private static final double MAX_BOOKED_MILLIS = 30_000;
-    /** After full contact for this long, all routers have told what they admitted while out of contact. */
-    private static final long SETTLED_MILLIS = 3_000;
+    /**
+     * After full contact for this long, all routers have told what they admitted while out of contact; what is left of
+     * the part that was set aside for them was not used.
+     */
+    private static final long SETTLED_MILLIS = 700;
 
     private QuotaLimit limit;
     private double level;
@@ -66,8 +69,11 @@
             lastPartialMillis = nowMillis;
         }
         limitToCapacity();
-        boolean settled = nowMillis - lastPartialMillis > SETTLED_MILLIS;
-        setAside = settled ? 0 : Math.min(setAside, limit.ratePerSecond() * MAX_SET_ASIDE_SECONDS);
+        setAside = Math.min(setAside, limit.ratePerSecond() * MAX_SET_ASIDE_SECONDS);
+        if (nowMillis - lastPartialMillis > SETTLED_MILLIS) {
+            level = Math.min(capacity(), level + setAside);
+            setAside = 0;
+        }
     }
 
     /**
@@ -137,11 +143,11 @@
         limitToCapacity();
     }
 
-    /** Takes over the level of a router that knew the bucket before this one. */
-    void adoptLevel(double peerLevel) {
+    /** Takes over what a router that knew the bucket before this one says is missing in it. */
+    void adoptMissing(double peerMissing) {
+        double peerLevel = capacity() - Math.max(0, peerMissing);
         level = provisional ? peerLevel : Math.min(level, peerLevel);
         provisional = false;
-        limitToCapacity();
     }
 
     /** Returns the time until the bucket has enough for a request, if nothing else is admitted, in milliseconds. */
@@ -154,9 +160,9 @@
         return level;
     }
 
-    /** Returns the level that the bucket would have if this router used the whole quota. */
-    double wholeLevel() {
-        return Math.max(level / share, -limit.burst());
+    /** Returns what is missing until the bucket is full; it means the same whatever part of it a router may use. */
+    double missingUnits() {
+        return capacity() - level;
     }
 
     double burst() {
--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaContacts.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaContacts.java
@@ -22,14 +22,17 @@
     private static final long RETENTION_MILLIS = 60_000;
     /** After its start, a router takes this long to hear from routers that know the use of the quotas. */
     private static final long START_MILLIS = 700;
+    /** A router that does nothing for this long stood still; it runs at least every 50 ms otherwise. */
+    private static final long MIN_STALL_MILLIS = 250;
     /** The age of a router's view of the store up to which the list of routers is taken to be current. */
     private static final long FRESH_VIEW_MILLIS = 2_600;
 
     private final Map<String, Long> lastHeard = new HashMap<>();
     private final Set<String> announced = new HashSet<>();
     private final Map<String, Long> activeSince = new HashMap<>();
-    private final long startedMillis;
     private final int maxPeers;
+    private long startedMillis;
+    private long lastRunningMillis;
     private boolean heardInformed;
 
     /**
@@ -55,9 +58,25 @@
      */
     public QuotaContacts(long nowMillis, int maxPeers) {
         this.startedMillis = nowMillis;
+        this.lastRunningMillis = nowMillis;
         this.maxPeers = maxPeers;
     }
 
+    /**
+     * Records that this router is running. If it stood still before, as a cold process does, the hints of that time are
+     * still unread, and the silence says nothing of the others.
+     *
+     * @param nowMillis the monotonic time
+     */
+    void recordRunning(long nowMillis) {
+        long stillMillis = nowMillis - lastRunningMillis;
+        if (stillMillis >= MIN_STALL_MILLIS) {
+            lastHeard.replaceAll((peer, at) -> at + stillMillis);
+            startedMillis += stillMillis;
+        }
+        lastRunningMillis = nowMillis;
+    }
+
     /**
      * Records a hint from another router.
      *
--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaHint.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaHint.java
@@ -11,7 +11,8 @@
  *
  * @param life a random number that identifies one run of the router
  * @param sequence the number of the hint in that run
- * @param informed whether the router knows what other routers have admitted, so that its levels may be adopted
+ * @param informed whether the router knows what other routers have admitted, so that others may rely on what it tells
+ *     of the buckets
  * @param idle whether the router has no callers and will send no hints until it has some
  * @param uses the use of some customers' quotas
  */
@@ -32,9 +33,9 @@
      *
      * @param customer a hash of the customer's name
      * @param admittedUnits the units that the router admitted since its start
-     * @param level the level that the bucket would have if the router used the whole quota
+     * @param missingUnits what is missing in the customer's bucket until it is full, as seen by the router
      */
-    public record Use(long customer, long admittedUnits, float level) {}
+    public record Use(long customer, long admittedUnits, float missingUnits) {}
 
     /** Copies the uses, of which at most {@value #MAX_USES} fit. */
     public QuotaHint {
@@ -56,7 +57,7 @@
                 .putInt(sequence)
                 .put((byte) ((informed ? INFORMED_BIT : 0) | (idle ? IDLE_BIT : 0)))
                 .put((byte) uses.size());
-        uses.forEach(u -> out.putLong(u.customer()).putLong(u.admittedUnits()).putFloat(u.level()));
+        uses.forEach(u -> out.putLong(u.customer()).putLong(u.admittedUnits()).putFloat(u.missingUnits()));
         return out.array();
     }
 
@@ -81,7 +82,7 @@
         List<Use> uses = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             Use use = new Use(in.getLong(), in.getLong(), in.getFloat());
-            if (!Float.isFinite(use.level())) {
+            if (!Float.isFinite(use.missingUnits())) {
                 return Optional.empty();
             }
             uses.add(use);
--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaLedger.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaLedger.java
@@ -50,7 +50,7 @@
      * What one run of another router has told of a customer.
      *
      * @param use the use
-     * @param informed whether the level was known to that router
+     * @param informed whether that router knew the bucket
      * @param atMillis when it was told
      */
     private record ToldUse(QuotaHint.Use use, boolean informed, long atMillis) {}
@@ -98,6 +98,7 @@
      * @return the decision
      */
     public QuotaDecision admit(String customer, QuotaLimit limit, long cost, long nowMillis) {
+        contacts.recordRunning(nowMillis);
         long key = hash(customer);
         double currentShare = share(nowMillis);
         QuotaAccount account = accounts.computeIfAbsent(key, k -> open(k, limit, currentShare, nowMillis));
@@ -142,15 +143,15 @@
         return share;
     }
 
-    /** Opens an account at the level that other routers have told, or with a full bucket if none has. */
+    /** Opens an account with what other routers have told of the bucket, or with a full one if none has. */
     private QuotaAccount open(long customer, QuotaLimit limit, double currentShare, long nowMillis) {
         QuotaAccount account = new QuotaAccount(limit, currentShare, !contacts.isInformed(nowMillis), nowMillis);
         toldUses(customer)
                 .filter(ToldUse::informed)
-                .mapToDouble(
-                        t -> t.use().level() + (nowMillis - t.atMillis()) / MILLIS_PER_SECOND * limit.ratePerSecond())
-                .min()
-                .ifPresent(account::adoptLevel);
+                .mapToDouble(t ->
+                        t.use().missingUnits() - (nowMillis - t.atMillis()) / MILLIS_PER_SECOND * limit.ratePerSecond())
+                .max()
+                .ifPresent(account::adoptMissing);
         toldUses(customer)
                 .filter(t -> !t.informed())
                 .forEach(t -> account.recordPeerUse(limitToBurst(t.use().admittedUnits(), account), nowMillis));
@@ -173,6 +174,7 @@
      * @param nowMillis the monotonic time
      */
     public void merge(String peer, QuotaHint hint, long nowMillis) {
+        contacts.recordRunning(nowMillis);
         if (hint.life() == life) {
             return;
         }
@@ -201,18 +203,20 @@
             boolean outOfContact = before.atMillis() < totals.contactSinceMillis;
             account.recordPeerUse(outOfContact ? account.payFromSetAside(units) : units, nowMillis);
         } else if (informed) {
-            account.adoptLevel(use.level());
+            account.adoptMissing(use.missingUnits());
         } else {
             account.recordPeerUse(limitToBurst(use.admittedUnits(), account), nowMillis);
         }
     }
 
     /**
-     * Returns whether there is use that was not told yet.
+     * Returns whether there is use that was not told yet. Must be called regularly, also without requests.
      *
+     * @param nowMillis the monotonic time
      * @return true if {@link #takeChanges} would return any use
      */
-    public boolean hasChanges() {
+    public boolean hasChanges(long nowMillis) {
+        contacts.recordRunning(nowMillis);
         return !untold.isEmpty();
     }
 
@@ -263,7 +267,7 @@
 
     private QuotaHint.Use use(long customer, QuotaAccount account, double currentShare, long nowMillis) {
         account.update(currentShare, contacts.isInformed(nowMillis), nowMillis);
-        return new QuotaHint.Use(customer, account.admittedUnits(), (float) account.wholeLevel());
+        return new QuotaHint.Use(customer, account.admittedUnits(), (float) account.missingUnits());
     }
 
     private static long hash(String customer) {
--- a/core/src/test/java/org/hornbeamhead/core/quota/QuotaFleet.java
+++ b/core/src/test/java/org/hornbeamhead/core/quota/QuotaFleet.java
@@ -137,7 +137,8 @@
     }
 
     private void tell(Router r) {
-        if (now % CHANGES_MILLIS == r.index % CHANGES_MILLIS && r.ledger.hasChanges()) {
+        boolean hasChanges = r.ledger.hasChanges(now);
+        if (now % CHANGES_MILLIS == r.index % CHANGES_MILLIS && hasChanges) {
             send(r, r.ledger.takeChanges(now));
         }
         if (now % SUMMARY_MILLIS == (r.index * 7L) % SUMMARY_MILLIS) {
--- a/core/src/test/java/org/hornbeamhead/core/quota/QuotaLedgerTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/quota/QuotaLedgerTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -28,8 +29,18 @@
     }
 
     private static QuotaLedger ledger(long life) {
-        return new QuotaLedger(
-                life, new QuotaContacts(0, 96), () -> new QuotaContacts.Fleet(Set.of(PEER), 0, Set.of()));
+        return started(life, new QuotaContacts.Fleet(Set.of(PEER), 0, Set.of()));
+    }
+
+    /** Returns a ledger of a router that has been running for a while. */
+    private static QuotaLedger started(long life, QuotaContacts.Fleet fleet) {
+        QuotaLedger l = new QuotaLedger(life, new QuotaContacts(0, 96), () -> fleet);
+        run(l, 0, STARTED);
+        return l;
+    }
+
+    private static void run(QuotaLedger l, long from, long to) {
+        LongStream.iterate(from, now -> now <= to, now -> now + 50).forEach(l::hasChanges);
     }
 
     private boolean admitted(long cost, long now) {
@@ -145,19 +156,58 @@
 
     @Test
     public void routerThatHearsNobodyUsesItsPartOnly() {
-        QuotaContacts contacts = new QuotaContacts(0, 96);
         Set<String> listed = IntStream.range(0, 9).mapToObj(i -> "r" + i).collect(Collectors.toSet());
-        QuotaLedger isolated = new QuotaLedger(4, contacts, () -> new QuotaContacts.Fleet(listed, 60_000, Set.of()));
+        QuotaLedger isolated = started(4, new QuotaContacts.Fleet(listed, 60_000, Set.of()));
         QuotaDecision d = isolated.admit("c", LIMIT, 10, STARTED);
         assertEquals(d.share(), 0.1);
         assertEquals(Math.round(d.level()), 100);
     }
 
+    /**
+     * Guards against refusing customers within their quota at a router that stood still: it handles a request before it
+     * has read the hints of that time, takes all others for lost, and throws its part of the bucket away.
+     */
+    @Test
+    public void routerThatStoodStillKeepsItsShare() {
+        ledger.merge(PEER, peer.summary(false, STARTED), STARTED);
+        assertTrue(admitted(10, STARTED));
+        QuotaDecision after = ledger.admit("c", LIMIT, 900, STARTED + 4_000);
+        assertEquals(after.share(), 1.0);
+        assertTrue(after.admitted());
+    }
+
+    /**
+     * Guards against a long refusal of customers within their quota by the level of a router with a small part of it.
+     */
+    @Test
+    public void useOfARouterWithAPartOfTheQuotaIsTakenAsItIs() {
+        QuotaLedger isolated = started(6, new QuotaContacts.Fleet(Set.of(PEER), 60_000, Set.of()));
+        isolated.admit("c", LIMIT, 600, STARTED);
+        assertTrue(admitted(100, STARTED));
+        ledger.merge(PEER, isolated.summary(false, STARTED), STARTED);
+        assertFalse(admitted(401, STARTED));
+        assertTrue(admitted(400, STARTED));
+    }
+
+    /** Guards against losing the part of the bucket that was left to a router which did not use it. */
+    @Test
+    public void whatWasSetAsideAndNotUsedReturns() {
+        ledger.merge(PEER, peer.summary(false, STARTED), STARTED);
+        assertTrue(admitted(10, STARTED));
+        run(ledger, STARTED, STARTED + 3_000);
+        assertEquals(ledger.admit("c", LIMIT, 10, STARTED + 3_000).share(), 0.5);
+        IntStream.range(0, 20).forEach(i -> {
+            long now = STARTED + 3_050 + i * 50L;
+            ledger.hasChanges(now);
+            ledger.merge(PEER, peer.summary(false, now), now);
+        });
+        assertTrue(admitted(980, STARTED + 4_050));
+    }
+
     /** Guards against a router of an older version, which passes on requests and tells nothing of them. */
     @Test
     public void routersThatTellNothingLeaveLess() {
-        QuotaContacts contacts = new QuotaContacts(0, 96);
-        QuotaLedger newer = new QuotaLedger(5, contacts, () -> new QuotaContacts.Fleet(Set.of(PEER), 0, Set.of("old")));
+        QuotaLedger newer = started(5, new QuotaContacts.Fleet(Set.of(PEER), 0, Set.of("old")));
         newer.admit("c", LIMIT, 10, STARTED);
         assertEquals(newer.admit("c", LIMIT, 10, STARTED + 2_000).share(), 0.5);
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quota/QuotaGossip.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quota/QuotaGossip.java
@@ -77,7 +77,7 @@
     private void tick() {
         long now = clock.monotonicMillis();
         List<String> busy = activeRouters.busyPeers(now);
-        if (ledger.hasChanges()) {
+        if (ledger.hasChanges(now)) {
             send(ledger.takeChanges(now), busy);
         }
         if (now - lastSummaryMillis >= SUMMARY_INTERVAL_MILLIS) {
