--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -141,10 +141,24 @@
                 state);
         datagrams = new PeerDatagrams(reactor);
         quarantine = new Quarantine(quarantineDependencies(ports, random));
-        QuotaContacts contacts = new QuotaContacts(clock.monotonicMillis(), QuotaGossip.MAX_PEERS);
-        QuotaLedger ledger = new QuotaLedger(random.nextLong(), contacts, this::fleet);
+        QuotaLedger ledger = createQuotaLedger(random);
         quotaGossip = new QuotaGossip(clock, daemon.timers(), ledger, activeRouters, routers::hintAddresses, datagrams);
-        dispatcher = new Dispatcher(new Dispatcher.Dependencies(
+        dispatcher = new Dispatcher(dispatcherDependencies(ports, random, ledger));
+        loadHints = new LoadHints(
+                reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
+        dispatcher.setLoadHints(loadHints);
+        callerServer = new CallerServer(reactor, clock, this::handle, this::callerLimits, metrics);
+        shutdown = new Shutdown(daemon, callerServer, registration, leaderTasks, settings.grace());
+        mirror.addListener(this::onStoreChange);
+    }
+
+    private QuotaLedger createQuotaLedger(Random random) {
+        QuotaContacts contacts = new QuotaContacts(clock.monotonicMillis(), QuotaGossip.MAX_PEERS);
+        return new QuotaLedger(random.nextLong(), contacts, this::fleet);
+    }
+
+    private Dispatcher.Dependencies dispatcherDependencies(Ports ports, Random random, QuotaLedger ledger) {
+        return new Dispatcher.Dependencies(
                 reactor,
                 clock,
                 ports.headerCodec(),
@@ -158,13 +172,7 @@
                 settings.budget(),
                 activeRouters,
                 quarantine,
-                new QuotaGate(ledger, clock)));
-        loadHints = new LoadHints(
-                reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
-        dispatcher.setLoadHints(loadHints);
-        callerServer = new CallerServer(reactor, clock, this::handle, this::callerLimits, metrics);
-        shutdown = new Shutdown(daemon, callerServer, registration, leaderTasks, settings.grace());
-        mirror.addListener(this::onStoreChange);
+                new QuotaGate(ledger, clock));
     }
 
     private Quarantine.Dependencies quarantineDependencies(Ports ports, Random random) {
