Show in logs and metrics which replicas state a request limit

Change: the header is decoded with the other headers of an answer; a change of a replica's limit is logged with its value, and answers that state one are counted (hornbeam_replica_limits, by limit, none and invalid). Of two answers that overtook one another the lower limit holds. Nothing is decided by it yet; a replica without a limit costs one look-up of a header.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -33,6 +33,7 @@
 import org.hornbeamhead.gateway.duty.LeaderTasks;
 import org.hornbeamhead.gateway.duty.PeerChangeNotifier;
 import org.hornbeamhead.gateway.duty.ReplicaOrderClient;
+import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.quarantine.Quarantine;
 import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.quota.QuotaGossip;
@@ -172,7 +173,8 @@
                 settings.budget(),
                 activeRouters,
                 quarantine,
-                new QuotaGate(ledger, clock));
+                new QuotaGate(ledger, clock),
+                new ReplicaLimits(clock, metrics));
     }
 
     private Quarantine.Dependencies quarantineDependencies(Ports ports, Random random) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -193,6 +193,9 @@
                 .decodeResponse(received, replica.entry().id());
         responseInfo.weightsVersion().ifPresent(replica::observeVersion);
         boolean attributable = responseInfo.fromReplica() || responseInfo.notExecuted() || responseInfo.wrongReplica();
+        if (attributable && !responseInfo.wrongReplica()) {
+            exchange.dispatcher().replicaLimits().observe(replica, responseInfo.requestLimit(), sentAt);
+        }
         if (!attributable || (received.ok() && responseInfo.requestId().isEmpty())) {
             closeAndEnd(AttemptOutcome.BROKEN, "the answer bears no proof that it belongs to the request");
             return;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -27,6 +27,7 @@
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.caller.CallerHandler;
 import org.hornbeamhead.gateway.caller.CallerResponse;
+import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.quarantine.Quarantine;
 import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.replica.LiveReplica;
@@ -78,6 +79,7 @@
     private final ActiveRouters routers;
     private final Quarantine quarantine;
     private final QuotaGate quotas;
+    private final ReplicaLimits replicaLimits;
     private final InFlightRequests inFlight = new InFlightRequests();
     private LoadHints loadHints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -108,6 +110,7 @@
      * @param routers the routers that share limits
      * @param quarantine the quarantined requests
      * @param quotas the quotas of customers
+     * @param replicaLimits the request limits that replicas state
      */
     public record Dependencies(
             NioReactor reactor,
@@ -123,7 +126,8 @@
             RetryBudgetLimits budgetLimits,
             ActiveRouters routers,
             Quarantine quarantine,
-            QuotaGate quotas) {}
+            QuotaGate quotas,
+            ReplicaLimits replicaLimits) {}
 
     /**
      * Creates a dispatcher.
@@ -142,6 +146,7 @@
         this.routers = dependencies.routers();
         this.quarantine = dependencies.quarantine();
         this.quotas = dependencies.quotas();
+        this.replicaLimits = dependencies.replicaLimits();
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
@@ -351,6 +356,10 @@
         return quotas;
     }
 
+    ReplicaLimits replicaLimits() {
+        return replicaLimits;
+    }
+
     InFlightRequests inFlight() {
         return inFlight;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
@@ -1,5 +1,7 @@
 package org.hornbeamhead.gateway.dispatch;
 
+import io.vavr.control.Either;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -10,10 +12,13 @@
  * @param notExecuted whether the replica states that it did not execute the request
  * @param wrongReplica whether the response came from another replica run than the one addressed
  * @param weightsVersion the version of the weights that produced the response
+ * @param requestLimit how many requests a second the replica takes from all routers together, empty if it states no
+ *     limit, or why what it states is invalid
  */
 public record ReplicaResponseInfo(
         String requestId,
         boolean fromReplica,
         boolean notExecuted,
         boolean wrongReplica,
-        OptionalLong weightsVersion) {}
+        OptionalLong weightsVersion,
+        Either<String, OptionalDouble> requestLimit) {}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.replica;
 
 import org.hornbeamhead.core.engine.EngineLoad;
+import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.replica.ReplicaEntry;
 import org.hornbeamhead.core.retry.OutlierDetector;
 
@@ -9,6 +10,7 @@
     private final ReplicaConnectionPool connections;
     private final EngineLoad load = new EngineLoad();
     private final OutlierDetector guard = new OutlierDetector();
+    private final RequestLimiter limiter = new RequestLimiter();
     private ReplicaEntry entry;
     private long observedVersion;
     private boolean entryInvalid;
@@ -78,6 +80,15 @@
         return guard;
     }
 
+    /**
+     * Returns the limiter of the requests that all routers send to the replica.
+     *
+     * @return the limiter
+     */
+    public RequestLimiter limiter() {
+        return limiter;
+    }
+
     /**
      * Returns the version of the weights that the replica serves. A response of the replica or an announcement of the
      * leader may show a change before the registry does; versions only rise during a run.
