Hold each replica's request limit over all routers together

What callers and operators saw: replicas in need that stated a limit of 2.2 and 2.5 requests a second got up to 37 in 4 s; 18 and 20 are allowed (LIMIT). Cause: no router read the limit; each sent on as before. Had each held it alone, seven routers would still have sent seven times as much. Class: something that a replica says to one router and that all must heed is not kept, or kept by that router alone. Change: RequestLimiter (core.limit) evaluates one token bucket over the sends of all routers in the last five seconds, those before the limit was known among them. Routers tell one another their sends in slots of 100 ms, and what their own answers stated last, with the ages of request and answer (LimitHint); a limit that is new is told to all at once. A statement replaces another only if its request was sent after the other had arrived; otherwise the lower limit holds. What is forgotten after five seconds lets one request pass, so that also the end of a limit of 0 is noticed. The part of a limit that a router uses without contact to others is that of quotas; the schedule of hints is shared with quotas too (UsageGossip). Replicas at their limits are left out before any attempt, and again once a connection is open; if all are, the caller is refused at once as not run, with the time when the bucket has a request, one caller after the other. A refusal under a limit ejects no replica. Orders and reports count as sends. Why it works: every router's bucket is in debt for what any of them sent, so that the sum over time is the limit, and what exceeds it is what arrives between two hints (50 ms).

--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaLedger.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaLedger.java
@@ -135,7 +135,13 @@
         return own / (own + others);
     }
 
-    private double share(long nowMillis) {
+    /**
+     * Returns the part of each limit over all routers that this router and those in contact with it may use.
+     *
+     * @param nowMillis the monotonic time
+     * @return the part, above 0 and at most 1
+     */
+    public double share(long nowMillis) {
         if (nowMillis - shareComputedMillis >= SHARE_INTERVAL_MILLIS) {
             share = contacts.share(fleet.get(), nowMillis);
             shareComputedMillis = nowMillis;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -33,10 +33,11 @@
 import org.hornbeamhead.gateway.duty.LeaderTasks;
 import org.hornbeamhead.gateway.duty.PeerChangeNotifier;
 import org.hornbeamhead.gateway.duty.ReplicaOrderClient;
+import org.hornbeamhead.gateway.limit.CountedOrderClient;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.quarantine.Quarantine;
 import org.hornbeamhead.gateway.quota.QuotaGate;
-import org.hornbeamhead.gateway.quota.QuotaGossip;
+import org.hornbeamhead.gateway.quota.QuotaReports;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.HttpMirrorClient;
 import org.hornbeamhead.gateway.state.LoadHints;
@@ -49,6 +50,8 @@
 import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.StoreView;
 import org.hornbeamhead.gateway.state.SuspensionDetector;
+import org.hornbeamhead.gateway.state.UsageGossip;
+import org.hornbeamhead.gateway.state.UsageReports;
 import org.hornbeamhead.gateway.state.WeightsListener;
 import org.hornbeamhead.gateway.state.WeightsView;
 
@@ -78,7 +81,9 @@
     private final LeaderTasks leaderTasks;
     private final PeerDatagrams datagrams;
     private final Quarantine quarantine;
-    private final QuotaGossip quotaGossip;
+    private final UsageGossip quotaGossip;
+    private final ReplicaLimits replicaLimits;
+    private final UsageGossip limitGossip;
     private final Dispatcher dispatcher;
     private final LoadHints loadHints;
     private final CallerServer callerServer;
@@ -136,14 +141,25 @@
         notifier = new PeerChangeNotifier(reactor, clock, this::activePeerAddresses, weights, registry);
         leaderTasks = new LeaderTasks(
                 new LeaderTasks.Dependencies(
-                        daemon.timers(), clock, registry, weights, ports.orders(), ports.store(), mirror, notifier),
+                        daemon.timers(),
+                        clock,
+                        registry,
+                        weights,
+                        new CountedOrderClient(ports.orders(), registry, clock),
+                        ports.store(),
+                        mirror,
+                        notifier),
                 settings,
                 routers,
                 state);
         datagrams = new PeerDatagrams(reactor);
         quarantine = new Quarantine(quarantineDependencies(ports, random));
         QuotaLedger ledger = createQuotaLedger(random);
-        quotaGossip = new QuotaGossip(clock, daemon.timers(), ledger, activeRouters, routers::hintAddresses, datagrams);
+        quotaGossip = gossip(new QuotaReports(ledger, clock, datagrams));
+        replicaLimits = new ReplicaLimits(
+                new ReplicaLimits.Dependencies(random.nextLong(), clock, registry, ledger::share, metrics, datagrams));
+        limitGossip = gossip(replicaLimits);
+        replicaLimits.onChange(limitGossip::announce);
         dispatcher = new Dispatcher(dispatcherDependencies(ports, random, ledger));
         loadHints = new LoadHints(
                 reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
@@ -153,8 +169,12 @@
         mirror.addListener(this::onStoreChange);
     }
 
+    private UsageGossip gossip(UsageReports reports) {
+        return new UsageGossip(clock, daemon.timers(), reports, activeRouters, routers::hintAddresses, datagrams);
+    }
+
     private QuotaLedger createQuotaLedger(Random random) {
-        QuotaContacts contacts = new QuotaContacts(clock.monotonicMillis(), QuotaGossip.MAX_PEERS);
+        QuotaContacts contacts = new QuotaContacts(clock.monotonicMillis(), UsageGossip.MAX_PEERS);
         return new QuotaLedger(random.nextLong(), contacts, this::fleet);
     }
 
@@ -174,7 +194,7 @@
                 activeRouters,
                 quarantine,
                 new QuotaGate(ledger, clock),
-                new ReplicaLimits(clock, metrics));
+                replicaLimits);
     }
 
     private Quarantine.Dependencies quarantineDependencies(Ports ports, Random random) {
@@ -243,11 +263,13 @@
         metrics.gauge("hornbeam_replicas", () -> registry.all().size());
         metrics.gauge("hornbeam_store_away", () -> storeView.isDisconnected() ? 1 : 0);
         metrics.gauge("hornbeam_reads_store", () -> storeView.readsStore() ? 1 : 0);
+        metrics.gauge("hornbeam_limited_replicas", replicaLimits::countLimited);
         metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
         quarantine.start();
         datagrams.start(settings.hintAddress());
         loadHints.start();
         quotaGossip.start();
+        limitGossip.start();
         storeView.start();
         registration.start();
         suspensionDetector.start();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.route.Route;
@@ -107,6 +108,9 @@
             } else if (weightsExpired()) {
                 replica.connections().release(acquired);
                 end(AttemptOutcome.NOT_SENT, "weights went out of use while it connected", Optional.empty());
+            } else if (!exchange.dispatcher().replicaLimits().accepts(replica)) {
+                replica.connections().release(acquired);
+                end(AttemptOutcome.NOT_SENT, "the replica's limit was reached while it connected", Optional.empty());
             } else {
                 send(acquired);
             }
@@ -127,6 +131,7 @@
         connection = acquired;
         sent = true;
         sentAt = now();
+        exchange.dispatcher().replicaLimits().recordSend(replica);
         lastHeardAt = sentAt;
         ForwardingOptions options = exchange.forwardingOptions(target);
         request.logSent(options);
@@ -194,7 +199,7 @@
         responseInfo.weightsVersion().ifPresent(replica::observeVersion);
         boolean attributable = responseInfo.fromReplica() || responseInfo.notExecuted() || responseInfo.wrongReplica();
         if (attributable && !responseInfo.wrongReplica()) {
-            exchange.dispatcher().replicaLimits().observe(replica, responseInfo.requestLimit(), sentAt);
+            observeLimit(received.status());
         }
         if (!attributable || (received.ok() && responseInfo.requestId().isEmpty())) {
             closeAndEnd(AttemptOutcome.BROKEN, "the answer bears no proof that it belongs to the request");
@@ -207,6 +212,14 @@
         }
     }
 
+    /** Records what the answer states of the replica's limit. A failure without a limit does not end it. */
+    private void observeLimit(int status) {
+        boolean isStated = !responseInfo.requestLimit().exists(OptionalDouble::isEmpty);
+        if (isStated || status < MIN_SERVER_ERROR) {
+            exchange.dispatcher().replicaLimits().observe(replica, responseInfo.requestLimit(), sentAt);
+        }
+    }
+
     /**
      * Processes body bytes. The first bytes, even an incomplete event, prove that the request has started: a replica
      * sends them with its first token. The head proves nothing, since it may be sent while the request is still queued.
@@ -267,7 +280,7 @@
         boolean misdirected = head.status() == 421;
         if (misdirected && responseInfo.wrongReplica()) {
             replica.guard().recordConnectFailure(now());
-        } else if (!misdirected) {
+        } else if (!misdirected && !replica.limiter().isLimited()) {
             replica.guard().recordFailure(now());
         }
         AttemptOutcome outcome = misdirected ? AttemptOutcome.MISDIRECTED : AttemptOutcome.REFUSED;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -153,8 +153,8 @@
         this.startupQueue = new StartupQueue(timers);
         this.weightsExpiry = new WeightsExpiryMonitor(
                 timers, v -> weights.usableMillis(v.model(), v.version(), clock.monotonicMillis()));
-        this.targetSelector =
-                new TargetSelector(clock, registry, weights, dependencies.dataCentre(), dependencies.priorTraffic());
+        this.targetSelector = new TargetSelector(
+                clock, registry, replicaLimits, weights, dependencies.dataCentre(), dependencies.priorTraffic());
     }
 
     @Override
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -102,7 +102,7 @@
                     forwarding.responseAtDeadline(false),
                     "no replica can take it",
                     Optional.empty(),
-                    RETRY_AFTER_MILLIS);
+                    retryAfterMillis(forwarding.responseAtDeadline(false)));
             return;
         }
         OptionalLong retryMillis = tried.isEmpty() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
@@ -200,12 +200,19 @@
                 .with(Logs.INPUTS, logInputs(end) + " next=" + step)
                 .log("attempt ended: %s", end);
         if (step instanceof NextStep.GiveUp giveUp) {
-            sendFinalAnswer(giveUp.answer(), reason, failure, RETRY_AFTER_MILLIS);
+            sendFinalAnswer(giveUp.answer(), reason, failure, retryAfterMillis(giveUp.answer()));
         } else {
             startNextAttempt();
         }
     }
 
+    private long retryAfterMillis(FinalResponse answer) {
+        OptionalLong limitMillis = answer == FinalResponse.NOT_RUN
+                ? dispatcher.targetSelector().bookReturnMillis(serviceRequest.service())
+                : OptionalLong.empty();
+        return limitMillis.orElse(RETRY_AFTER_MILLIS);
+    }
+
     private void reportLoss(AttemptOutcome end, LiveReplica replica, long sentAt) {
         if (end == AttemptOutcome.BROKEN) {
             dispatcher.quarantine().connectionBroken(lostAttempt(sentAt), replica);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.engine.EngineCandidate;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.EngineChooser;
@@ -16,6 +18,7 @@
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.WeightsView;
@@ -24,15 +27,22 @@
 final class TargetSelector {
     private final Clock clock;
     private final ReplicaRegistry registry;
+    private final ReplicaLimits limits;
     private final WeightsView weights;
     private final String dataCentre;
     private final boolean priorTraffic;
     private final Map<String, EngineChooser> choosers = new HashMap<>();
 
     TargetSelector(
-            Clock clock, ReplicaRegistry registry, WeightsView weights, String dataCentre, boolean priorTraffic) {
+            Clock clock,
+            ReplicaRegistry registry,
+            ReplicaLimits limits,
+            WeightsView weights,
+            String dataCentre,
+            boolean priorTraffic) {
         this.clock = clock;
         this.registry = registry;
+        this.limits = limits;
         this.weights = weights;
         this.dataCentre = dataCentre;
         this.priorTraffic = priorTraffic;
@@ -51,16 +61,30 @@
     }
 
     boolean hasUntried(ServiceSpec service, Set<String> tried) {
+        return untriedReplicas(service, tried).anyMatch(limits::accepts);
+    }
+
+    /**
+     * Returns when a caller may return whose request no replica takes because of the replicas' limits, in milliseconds;
+     * empty if the limits are not the reason.
+     */
+    OptionalLong bookReturnMillis(ServiceSpec service) {
+        return limits.bookReturnMillis(registry.acceptingReplicas(service.name()));
+    }
+
+    private Stream<LiveReplica> untriedReplicas(ServiceSpec service, Set<String> tried) {
         return registry.acceptingReplicas(service.name()).stream()
-                .anyMatch(r -> !tried.contains(r.entry().run()));
+                .filter(r -> !tried.contains(r.entry().run()));
     }
 
-    /** Returns the replicas that were not tried yet, without recently failed ones unless no others are left. */
+    /**
+     * Returns the replicas that were not tried yet and are within their limits, without recently failed ones unless no
+     * others are left.
+     */
     private List<LiveReplica> usableReplicas(ServiceSpec service, Set<String> tried) {
         long now = clock.monotonicMillis();
-        List<LiveReplica> untried = registry.acceptingReplicas(service.name()).stream()
-                .filter(r -> !tried.contains(r.entry().run()))
-                .toList();
+        List<LiveReplica> untried =
+                untriedReplicas(service, tried).filter(limits::accepts).toList();
         List<LiveReplica> healthy =
                 untried.stream().filter(r -> !r.guard().isEjected(now)).toList();
         return healthy.isEmpty() ? untried : healthy;
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/CountedOrderClient.java
@@ -0,0 +1,46 @@
+package org.hornbeamhead.gateway.limit;
+
+import io.activej.promise.Promise;
+import org.hornbeamhead.core.replica.ReplicaEntry;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.gateway.duty.ReplicaOrderClient;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+
+/**
+ * Counts orders and fetched reports as requests to the replica, so that callers' requests give way to them under a
+ * limit. They are never held back, since a change of weights has a deadline of its own.
+ */
+public final class CountedOrderClient implements ReplicaOrderClient {
+    private final ReplicaOrderClient orders;
+    private final ReplicaRegistry registry;
+    private final Clock clock;
+
+    /**
+     * Wraps a client.
+     *
+     * @param orders sends orders to replicas
+     * @param registry the replicas
+     * @param clock the clock
+     */
+    public CountedOrderClient(ReplicaOrderClient orders, ReplicaRegistry registry, Clock clock) {
+        this.orders = orders;
+        this.registry = registry;
+        this.clock = clock;
+    }
+
+    @Override
+    public Promise<Reply> sendOrder(ReplicaEntry replica, WeightsOrder order) {
+        count(replica);
+        return orders.sendOrder(replica, order);
+    }
+
+    @Override
+    public Promise<Report> fetchReport(ReplicaEntry replica) {
+        count(replica);
+        return orders.fetchReport(replica);
+    }
+
+    private void count(ReplicaEntry replica) {
+        registry.byRun(replica.run()).ifPresent(r -> r.limiter().recordSend(clock.monotonicMillis()));
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
@@ -2,29 +2,83 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
+import org.hornbeamhead.core.limit.LimitHint;
+import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.limit.StatedLimit;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.PeerDatagrams;
+import org.hornbeamhead.gateway.state.UsageReports;
 
-/** The request limits that replicas state in their answers. */
-public final class ReplicaLimits {
+/**
+ * Applies the request limits that replicas state, and exchanges with other routers what was stated and sent. Replicas
+ * without a limit cost nothing.
+ */
+public final class ReplicaLimits implements UsageReports {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    private final Dependencies dependencies;
     private final Clock clock;
-    private final Metrics metrics;
+    /** The replicas that other routers have to know of, by the hash of the run. */
+    private final Map<Integer, LiveReplica> relevant = new HashMap<>();
+
+    private Runnable onChange = () -> {};
+    private int sequence;
+
+    /** Supplies the part of a limit over all routers that this router may use. */
+    @FunctionalInterface
+    public interface Share {
+        /**
+         * Returns the part.
+         *
+         * @param nowMillis the monotonic time
+         * @return the part, above 0 and at most 1
+         */
+        double at(long nowMillis);
+    }
 
     /**
-     * Creates the limits of replicas that have stated none.
+     * The dependencies.
      *
+     * @param life a random number that identifies this run of the router
      * @param clock the clock
+     * @param registry the replicas
+     * @param share the part of each limit that this router may use
      * @param metrics the metrics of the process
+     * @param datagrams the socket for hints
+     */
+    public record Dependencies(
+            long life, Clock clock, ReplicaRegistry registry, Share share, Metrics metrics, PeerDatagrams datagrams) {}
+
+    /**
+     * Starts to receive hints of other routers.
+     *
+     * @param dependencies the dependencies
+     */
+    public ReplicaLimits(Dependencies dependencies) {
+        this.dependencies = dependencies;
+        this.clock = dependencies.clock();
+        dependencies.datagrams().addListener((from, bytes) -> LimitHint.decode(bytes)
+                .ifPresent(this::merge));
+    }
+
+    /**
+     * Sets the listener for limits that are stated first, changed or ended.
+     *
+     * @param listener called when other routers should hear of a limit at once
      */
-    public ReplicaLimits(Clock clock, Metrics metrics) {
-        this.clock = clock;
-        this.metrics = metrics;
+    public void onChange(Runnable listener) {
+        onChange = listener;
     }
 
     /**
@@ -36,7 +90,7 @@
      */
     public void observe(LiveReplica replica, Either<String, OptionalDouble> limit, long requestedMillis) {
         if (limit.isLeft()) {
-            metrics.count("hornbeam_replica_limits", "stated", "invalid");
+            dependencies.metrics().count("hornbeam_replica_limits", "stated", "invalid");
             log(replica, "request limit ignored", limit.getLeft());
             return;
         }
@@ -44,11 +98,110 @@
         if (stated.isEmpty() && !replica.limiter().isLimited()) {
             return;
         }
-        metrics.count("hornbeam_replica_limits", "stated", stated.isPresent() ? "limit" : "none");
+        dependencies.metrics().count("hornbeam_replica_limits", "stated", stated.isPresent() ? "limit" : "none");
         double rate = stated.orElse(Double.POSITIVE_INFINITY);
         if (replica.limiter().observe(new StatedLimit(rate, requestedMillis, clock.monotonicMillis()))) {
-            log(replica, "request limit changed", "limit=" + rate + " source=answer");
+            limitChanged(replica, "answer");
+            onChange.run();
+        }
+    }
+
+    private void limitChanged(LiveReplica replica, String source) {
+        relevant.put(replica.runHash(), replica);
+        log(
+                replica,
+                "request limit changed",
+                "limit=" + replica.limiter().stated().requestsPerSecond() + " source=" + source);
+    }
+
+    /** Records a request that this router sends to a replica. */
+    public void recordSend(LiveReplica replica) {
+        replica.limiter().recordSend(clock.monotonicMillis());
+    }
+
+    /** Returns whether a request to a replica is within the replica's limit. */
+    public boolean accepts(LiveReplica replica) {
+        RequestLimiter limiter = replica.limiter();
+        if (!limiter.isLimited()) {
+            return true;
+        }
+        long now = clock.monotonicMillis();
+        return limiter.accepts(dependencies.share().at(now), now);
+    }
+
+    /**
+     * Books the return of a caller whose request no replica takes because of the replicas' limits.
+     *
+     * @param replicas the replicas that could run the request otherwise
+     * @return the time until the caller may return, in milliseconds; empty if some replica is within its limit
+     */
+    public OptionalLong bookReturnMillis(List<LiveReplica> replicas) {
+        if (replicas.isEmpty() || replicas.stream().anyMatch(this::accepts)) {
+            return OptionalLong.empty();
+        }
+        long now = clock.monotonicMillis();
+        double share = dependencies.share().at(now);
+        LiveReplica first = replicas.stream()
+                .min((a, b) -> Long.compare(
+                        a.limiter().nextReturnMillis(share, now), b.limiter().nextReturnMillis(share, now)))
+                .orElseThrow();
+        dependencies.metrics().count("hornbeam_limit_refusals");
+        log(
+                first,
+                "all replicas at their limits",
+                "limit=" + first.limiter().stated().requestsPerSecond() + " sends="
+                        + first.limiter().recentSends(now) + " share=" + share + " hintAgeMillis="
+                        + first.limiter().oldestHintMillis(now));
+        return OptionalLong.of(first.limiter().bookReturnMillis(share, now));
+    }
+
+    /** Returns the number of replicas with a limit. */
+    public long countLimited() {
+        return relevant.values().stream().filter(r -> r.limiter().isLimited()).count();
+    }
+
+    private void merge(LimitHint hint) {
+        if (hint.life() == dependencies.life()) {
+            return;
+        }
+        long now = clock.monotonicMillis();
+        hint.entries().forEach(e -> dependencies
+                .registry()
+                .byRunHash(e.replica())
+                .filter(r -> r.limiter().merge(hint.life(), hint.sequence(), e, now))
+                .ifPresent(r -> limitChanged(r, "hint")));
+    }
+
+    @Override
+    public boolean hasChanges(long nowMillis) {
+        return relevant.values().stream().anyMatch(r -> r.limiter().hasUntold());
+    }
+
+    @Override
+    public List<byte[]> takeChanges(long nowMillis) {
+        return hints(r -> r.limiter().hasUntold(), nowMillis);
+    }
+
+    @Override
+    public List<byte[]> summary(boolean idle, long nowMillis) {
+        relevant.values()
+                .removeIf(r -> !r.limiter().isRelevant(nowMillis)
+                        || dependencies.registry().byRunHash(r.runHash()).isEmpty());
+        return hints(r -> true, nowMillis);
+    }
+
+    private List<byte[]> hints(Predicate<LiveReplica> filter, long nowMillis) {
+        List<LimitHint.Entry> entries = relevant.values().stream()
+                .filter(filter)
+                .map(r -> r.limiter().takeEntry(r.runHash(), nowMillis))
+                .toList();
+        List<byte[]> hints = new ArrayList<>();
+        for (int from = 0; from < entries.size(); from += LimitHint.MAX_ENTRIES) {
+            List<LimitHint.Entry> part = entries.subList(from, Math.min(entries.size(), from + LimitHint.MAX_ENTRIES));
+            sequence++;
+            hints.add(new LimitHint(dependencies.life(), sequence, part).encode());
         }
+        return hints;
     }
 
     private static void log(LiveReplica replica, String decision, String inputs) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quota/QuotaGossip.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/UsageGossip.java
@@ -1,25 +1,22 @@
-package org.hornbeamhead.gateway.quota;
+package org.hornbeamhead.gateway.state;
 
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.hornbeamhead.core.entry.ActiveRouters;
-import org.hornbeamhead.core.quota.QuotaHint;
-import org.hornbeamhead.core.quota.QuotaLedger;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
-import org.hornbeamhead.gateway.state.PeerDatagrams;
 
 /**
- * Exchanges the use of quotas with other routers. Routers with many callers hear of changes soon; all routers hear of
+ * Tells other routers of the use of a shared limit. Routers with many callers hear of changes soon; all routers hear of
  * recent use regularly, since callers may come to any of them.
  */
-public final class QuotaGossip {
+public final class UsageGossip {
     /** The largest number of routers that receive a hint; more would increase the load as the fleet grows. */
     public static final int MAX_PEERS = 96;
 
-    /** The interval of changes. What arrives in it may exceed a quota. */
+    /** The interval of changes. What arrives in it may exceed a limit. */
     private static final long CHANGES_INTERVAL_MILLIS = 50;
     /**
      * With more routers with callers than this, changes are told less often, so that the load of each stays bounded.
@@ -34,12 +31,13 @@
 
     private final Clock clock;
     private final Timers timers;
-    private final QuotaLedger ledger;
+    private final UsageReports reports;
     private final ActiveRouters activeRouters;
     private final Supplier<List<String>> listedRouters;
     private final PeerDatagrams datagrams;
     private long lastSummaryMillis;
     private long lastToOthersMillis;
+    private long lastAnnouncementMillis;
     private int idleHintsLeft;
 
     /**
@@ -47,38 +45,46 @@
      *
      * @param clock the clock
      * @param timers the timers
-     * @param ledger the accounts of the customers
+     * @param reports what to tell
      * @param activeRouters the routers with callers
      * @param listedRouters supplies the addresses at which other routers receive hints
      * @param datagrams the socket for hints
      */
-    public QuotaGossip(
+    public UsageGossip(
             Clock clock,
             Timers timers,
-            QuotaLedger ledger,
+            UsageReports reports,
             ActiveRouters activeRouters,
             Supplier<List<String>> listedRouters,
             PeerDatagrams datagrams) {
         this.clock = clock;
         this.timers = timers;
-        this.ledger = ledger;
+        this.reports = reports;
         this.activeRouters = activeRouters;
         this.listedRouters = listedRouters;
         this.datagrams = datagrams;
     }
 
-    /** Starts to send and receive hints. */
+    /** Starts to send hints. */
     public void start() {
-        datagrams.addListener((from, bytes) ->
-                QuotaHint.decode(bytes).ifPresent(hint -> ledger.merge(from, hint, clock.monotonicMillis())));
         tick();
     }
 
+    /** Tells all listed routers of changes now, unless they were told of others a moment ago. */
+    public void announce() {
+        long now = clock.monotonicMillis();
+        if (now - lastAnnouncementMillis >= CHANGES_INTERVAL_MILLIS && reports.hasChanges(now)) {
+            lastAnnouncementMillis = now;
+            List<byte[]> changes = reports.takeChanges(now);
+            listedRouters.get().forEach(p -> changes.forEach(c -> datagrams.send(p, c)));
+        }
+    }
+
     private void tick() {
         long now = clock.monotonicMillis();
         List<String> busy = activeRouters.busyPeers(now);
-        if (ledger.hasChanges(now)) {
-            send(ledger.takeChanges(now), busy);
+        if (reports.hasChanges(now)) {
+            send(reports.takeChanges(now), busy);
         }
         if (now - lastSummaryMillis >= SUMMARY_INTERVAL_MILLIS) {
             lastSummaryMillis = now;
@@ -98,7 +104,7 @@
                 .filter(p -> !busy.contains(p))
                 .toList();
         if (!others.isEmpty() && activeRouters.ownRate(now) > 0) {
-            send(ledger.summary(false, now), others);
+            send(reports.summary(false, now), others);
         }
     }
 
@@ -109,12 +115,11 @@
             // Routers with callers come first, since the number of receivers is bounded.
             Set<String> all = new LinkedHashSet<>(active);
             all.addAll(listedRouters.get());
-            send(ledger.summary(idle, now), List.copyOf(all));
+            send(reports.summary(idle, now), List.copyOf(all));
         }
     }
 
-    private void send(QuotaHint hint, List<String> to) {
-        byte[] datagram = hint.encode();
-        to.stream().limit(MAX_PEERS).forEach(p -> datagrams.send(p, datagram));
+    private void send(List<byte[]> hints, List<String> to) {
+        to.stream().limit(MAX_PEERS).forEach(p -> hints.forEach(h -> datagrams.send(p, h)));
     }
 }
