Soak: replicas that state request limits, and the promise that all routers hold them

Change: replicas of a run state limits of 0 to 6 requests a second for 6 to 12 s at a time (--limiting, two as a rule); the check asks what came to such a replica in any 4 s from routers that ran undisturbed for 7 s: half as much again as the limit allows, and five.

--- a/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
@@ -26,6 +26,7 @@
     private final OptionSpec<Integer> replicas = number("replicas", "replicas", 12);
     private final OptionSpec<Integer> callers = number("callers", "callers", 16);
     private final OptionSpec<Integer> crashing = number("crashing", "requests that end each replica that runs them", 1);
+    private final OptionSpec<Integer> limiting = number("limiting", "replicas that state a request limit", 2);
     private final OptionSpec<String> json =
             parser.accepts("json", "file for the results, a JSON line a run").withRequiredArg();
 
@@ -79,7 +80,8 @@
                 options.valueOf(routers),
                 options.valueOf(replicas),
                 options.valueOf(callers),
-                options.valueOf(crashing));
+                options.valueOf(crashing),
+                options.valueOf(limiting));
         Path directory = Files.createTempDirectory("hornbeam-soak-" + runSeed + "-");
         try {
             SoakReport report = new SoakRun(settings, directory).play();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.soak;
 
 import java.io.IOException;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.function.Consumer;
 import org.hornbeamhead.platform.StandinEngine;
@@ -29,6 +30,7 @@
     private final Random random;
     private final Consumer<SoakReplica> onEnd;
     private volatile boolean grey;
+    private volatile OptionalDouble limit = OptionalDouble.empty();
 
     SoakReplica(
             String id,
@@ -73,6 +75,17 @@
         grey = now;
     }
 
+    /** States a request limit in its answers from now on, or none. */
+    void limit(OptionalDouble requestsPerSecond) {
+        limit = requestsPerSecond;
+    }
+
+    private String withLimit(String answer) {
+        return limit.isPresent()
+                ? answer.replaceFirst("\r\n", "\r\nServer-Limit: " + limit.getAsDouble() + "\r\n")
+                : answer;
+    }
+
     private void work(StandinReplica.ReceivedRequest r, StandinReplica.Connection to)
             throws IOException, InterruptedException {
         boolean fails = grey && random.nextInt(GREY_ONE_IN) == 0;
@@ -87,7 +100,7 @@
         }
         Thread.sleep(random.nextInt(MAX_WORK_MILLIS));
         if (failure == Failure.REFUSES) {
-            to.write(StandinReplica.notExecuted(503));
+            to.write(withLimit(StandinReplica.notExecuted(503)));
         } else if (failure == Failure.LOSES) {
             to.reset();
         } else if (r.cacheSalt().isEmpty()) {
@@ -112,9 +125,9 @@
         ANSWERS_TWICE
     }
 
-    private static void answer(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, Failure failure)
+    private void answer(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, Failure failure)
             throws IOException {
-        String whole = StandinReplica.ok(r, RequestKind.SAFE.answer(r.id()));
+        String whole = withLimit(StandinReplica.ok(r, RequestKind.SAFE.answer(r.id())));
         if (failure == Failure.BREAKS_OFF) {
             to.write(whole.substring(0, whole.length() - 2)).close();
         } else if (failure == Failure.ANSWERS_TWICE) {
@@ -124,9 +137,9 @@
         }
     }
 
-    private static void stream(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, Failure failure)
+    private void stream(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, Failure failure)
             throws IOException, InterruptedException {
-        to.write(StandinReplica.streamHead(r));
+        to.write(withLimit(StandinReplica.streamHead(r)));
         for (int e = r.lastEventId() + 1; e <= RequestKind.events(); e++) {
             String event = RequestKind.event(r.id(), e);
             if (failure == Failure.BREAKS_OFF && e == RequestKind.events() / 2) {
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -49,6 +49,10 @@
             CrashingCallers crashing = new CrashingCallers(fleet, history, clock);
             IntStream.range(0, settings.crashing())
                     .forEach(i -> threads.execute(() -> crashing.run(i, settings.seed() + i)));
+            if (settings.limiting() > 0) {
+                LimitingReplicas limiting = new LimitingReplicas(fleet, history, clock);
+                threads.execute(() -> limiting.run(settings.limiting(), settings.seed()));
+            }
             strikeAll(plan, new FaultDriver(fleet, history, clock), clock, threads);
             crashing.end();
             Thread.sleep(END_MILLIS);
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
@@ -9,12 +9,16 @@
  * @param replicas the replicas, half of them engines
  * @param callers callers that send one request after the other
  * @param crashing requests that end each replica that runs them, each sent again and again
+ * @param limiting replicas that state a request limit
  */
-record SoakSettings(long seed, int seconds, int routers, int replicas, int callers, int crashing) {
+record SoakSettings(long seed, int seconds, int routers, int replicas, int callers, int crashing, int limiting) {
     SoakSettings {
         if (seconds < 1 || routers < 1 || replicas < 6 || callers < 1) {
             throw new IllegalArgumentException("a run needs a second, a router, six replicas and a caller at least");
         }
+        if (limiting < 0 || limiting > replicas) {
+            throw new IllegalArgumentException(limiting + " of " + replicas + " replicas cannot state a limit");
+        }
         if (crashing < 0) {
             throw new IllegalArgumentException("a run cannot have " + crashing + " requests that end replicas");
         }
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -66,6 +66,16 @@
      */
     public record Ended(String content, String id, String replica, long at) {}
 
+    /**
+     * A replica stated a request limit in its answers.
+     *
+     * @param replica the replica
+     * @param perSecond the limit in requests a second
+     * @param from when it began to
+     * @param to when it ceased to
+     */
+    public record Limited(String replica, double perSecond, long from, long to) {}
+
     /**
      * An order came to an engine.
      *
@@ -124,6 +134,7 @@
     private final Collection<Answered> answered = new ConcurrentLinkedQueue<>();
     private final Collection<Arrived> arrived = new ConcurrentLinkedQueue<>();
     private final Collection<Ended> ended = new ConcurrentLinkedQueue<>();
+    private final Collection<Limited> limited = new ConcurrentLinkedQueue<>();
     private final Collection<Ordered> ordered = new ConcurrentLinkedQueue<>();
     private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
     private final Collection<Disturbed> disturbed = new ConcurrentLinkedQueue<>();
@@ -144,6 +155,8 @@
             arrived.add(a);
         } else if (seen instanceof Ended e) {
             ended.add(e);
+        } else if (seen instanceof Limited l) {
+            limited.add(l);
         } else if (seen instanceof Ordered o) {
             ordered.add(o);
         } else if (seen instanceof Acknowledged a) {
@@ -204,6 +217,15 @@
         return List.copyOf(ended);
     }
 
+    /**
+     * Lists the request limits.
+     *
+     * @return what replicas stated
+     */
+    public List<Limited> limited() {
+        return List.copyOf(limited);
+    }
+
     /**
      * Lists the orders.
      *
@@ -240,6 +262,20 @@
         return List.copyOf(uncaught);
     }
 
+    /**
+     * Tells whether a router ran and was reached throughout a time.
+     *
+     * @param router the router
+     * @param from the beginning
+     * @param to the end
+     * @return whether it was not disturbed, whatever happened to the store
+     */
+    public boolean undisturbed(String router, long from, long to) {
+        return disturbed.stream()
+                .filter(d -> Set.of(router, ALL_ROUTERS).contains(d.subject()))
+                .noneMatch(d -> d.from() <= to && d.to() >= from);
+    }
+
     /**
      * Tells whether a router could act as promised throughout a time.
      *
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -30,6 +30,7 @@
         checks.put("one holder", StateChecks::oneHolder);
         checks.put("isolation", h -> StateChecks.isolation(h, isolated));
         checks.put("budget", LoadChecks::budget);
+        checks.put("request limits", LimitChecks::requestLimits);
         checks.put("requests that end replicas", CrashChecks::sentFewTimes);
         checks.put("service back", LoadChecks::serviceBack);
         checks.put("no uncaught errors", Promises::noUncaughtErrors);
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -76,6 +76,14 @@
         return h;
     }
 
+    /** A replica states a limit of two a second and gets requests at even intervals. */
+    private static History limited(int count, long intervalMillis) {
+        History h = new History().add(new History.Limited("replica1", 2, 10_000, 30_000));
+        IntStream.range(0, count).forEach(i -> h.add(asked("i" + i, RequestKind.SAFE, 10_000 + i * intervalMillis))
+                .add(ran("i" + i, "plain", 10_000 + i * intervalMillis)));
+        return h;
+    }
+
     /** A request ends three replicas, and is sent more often after all routers know it. */
     private static History ends(int late) {
         History h = new History();
@@ -203,6 +211,12 @@
                         .add(keptUnder("t", 2, "many"))
             },
             {"budget", repeats(70), repeats(50)},
+            {"request limits", limited(100, 200), limited(40, 500)},
+            {
+                "request limits",
+                limited(100, 200).add(new Disturbed("STORE_BUSY", History.STORE, false, 9_000, 40_000)),
+                limited(100, 200).add(new Disturbed("ROUTER_FROZEN", "router0", false, 9_000, 40_000))
+            },
             {"requests that end replicas", ends(4), ends(3)},
             {
                 "requests that end replicas",
