Log which replica's limit refused a request, and fuzz the header and the hint

Cause: a caller refused because all replicas are at their limits was answered 'no replica can take it', and the line with the limit did not name the request, so that nobody got from the one to the other. Change: the answer and the log name request limits; one line with the request, the replica that will take it first, its limit, the sends of all routers, the part of the limit, the age of the oldest hint and the time of the return. Fuzz targets LIMIT_HINTS and REPLICA_HEADERS.

--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -15,6 +15,8 @@
 import org.hornbeamhead.core.crash.CrashReportCodec;
 import org.hornbeamhead.core.drain.DrainOrders;
 import org.hornbeamhead.core.engine.LoadHint;
+import org.hornbeamhead.core.limit.LimitHint;
+import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.quota.QuotaContacts;
 import org.hornbeamhead.core.quota.QuotaHint;
 import org.hornbeamhead.core.quota.QuotaLedger;
@@ -24,6 +26,7 @@
 import org.hornbeamhead.core.time.ManualClock;
 import org.hornbeamhead.gateway.state.PeerReading;
 import org.hornbeamhead.platform.DocumentReading;
+import org.hornbeamhead.platform.HeaderReading;
 
 /** The readers of bytes that others wrote, and inputs that they take. */
 final class FuzzTargets {
@@ -57,6 +60,21 @@
                     "QUOTA_HINTS",
                     FuzzTargets::quotaHints,
                     latin(new QuotaHint(1, 2, true, false, List.of(new QuotaHint.Use(3, 4, 5))).encode())),
+            // What routers tell one another of replicas' request limits.
+            target(
+                    "LIMIT_HINTS",
+                    FuzzTargets::limitHints,
+                    latin(new LimitHint(
+                                    1,
+                                    2,
+                                    List.of(new LimitHint.Entry(
+                                            3, Optional.of(new LimitHint.Statement(2.5, 40, 30)), List.of(1, 0, 2))))
+                            .encode())),
+            // The headers of replicas' answers.
+            target(
+                    "REPLICA_HEADERS",
+                    texts(HeaderReading::read),
+                    "X-Attempt-Id: 1\nX-Server-Stamp: s\nServer-Limit: 2.5\nX-Weight-Versions: 3"),
             // What routers tell one another of crashes.
             target("CRASH_NEWS", FuzzTargets::crashNews, "\u00c5\0\1\0\0\0\0\0\0\0\7\1\0\0\0\5\0\0\0\u0009\0\u0008"),
             // What routers keep in the store of crashes.
@@ -136,6 +154,17 @@
         });
     }
 
+    private static void limitHints(byte[] bytes) {
+        RequestLimiter limiter = new RequestLimiter();
+        LimitHint.decode(bytes).ifPresent(h -> {
+            assertEquals(LimitHint.decode(h.encode()), Optional.of(h));
+            h.entries().forEach(e -> limiter.merge(h.life(), h.sequence(), e, 0));
+        });
+        limiter.accepts(1, 1);
+        limiter.bookReturnMillis(1, 1);
+        limiter.takeEntry(1, 1);
+    }
+
     private static void crashNews(byte[] bytes) {
         CrashHistory history = new CrashHistory(new ManualClock(0));
         CrashReportCodec.decode(bytes).ifPresent(news -> {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -98,11 +98,7 @@
                                 serviceRequest.owner(),
                                 tried);
         if (target.isEmpty()) {
-            sendFinalAnswer(
-                    forwarding.responseAtDeadline(false),
-                    "no replica can take it",
-                    Optional.empty(),
-                    retryAfterMillis(forwarding.responseAtDeadline(false)));
+            giveUp(forwarding.responseAtDeadline(false), "no replica can take it", Optional.empty());
             return;
         }
         OptionalLong retryMillis = tried.isEmpty() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
@@ -200,17 +196,25 @@
                 .with(Logs.INPUTS, logInputs(end) + " next=" + step)
                 .log("attempt ended: %s", end);
         if (step instanceof NextStep.GiveUp giveUp) {
-            sendFinalAnswer(giveUp.answer(), reason, failure, retryAfterMillis(giveUp.answer()));
+            giveUp(giveUp.answer(), reason, failure);
         } else {
             startNextAttempt();
         }
     }
 
-    private long retryAfterMillis(FinalResponse answer) {
+    private void giveUp(FinalResponse answer, String reason, Optional<BufferedResponse> failure) {
         OptionalLong limitMillis = answer == FinalResponse.NOT_RUN
-                ? dispatcher.targetSelector().bookReturnMillis(serviceRequest.service())
+                ? dispatcher
+                        .targetSelector()
+                        .bookReturnMillis(
+                                serviceRequest.service(),
+                                serviceRequest.callerRequest().id())
                 : OptionalLong.empty();
-        return limitMillis.orElse(RETRY_AFTER_MILLIS);
+        sendFinalAnswer(
+                answer,
+                limitMillis.isPresent() ? "all replicas are at their request limits" : reason,
+                failure,
+                limitMillis.orElse(RETRY_AFTER_MILLIS));
     }
 
     private void reportLoss(AttemptOutcome end, LiveReplica replica, long sentAt) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -68,8 +68,8 @@
      * Returns when a caller may return whose request no replica takes because of the replicas' limits, in milliseconds;
      * empty if the limits are not the reason.
      */
-    OptionalLong bookReturnMillis(ServiceSpec service) {
-        return limits.bookReturnMillis(registry.acceptingReplicas(service.name()));
+    OptionalLong bookReturnMillis(ServiceSpec service, String request) {
+        return limits.bookReturnMillis(registry.acceptingReplicas(service.name()), request);
     }
 
     private Stream<LiveReplica> untriedReplicas(ServiceSpec service, Set<String> tried) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -133,26 +134,31 @@
      * Books the return of a caller whose request no replica takes because of the replicas' limits.
      *
      * @param replicas the replicas that could run the request otherwise
+     * @param request the id of the request, for the log
      * @return the time until the caller may return, in milliseconds; empty if some replica is within its limit
      */
-    public OptionalLong bookReturnMillis(List<LiveReplica> replicas) {
+    public OptionalLong bookReturnMillis(List<LiveReplica> replicas, String request) {
         if (replicas.isEmpty() || replicas.stream().anyMatch(this::accepts)) {
             return OptionalLong.empty();
         }
         long now = clock.monotonicMillis();
         double share = dependencies.share().at(now);
         LiveReplica first = replicas.stream()
-                .min((a, b) -> Long.compare(
-                        a.limiter().nextReturnMillis(share, now), b.limiter().nextReturnMillis(share, now)))
+                .min(Comparator.comparingLong(r -> r.limiter().nextReturnMillis(share, now)))
                 .orElseThrow();
+        long returnMillis = first.limiter().bookReturnMillis(share, now);
         dependencies.metrics().count("hornbeam_limit_refusals");
-        log(
-                first,
-                "all replicas at their limits",
-                "limit=" + first.limiter().stated().requestsPerSecond() + " sends="
-                        + first.limiter().recentSends(now) + " share=" + share + " hintAgeMillis="
-                        + first.limiter().oldestHintMillis(now));
-        return OptionalLong.of(first.limiter().bookReturnMillis(share, now));
+        logger.atInfo()
+                .with(Logs.REQUEST, request)
+                .with(Logs.REPLICA, first.entry().id())
+                .with(Logs.DECISION, "refused over replica limits")
+                .with(
+                        Logs.INPUTS,
+                        "limit=" + first.limiter().stated().requestsPerSecond() + " sends="
+                                + first.limiter().recentSends(now) + " share=" + share + " hintAgeMillis="
+                                + first.limiter().oldestHintMillis(now) + " returnMillis=" + returnMillis)
+                .log("all %d replicas are at their request limits", replicas.size());
+        return OptionalLong.of(returnMillis);
     }
 
     /** Returns the number of replicas with a limit. */
