Own interface: hold the request limits that endpoints state over all routers

What was seen: the users' platform's router read no request limit; the own interface had no notion of one, the same class of fault. Change: answers of endpoints may bear Hornbeam-Request-Limit. EndpointLimits evaluates the same bucket as the users' platform's router (RequestLimiter), and exchanges hints over the socket for gossip; the part of a limit is the serving hosts out of the listed ones. Endpoints at their limits are left out of placement and of plain services; if all are, callers get 503 at-request-limit with the time of their return. What both routers share of the exchange is LimitExchange. Stand-in engines and services can be told to state a limit. Polls of load and orders do not count on the own interface.

--- a/core/src/main/java/org/hornbeamhead/core/limit/LimitHint.java
+++ b/core/src/main/java/org/hornbeamhead/core/limit/LimitHint.java
@@ -94,6 +94,16 @@
         entry.sendsByAge().forEach(n -> out.put((byte) Math.min(MAX_COUNT, n)));
     }
 
+    /**
+     * Returns whether a datagram is a hint of this kind.
+     *
+     * @param datagram the datagram
+     * @return true if it begins like one
+     */
+    public static boolean hasFormatMarker(byte[] datagram) {
+        return datagram.length > 0 && datagram[0] == FORMAT_MARKER;
+    }
+
     /**
      * Decodes a hint.
      *
--- a/core/src/main/java/org/hornbeamhead/core/outcome/Reason.java
+++ b/core/src/main/java/org/hornbeamhead/core/outcome/Reason.java
@@ -12,6 +12,8 @@
     NOT_ALLOWED,
     /** The pool has no replica that accepts work. */
     NO_REPLICA,
+    /** All replicas of the pool are at the request limits that they state. */
+    AT_REQUEST_LIMIT,
     /** The class's target cannot be met at the present load. */
     OVERLOADED,
     /** The customer exceeds its fair share while others wait. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
@@ -2,15 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.function.Predicate;
-import org.hornbeamhead.core.limit.LimitHint;
+import org.hornbeamhead.core.limit.LimitExchange;
 import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.limit.StatedLimit;
 import org.hornbeamhead.core.time.Clock;
@@ -30,11 +26,8 @@
 
     private final Dependencies dependencies;
     private final Clock clock;
-    /** The replicas that other routers have to know of, by the hash of the run. */
-    private final Map<Integer, LiveReplica> relevant = new HashMap<>();
-
+    private final LimitExchange exchange;
     private Runnable onChange = () -> {};
-    private int sequence;
 
     /** Supplies the part of a limit over all routers that this router may use. */
     @FunctionalInterface
@@ -69,8 +62,8 @@
     public ReplicaLimits(Dependencies dependencies) {
         this.dependencies = dependencies;
         this.clock = dependencies.clock();
-        dependencies.datagrams().addListener((from, bytes) -> LimitHint.decode(bytes)
-                .ifPresent(this::merge));
+        this.exchange = new LimitExchange(dependencies.life());
+        dependencies.datagrams().addListener((from, bytes) -> merge(bytes));
     }
 
     /**
@@ -108,7 +101,7 @@
     }
 
     private void limitChanged(LiveReplica replica, String source) {
-        relevant.put(replica.runHash(), replica);
+        exchange.add(replica.runHash(), replica.limiter());
         log(
                 replica,
                 "request limit changed",
@@ -163,51 +156,32 @@
 
     /** Returns the number of replicas with a limit. */
     public long countLimited() {
-        return relevant.values().stream().filter(r -> r.limiter().isLimited()).count();
+        return exchange.countLimited();
     }
 
-    private void merge(LimitHint hint) {
-        if (hint.life() == dependencies.life()) {
-            return;
-        }
-        long now = clock.monotonicMillis();
-        hint.entries().forEach(e -> dependencies
-                .registry()
-                .byRunHash(e.replica())
-                .filter(r -> r.limiter().merge(hint.life(), hint.sequence(), e, now))
-                .ifPresent(r -> limitChanged(r, "hint")));
+    private void merge(byte[] datagram) {
+        ReplicaRegistry registry = dependencies.registry();
+        exchange.merge(
+                datagram,
+                replica -> registry.byRunHash(replica).map(LiveReplica::limiter),
+                replica -> registry.byRunHash(replica).ifPresent(r -> limitChanged(r, "hint")),
+                clock.monotonicMillis());
     }
 
     @Override
     public boolean hasChanges(long nowMillis) {
-        return relevant.values().stream().anyMatch(r -> r.limiter().hasUntold());
+        return exchange.hasChanges();
     }
 
     @Override
     public List<byte[]> takeChanges(long nowMillis) {
-        return hints(r -> r.limiter().hasUntold(), nowMillis);
+        return exchange.takeChanges(nowMillis);
     }
 
     @Override
     public List<byte[]> summary(boolean idle, long nowMillis) {
-        relevant.values()
-                .removeIf(r -> !r.limiter().isRelevant(nowMillis)
-                        || dependencies.registry().byRunHash(r.runHash()).isEmpty());
-        return hints(r -> true, nowMillis);
-    }
-
-    private List<byte[]> hints(Predicate<LiveReplica> filter, long nowMillis) {
-        List<LimitHint.Entry> entries = relevant.values().stream()
-                .filter(filter)
-                .map(r -> r.limiter().takeEntry(r.runHash(), nowMillis))
-                .toList();
-        List<byte[]> hints = new ArrayList<>();
-        for (int from = 0; from < entries.size(); from += LimitHint.MAX_ENTRIES) {
-            List<LimitHint.Entry> part = entries.subList(from, Math.min(entries.size(), from + LimitHint.MAX_ENTRIES));
-            sequence++;
-            hints.add(new LimitHint(dependencies.life(), sequence, part).encode());
-        }
-        return hints;
+        return exchange.summary(
+                replica -> dependencies.registry().byRunHash(replica).isPresent(), nowMillis);
     }
 
     private static void log(LiveReplica replica, String decision, String inputs) {
--- a/router/src/main/java/org/hornbeamhead/router/EngineAttempt.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineAttempt.java
@@ -34,6 +34,7 @@
     private static final int TOO_MANY = 429;
     private static final int SERVER_ERROR = 500;
 
+    private final RouterContext context;
     private final Connections connections;
     private final String address;
     private final String attemptId;
@@ -42,8 +43,9 @@
     private SseParser parser = new SseParser();
     private ChannelSupplier<ByteBuf> body;
 
-    EngineAttempt(Connections connections, String address, String attemptId) {
-        this.connections = connections;
+    EngineAttempt(RouterContext context, String address, String attemptId) {
+        this.context = context;
+        this.connections = context.connections();
         this.address = address;
         this.attemptId = attemptId;
         this.check = new StreamCheck(attemptId);
@@ -73,10 +75,13 @@
     }
 
     private Promise<Void> begin(HttpCaller caller, HttpRequest request, Duration limit) {
-        return caller.open(request, limit).then(this::begun, e -> Promise.ofException(lost(e)));
+        long sentAt = context.clock().monotonicMillis();
+        context.limits().recordSend(address);
+        return caller.open(request, limit).then(r -> begun(r, sentAt), e -> Promise.ofException(lost(e)));
     }
 
-    private Promise<Void> begun(HttpResponse response) {
+    private Promise<Void> begun(HttpResponse response, long sentAt) {
+        context.limits().observe(address, response, sentAt);
         if (response.getCode() == OK) {
             body = response.takeBodyStream();
             return Promise.complete();
--- a/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
@@ -80,7 +80,7 @@
         pool.table().recordDispatch(request.chain(), chosen);
         String address = chosen.replica().address();
         log("dispatched", chosen.reason().name());
-        attempt = new EngineAttempt(context.connections(), address, internalId + "." + attempts);
+        attempt = new EngineAttempt(context, address, internalId + "." + attempts);
         String reported = chosen.replica().weights();
         String weights = reported.isEmpty() ? request.pool().weights() : reported;
         String body = EngineCall.body(request, weights, givenText(), givenTokens);
@@ -199,8 +199,10 @@
         boolean held = context.quarantine().heldMillis(request::fingerprint).isPresent();
         boolean allowed =
                 !held && attempts < MAX_ATTEMPTS && (!worked || pool.retries().tryAcquire());
+        Set<String> unusable = new HashSet<>(excluded);
+        unusable.addAll(context.limits().atLimit());
         Optional<PlacementChoice> other =
-                allowed ? pool.placement().choose(pool.table(), request.chain(), target, excluded) : Optional.empty();
+                allowed ? pool.placement().choose(pool.table(), request.chain(), target, unusable) : Optional.empty();
         if (other.isEmpty()) {
             return Promise.ofException(new RefusedException(
                     worked
--- a/router/src/main/java/org/hornbeamhead/router/ModelPipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ModelPipeline.java
@@ -10,13 +10,14 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.ZoneOffset;
+import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.hornbeamhead.core.admission.AdmissionDecision;
 import org.hornbeamhead.core.outcome.Outcome;
 import org.hornbeamhead.core.outcome.Reason;
 import org.hornbeamhead.core.placement.PlacementChoice;
 import org.hornbeamhead.core.placement.PlacementTarget;
+import org.hornbeamhead.core.placement.Replica;
 import org.hornbeamhead.daemon.HttpAnswers;
 import org.hornbeamhead.daemon.HttpReply;
 import org.hornbeamhead.daemon.Json;
@@ -79,9 +80,10 @@
     private Promise<HttpResponse> admitInteractive(ModelRequest request, EnginePool pool) {
         PlacementTarget target =
                 new PlacementTarget(request.requestClass().firstToken().toMillis(), false);
-        Optional<PlacementChoice> choice = pool.placement().choose(pool.table(), request.chain(), target, Set.of());
+        Optional<PlacementChoice> choice = pool.placement()
+                .choose(pool.table(), request.chain(), target, context.limits().atLimit());
         if (choice.isEmpty()) {
-            return refuseRunning(request, Refusals.notRun(Reason.NO_REPLICA, COME_BACK));
+            return refuseRunning(request, unplaced(pool));
         }
         AdmissionDecision decision = pool.admission()
                 .decideInteractive(
@@ -121,9 +123,21 @@
         }
         PlacementTarget target = batchTarget();
         return pool.placement()
-                .choose(pool.table(), request.chain(), target, Set.of())
+                .choose(pool.table(), request.chain(), target, context.limits().atLimit())
                 .map(choice -> relay(request, pool, target, choice))
-                .orElseGet(() -> refuseRunning(request, Refusals.notRun(Reason.NO_REPLICA, COME_BACK)));
+                .orElseGet(() -> refuseRunning(request, unplaced(pool)));
+    }
+
+    private Refusal unplaced(EnginePool pool) {
+        long now = context.clock().monotonicMillis();
+        List<String> usable = pool.table().replicas().stream()
+                .filter(r -> r.acceptsWork(now))
+                .map(Replica::address)
+                .toList();
+        return context.limits()
+                .bookReturn(usable)
+                .map(comeBack -> Refusals.notRun(Reason.AT_REQUEST_LIMIT, comeBack))
+                .orElseGet(() -> Refusals.notRun(Reason.NO_REPLICA, COME_BACK));
     }
 
     private static PlacementTarget batchTarget() {
@@ -152,7 +166,11 @@
         boolean pressing = pool.batch().isUrgent(now);
         double tightest = context.config().config().tightestFirstTokenMillis();
         return pool.placement()
-                .choose(pool.table(), next.request().chain(), batchTarget(), Set.of())
+                .choose(
+                        pool.table(),
+                        next.request().chain(),
+                        batchTarget(),
+                        context.limits().atLimit())
                 .map(choice -> pool.admission().decideBatch(tightest, choice, pressing, now))
                 .map(AdmissionDecision.Admit.class::isInstance)
                 .orElse(pressing);
--- a/router/src/main/java/org/hornbeamhead/router/PeerNode.java
+++ b/router/src/main/java/org/hornbeamhead/router/PeerNode.java
@@ -9,6 +9,7 @@
 import java.nio.channels.DatagramChannel;
 import java.util.function.Consumer;
 import org.hornbeamhead.core.crash.CrashReportCodec;
+import org.hornbeamhead.core.limit.LimitHint;
 import org.hornbeamhead.core.membership.GossipMessage;
 import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.peer.GossipCodec;
@@ -18,6 +19,7 @@
     private final UdpSocket socket;
     private Consumer<GossipMessage> receiver = m -> {};
     private Consumer<byte[]> crashReceiver = b -> {};
+    private Consumer<byte[]> limitReceiver = b -> {};
 
     /**
      * Opens the socket.
@@ -44,11 +46,18 @@
         crashReceiver = into;
     }
 
+    /** Hands on hints of request limits, which share the socket. */
+    void receiveLimits(Consumer<byte[]> into) {
+        limitReceiver = into;
+    }
+
     private void receiveNext() {
         socket.receive().whenResult(packet -> {
             byte[] bytes = packet.getBuf().asArray();
             if (CrashReportCodec.hasFormatMarker(bytes)) {
                 crashReceiver.accept(bytes);
+            } else if (LimitHint.hasFormatMarker(bytes)) {
+                limitReceiver.accept(bytes);
             } else {
                 GossipCodec.decode(bytes).ifPresent(receiver);
             }
@@ -56,15 +65,12 @@
         });
     }
 
-    void sendCrashes(String peerAddress, byte[] news) {
-        send(peerAddress, news);
-    }
-
     void send(String peerAddress, GossipMessage message) {
         send(peerAddress, GossipCodec.encode(message));
     }
 
-    private void send(String peerAddress, byte[] datagram) {
+    /** Sends a datagram that may be lost. */
+    void send(String peerAddress, byte[] datagram) {
         Addresses.parse(peerAddress).peek(to -> socket.send(UdpPacket.of(ByteBuf.wrapForReading(datagram), to)));
     }
 
--- a/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
+++ b/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
@@ -53,7 +53,7 @@
     }
 
     ServicePool service(String name) {
-        return services.computeIfAbsent(name, n -> new ServicePool(context.clock()));
+        return services.computeIfAbsent(name, n -> new ServicePool(context.clock(), context.limits()));
     }
 
     Collection<EnginePool> engines() {
@@ -74,6 +74,11 @@
     /** Takes over the list of hosts. */
     void listed(List<Endpoint> listed) {
         hosts = listed;
+        context.limits()
+                .listed(listed.stream()
+                        .filter(e -> e.kind() != EndpointKind.ENTRY)
+                        .map(Endpoint::address)
+                        .toList());
         context.config().config().pools().values().forEach(pool -> {
             if (pool.isEngine()) {
                 engines(pool)
--- a/router/src/main/java/org/hornbeamhead/router/Refusals.java
+++ b/router/src/main/java/org/hornbeamhead/router/Refusals.java
@@ -69,7 +69,13 @@
             case OVERLOADED, OVER_SHARE, ROUTER_FULL -> TOO_MANY;
             case ALREADY_CLAIMED, ID_EXPIRED, CLAIM_IN_DOUBT, TICKET_HOLDER_LOST -> CONFLICT;
             case ENDPOINT_LOST, CORRUPT_ANSWER, CALLER_GONE -> GATEWAY_TIMEOUT;
-            case NO_REPLICA, DRAINING, NOT_READY, CLAIM_UNAVAILABLE, TRIES_EXHAUSTED, HELD_BACK -> UNAVAILABLE;
+            case NO_REPLICA,
+                    AT_REQUEST_LIMIT,
+                    DRAINING,
+                    NOT_READY,
+                    CLAIM_UNAVAILABLE,
+                    TRIES_EXHAUSTED,
+                    HELD_BACK -> UNAVAILABLE;
         };
     }
 
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -73,6 +73,7 @@
     private final ClaimAgent claims;
     private final ConfigAgent configAgent;
     private final Quarantine quarantine;
+    private final EndpointLimits limits;
     private final RouterContext context;
     private final AsyncServlet routes;
     private boolean hostsKnown;
@@ -93,7 +94,15 @@
         HttpKeyValueStore store = new HttpKeyValueStore(
                 platform, Addresses.format(settings.keyValue()), HttpKeyValueStore.DAEMON_CALL_LIMIT);
         this.quarantine =
-                new Quarantine(daemon.clock(), daemon.timers(), store, metrics, this::otherRouters, this::sendCrashes);
+                new Quarantine(daemon.clock(), daemon.timers(), store, metrics, this::otherRouters, this::sendDatagram);
+        this.limits = new EndpointLimits(
+                new SplittableRandom().nextLong(),
+                daemon.clock(),
+                daemon.timers(),
+                metrics,
+                this::otherRouters,
+                this::sendDatagram,
+                this::limitShare);
         this.context = new RouterContext(
                 settings,
                 daemon.clock(),
@@ -103,7 +112,8 @@
                 metrics,
                 config,
                 new ClassHealth(),
-                quarantine);
+                quarantine,
+                limits);
         this.hostList = new HostListClient(platform, Addresses.format(settings.hostList()));
         this.pools = new PoolDirectory(context, new HttpEngineControl(platform));
         this.server = daemon.listen(settings.http(), this::serve);
@@ -140,8 +150,15 @@
                 .toList();
     }
 
-    private void sendCrashes(String peerAddress, byte[] news) {
-        peerNode.sendCrashes(peerAddress, news);
+    private void sendDatagram(String peerAddress, byte[] datagram) {
+        peerNode.send(peerAddress, datagram);
+    }
+
+    /** The part of a limit over all routers that those in contact may use; hosts that are silent may serve callers. */
+    private double limitShare() {
+        double serving = Math.max(1, gossip.serving().size());
+        long listed = pools.entries().stream().filter(e -> !e.leaving()).count();
+        return serving / Math.max(serving, (double) listed);
     }
 
     private Promise<HttpResponse> serve(HttpRequest request) throws Exception {
@@ -186,7 +203,9 @@
         config.onChange(c -> serveWhenReady());
         peerNode.receive(gossip::receive);
         peerNode.receiveCrashes(quarantine::receive);
+        peerNode.receiveLimits(limits::receive);
         quarantine.start();
+        limits.start();
         gossip.start();
         membersChanged();
         fetchHosts();
--- a/router/src/main/java/org/hornbeamhead/router/RouterContext.java
+++ b/router/src/main/java/org/hornbeamhead/router/RouterContext.java
@@ -18,6 +18,7 @@
  * @param config the configuration in force
  * @param health how the classes stand against their targets
  * @param quarantine which requests may not run
+ * @param limits the request limits of endpoints
  */
 record RouterContext(
         RouterSettings settings,
@@ -28,4 +29,5 @@
         Metrics metrics,
         ConfigHolder config,
         ClassHealth health,
-        Quarantine quarantine) {}
+        Quarantine quarantine,
+        EndpointLimits limits) {}
--- a/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
@@ -171,16 +171,19 @@
         ServicePool pool = pools.service(call.pool());
         Optional<String> address = pool.choose(tries.addresses());
         if (address.isEmpty()) {
-            Reason reason = tries.addresses().isEmpty() ? Reason.NO_REPLICA : Reason.TRIES_EXHAUSTED;
-            return refuse(call.head(), tries.refusal(reason, COME_BACK));
+            return refuse(call.head(), unplaced(pool, tries));
         }
         long sentAt = context.clock().monotonicMillis();
+        context.limits().recordSend(address.get());
         HttpCaller caller = tries.once()
                 ? context.connections().fresh()
                 : context.connections().kept(address.get());
         return Promises.timeout(
                         CALL_LIMIT,
-                        caller.open(call.toService(address.get()), CALL_LIMIT).then(response -> relay(call, response)))
+                        caller.open(call.toService(address.get()), CALL_LIMIT).then(response -> {
+                            context.limits().observe(address.get(), response, sentAt);
+                            return relay(call, response);
+                        }))
                 .then(
                         response -> {
                             pool.ended(address.get(), true);
@@ -190,6 +193,13 @@
                         e -> failed(call, pool, address.get(), tries, sentAt, e));
     }
 
+    private static Refusal unplaced(ServicePool pool, ServiceTries tries) {
+        Reason reason = tries.addresses().isEmpty() ? Reason.NO_REPLICA : Reason.TRIES_EXHAUSTED;
+        return pool.bookReturn()
+                .map(comeBack -> tries.refusal(Reason.AT_REQUEST_LIMIT, comeBack))
+                .orElseGet(() -> tries.refusal(reason, COME_BACK));
+    }
+
     /** An endpoint may fail before it begins, so that only another answer shows that the call ran to its end. */
     private void answered(ServiceCall call, int status) {
         if (status < FIRST_FAILURE) {
--- a/router/src/main/java/org/hornbeamhead/router/ServicePool.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePool.java
@@ -1,11 +1,13 @@
 package org.hornbeamhead.router;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.endpoint.Endpoint;
 import org.hornbeamhead.core.retry.OutlierDetector;
 import org.hornbeamhead.core.retry.RetryBudget;
@@ -20,13 +22,15 @@
     }
 
     private final Clock clock;
+    private final EndpointLimits limits;
     private final RetryBudget retries = new RetryBudget();
     private final Map<String, Replica> replicas = new HashMap<>();
     private List<Endpoint> endpoints = List.of();
     private long uses;
 
-    ServicePool(Clock clock) {
+    ServicePool(Clock clock, EndpointLimits limits) {
         this.clock = clock;
+        this.limits = limits;
     }
 
     void listed(List<Endpoint> listed) {
@@ -37,11 +41,7 @@
 
     /** Chooses a replica and counts a call; empty when none takes work. */
     Optional<String> choose(Set<String> excluded) {
-        long now = clock.monotonicMillis();
-        Optional<String> chosen = endpoints.stream()
-                .filter(e -> !e.leaving() && !excluded.contains(e.address()))
-                .map(Endpoint::address)
-                .filter(a -> !replicas.get(a).outlier.isEjected(now))
+        Optional<String> chosen = usable().filter(a -> !excluded.contains(a) && limits.accepts(a))
                 .min(Comparator.<String>comparingInt(a -> replicas.get(a).calls)
                         .thenComparingLong(a -> replicas.get(a).lastUse));
         chosen.map(replicas::get).ifPresent(r -> {
@@ -51,6 +51,19 @@
         return chosen;
     }
 
+    private Stream<String> usable() {
+        long now = clock.monotonicMillis();
+        return endpoints.stream()
+                .filter(e -> !e.leaving())
+                .map(Endpoint::address)
+                .filter(a -> !replicas.get(a).outlier.isEjected(now));
+    }
+
+    /** Books when a caller may return; empty unless all usable replicas are at their request limits. */
+    Optional<Duration> bookReturn() {
+        return limits.bookReturn(usable().toList());
+    }
+
     void ended(String address, boolean ok) {
         Replica replica = replicas.get(address);
         if (replica == null) {
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineFaults.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineFaults.java
@@ -11,6 +11,7 @@
  * @param noEnd streams end without the end mark
  * @param refuse new requests are answered with 503
  * @param crashOn the process ends soon after it begins a request whose body contains this; empty for never
+ * @param requestLimit the limit that its answers state, in requests a second; empty for none
  */
 public record EngineFaults(
         boolean silent,
@@ -20,13 +21,15 @@
         boolean crossed,
         boolean noEnd,
         boolean refuse,
-        String crashOn) {
+        String crashOn,
+        String requestLimit) {
     /** Nothing goes wrong. */
-    public static final EngineFaults NONE = new EngineFaults(false, -1, false, false, false, false, false, "");
+    public static final EngineFaults NONE = new EngineFaults(false, -1, false, false, false, false, false, "", "");
 
     /** A text that is left out is empty. */
     public EngineFaults {
         crashOn = crashOn == null ? "" : crashOn;
+        requestLimit = requestLimit == null ? "" : requestLimit;
     }
 
     /**
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
@@ -149,12 +149,14 @@
     }
 
     private Promise<HttpResponse> stream(EngineRecording recording, int from) {
-        return HttpResponse.ok200()
+        HttpResponse.Builder answer = HttpResponse.ok200()
                 .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
                 .withHeader(HttpHeaders.of("X-Request-Id"), recording.id())
-                .withHeader(HttpHeaders.of("X-Incarnation"), incarnation)
-                .withBodyStream(new EngineStream(recording, from, faults))
-                .toPromise();
+                .withHeader(HttpHeaders.of("X-Incarnation"), incarnation);
+        if (!faults.requestLimit().isEmpty()) {
+            answer.withHeader(HttpHeaders.of("Hornbeam-Request-Limit"), faults.requestLimit());
+        }
+        return answer.withBodyStream(new EngineStream(recording, from, faults)).toPromise();
     }
 
     private void graceThenCancel(String id) {
--- a/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
@@ -23,6 +23,7 @@
     private static final long CRASH_AFTER_MILLIS = 60;
     private static final int BODY_LIMIT = 1 << 20;
     private static final HttpHeader KEY = HttpHeaders.of("Idempotency-Key");
+    private static final HttpHeader LIMIT = HttpHeaders.of("Hornbeam-Request-Limit");
 
     /**
      * What the service does wrong.
@@ -32,15 +33,22 @@
      * @param refuseShare the share of calls that are refused with 503 before they run
      * @param failOn calls whose path contains this are answered with 500; empty for none
      * @param crashOn the process ends soon after it begins a call whose path contains this; empty for never
+     * @param requestLimit the limit that its answers state, in requests a second; empty for none
      */
     public record ServiceFaults(
-            long workMillis, double silentShare, double refuseShare, String failOn, String crashOn) {
-        private static final ServiceFaults NONE = new ServiceFaults(0, 0, 0, "", "");
+            long workMillis,
+            double silentShare,
+            double refuseShare,
+            String failOn,
+            String crashOn,
+            String requestLimit) {
+        private static final ServiceFaults NONE = new ServiceFaults(0, 0, 0, "", "", "");
 
         /** A text that is left out is empty. */
         public ServiceFaults {
             failOn = failOn == null ? "" : failOn;
             crashOn = crashOn == null ? "" : crashOn;
+            requestLimit = requestLimit == null ? "" : requestLimit;
         }
 
         private static boolean meets(String text, String path) {
@@ -108,13 +116,23 @@
         if (random.nextDouble() < faults.silentShare()) {
             return new SettablePromise<>();
         }
-        Promise<HttpResponse> answer =
-                HttpAnswers.json(200, Json.object().put("id", id).put("path", request.getPath()));
+        Promise<HttpResponse> answer = answer(id, request.getPath());
         return faults.workMillis() == 0
                 ? answer
                 : Promises.delay(faults.workMillis()).then(v -> answer);
     }
 
+    private Promise<HttpResponse> answer(String id, String path) {
+        HttpResponse.Builder answer = HttpResponse.ok200()
+                .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+                .withBody(Json.write(Json.object().put("id", id).put("path", path))
+                        .getBytes(StandardCharsets.UTF_8));
+        if (!faults.requestLimit().isEmpty()) {
+            answer.withHeader(LIMIT, faults.requestLimit());
+        }
+        return answer.toPromise();
+    }
+
     private ServiceStats stats() {
         return new ServiceStats(
                 calls, runs.size(), runs.values().stream().filter(n -> n > 1).count());
