Record the size of the fleet in the store, so that routers without the list do not each take whole limits

Cause: the number of routers was known from their entries alone, which lapse 2.5 s after a kill. Routers that are back before the new entries are written, or while the store is away, find no other, send no hints, and divide every limit of the fleet by one. Class: knowledge that must outlive all routers lay only under leases that end with them. The same number divides quotas (QuotaContacts), connections and the request limits of replicas; all use the recorded size now. Change: the first reader of the store records the number of listed routers under a key without a lease, a larger one after 2 s and a smaller one after 60 s (FleetSizeRecorder); RouterList.fleetSize is the larger of both numbers. Why it works: the parts of routers that know no other add up to the whole again.

--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaContacts.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaContacts.java
@@ -39,10 +39,11 @@
      * What a router knows of the fleet.
      *
      * @param listed the addresses of the other routers that are listed
+     * @param size the number of routers that may serve callers, including this one
      * @param viewAgeMillis the age of the list, in milliseconds
      * @param active the addresses of other routers that are known to serve callers, by any kind of message
      */
-    public record Fleet(Set<String> listed, long viewAgeMillis, Set<String> active) {
+    public record Fleet(Set<String> listed, int size, long viewAgeMillis, Set<String> active) {
         /** Copies the sets. */
         public Fleet {
             listed = Set.copyOf(listed);
@@ -115,7 +116,7 @@
         boolean current = fleet.viewAgeMillis() < FRESH_VIEW_MILLIS;
         lastHeard.entrySet().removeIf(e -> isGone(e.getKey(), e.getValue(), fleet, current, nowMillis));
         int inContact = countInContact(nowMillis);
-        int fleetSize = Math.max(fleet.listed().size(), lastHeard.size()) + 1;
+        int fleetSize = Math.max(fleet.size(), Math.max(fleet.listed().size(), lastHeard.size()) + 1);
         boolean alone = inContact == 0 && !current;
         if (alone || !isInformed(nowMillis)) {
             return (inContact + 1.0) / fleetSize;
--- a/core/src/test/java/org/hornbeamhead/core/quota/QuotaFleet.java
+++ b/core/src/test/java/org/hornbeamhead/core/quota/QuotaFleet.java
@@ -52,7 +52,7 @@
                     .filter(r -> r.index != index)
                     .map(Router::name)
                     .collect(Collectors.toSet());
-            return new QuotaContacts.Fleet(listed, storeReachable ? 0 : 60_000, Set.of());
+            return new QuotaContacts.Fleet(listed, listed.size() + 1, storeReachable ? 0 : 60_000, Set.of());
         }
 
         String name() {
--- a/core/src/test/java/org/hornbeamhead/core/quota/QuotaLedgerTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/quota/QuotaLedgerTest.java
@@ -29,7 +29,7 @@
     }
 
     private static QuotaLedger ledger(long life) {
-        return started(life, new QuotaContacts.Fleet(Set.of(PEER), 0, Set.of()));
+        return started(life, new QuotaContacts.Fleet(Set.of(PEER), 2, 0, Set.of()));
     }
 
     /** Returns a ledger of a router that has been running for a while. */
@@ -132,7 +132,8 @@
     public void restartedRouterTakesOverTheToldLevel() {
         admitted(1_000, STARTED);
         QuotaContacts contacts = new QuotaContacts(STARTED, 96);
-        QuotaLedger restarted = new QuotaLedger(3, contacts, () -> new QuotaContacts.Fleet(Set.of(PEER), 0, Set.of()));
+        QuotaLedger restarted =
+                new QuotaLedger(3, contacts, () -> new QuotaContacts.Fleet(Set.of(PEER), 2, 0, Set.of()));
         restarted.merge(PEER, ledger.summary(false, STARTED + 100), STARTED + 100);
         assertFalse(restarted.admit("c", LIMIT, 101, STARTED + 100).admitted());
         assertTrue(restarted.admit("c", LIMIT, 100, STARTED + 100).admitted());
@@ -157,12 +158,19 @@
     @Test
     public void routerThatHearsNobodyUsesItsPartOnly() {
         Set<String> listed = IntStream.range(0, 9).mapToObj(i -> "r" + i).collect(Collectors.toSet());
-        QuotaLedger isolated = started(4, new QuotaContacts.Fleet(listed, 60_000, Set.of()));
+        QuotaLedger isolated = started(4, new QuotaContacts.Fleet(listed, listed.size() + 1, 60_000, Set.of()));
         QuotaDecision d = isolated.admit("c", LIMIT, 10, STARTED);
         assertEquals(d.share(), 0.1);
         assertEquals(Math.round(d.level()), 100);
     }
 
+    /** Guards against a whole quota at each router when none is listed any more and the store is away. */
+    @Test
+    public void routerThatKnowsOnlyTheSizeOfTheFleetUsesItsPart() {
+        QuotaLedger isolated = started(4, new QuotaContacts.Fleet(Set.of(), 16, 60_000, Set.of()));
+        assertEquals(isolated.admit("c", LIMIT, 10, STARTED).share(), 1.0 / 16);
+    }
+
     /**
      * Guards against refusing customers within their quota at a router that stood still: it handles a request before it
      * has read the hints of that time, takes all others for lost, and throws its part of the bucket away.
@@ -181,7 +189,7 @@
      */
     @Test
     public void useOfARouterWithAPartOfTheQuotaIsTakenAsItIs() {
-        QuotaLedger isolated = started(6, new QuotaContacts.Fleet(Set.of(PEER), 60_000, Set.of()));
+        QuotaLedger isolated = started(6, new QuotaContacts.Fleet(Set.of(PEER), 2, 60_000, Set.of()));
         isolated.admit("c", LIMIT, 600, STARTED);
         assertTrue(admitted(100, STARTED));
         ledger.merge(PEER, isolated.summary(false, STARTED), STARTED);
@@ -207,7 +215,7 @@
     /** Guards against a router of an older version, which passes on requests and tells nothing of them. */
     @Test
     public void routersThatTellNothingLeaveLess() {
-        QuotaLedger newer = started(5, new QuotaContacts.Fleet(Set.of(PEER), 0, Set.of("old")));
+        QuotaLedger newer = started(5, new QuotaContacts.Fleet(Set.of(PEER), 2, 0, Set.of("old")));
         newer.admit("c", LIMIT, 10, STARTED);
         assertEquals(newer.admit("c", LIMIT, 10, STARTED + 2_000).share(), 0.5);
     }
--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -147,7 +147,7 @@
 
     private static void quotaHints(byte[] bytes) {
         QuotaLedger ledger =
-                new QuotaLedger(0, new QuotaContacts(0, 1), () -> new QuotaContacts.Fleet(Set.of("a"), 0, Set.of()));
+                new QuotaLedger(0, new QuotaContacts(0, 1), () -> new QuotaContacts.Fleet(Set.of("a"), 2, 0, Set.of()));
         QuotaHint.decode(bytes).ifPresent(h -> {
             assertEquals(QuotaHint.decode(h.encode()), Optional.of(h));
             ledger.merge("a", h, 0);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -39,6 +39,7 @@
 import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.quota.QuotaReports;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.FleetSizeRecorder;
 import org.hornbeamhead.gateway.state.HttpMirrorClient;
 import org.hornbeamhead.gateway.state.LoadHints;
 import org.hornbeamhead.gateway.state.MirrorServer;
@@ -75,6 +76,7 @@
     private final RouterList routers;
     private final ActiveRouters activeRouters;
     private final RouterRegistration registration;
+    private final FleetSizeRecorder fleetSizeRecorder;
     private final SuspensionDetector suspensionDetector;
     private final StoreView storeView;
     private final PeerChangeNotifier notifier;
@@ -121,8 +123,10 @@
         weights = new WeightsView(settings.supersededWeightsLimit().toMillis());
         weightsListener = new WeightsListener(clock, mirror, state, weights);
         routers = new RouterList(settings.self(), this::isReady, clock);
-        activeRouters = new ActiveRouters(routers::count);
+        activeRouters = new ActiveRouters(routers::fleetSize);
         registration = new RouterRegistration(reactor, ports.store(), settings.self());
+        fleetSizeRecorder = new FleetSizeRecorder(
+                clock, daemon.timers(), ports.store(), mirror, routers, () -> state.isFresh(clock.monotonicMillis()));
         suspensionDetector = new SuspensionDetector(daemon.timers(), clock, this::onSuspension);
         storeView = new StoreView(new StoreView.Dependencies(
                 daemon.timers(),
@@ -213,6 +217,7 @@
         long now = clock.monotonicMillis();
         return new QuotaContacts.Fleet(
                 Set.copyOf(routers.hintAddresses()),
+                routers.fleetSize(),
                 now - state.confirmedAt(),
                 Set.copyOf(activeRouters.activePeers(now)));
     }
@@ -272,6 +277,7 @@
         limitGossip.start();
         storeView.start();
         registration.start();
+        fleetSizeRecorder.start();
         suspensionDetector.start();
         leaderTasks.start();
         daemon.onSignal(shutdown::start);
@@ -314,6 +320,10 @@
             applyRouterChange(item);
             return true;
         }
+        if (item.key().equals(FleetSizeRecorder.KEY)) {
+            routers.updateFleetSize(item);
+            return true;
+        }
         if (item.key().equals(CrashHistoryPersister.KEY)) {
             quarantine.mergeStoredHistory(item);
             return true;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
@@ -24,6 +24,7 @@
     private final Clock clock;
     private final Map<String, RouterEntry> others = new TreeMap<>();
     private Optional<List<RouterEntry>> readers = Optional.empty();
+    private int recordedSize;
 
     /**
      * Creates a list that contains only this router.
@@ -99,14 +100,17 @@
     }
 
     private List<RouterEntry> chooseReaders() {
-        List<StoreReaders.Candidate> all = Stream.concat(others.values().stream(), Stream.of(self))
-                .map(e -> new StoreReaders.Candidate(e.node(), e.dataCentre(), e.capacity()))
-                .toList();
-        return StoreReaders.orderFor(StoreReaders.choose(all), self.node(), self.dataCentre()).stream()
+        return StoreReaders.orderFor(StoreReaders.choose(candidates()), self.node(), self.dataCentre()).stream()
                 .map(r -> others.getOrDefault(r.node(), self))
                 .toList();
     }
 
+    private List<StoreReaders.Candidate> candidates() {
+        return Stream.concat(others.values().stream(), Stream.of(self))
+                .map(e -> new StoreReaders.Candidate(e.node(), e.dataCentre(), e.capacity()))
+                .toList();
+    }
+
     /**
      * Returns the addresses of the other routers for requests between routers.
      *
@@ -153,6 +157,30 @@
         return others.size() + 1;
     }
 
+    /**
+     * Applies the recorded size of the fleet.
+     *
+     * @param item the item with the key {@link FleetSizeRecorder#KEY}
+     */
+    public void updateFleetSize(StoreItem item) {
+        recordedSize = FleetSizeRecorder.parse(item).orElse(0);
+    }
+
+    /**
+     * Returns the number of routers that may serve callers. After all of them have lost their entries in the store, the
+     * list alone would make each take itself for the whole fleet.
+     *
+     * @return the number of listed routers, or of those that were listed lately if that is higher
+     */
+    public int fleetSize() {
+        return Math.max(count(), recordedSize);
+    }
+
+    /** Returns whether this router is the first of those that read the store. */
+    boolean isFirstReader() {
+        return StoreReaders.choose(candidates()).get(0).node().equals(self.node());
+    }
+
     /**
      * Returns the rank of this router in the order of the names of all routers.
      *
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/RetryBudgetRestartTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/RetryBudgetRestartTest.java
@@ -35,10 +35,11 @@
         private final ActiveRouters active;
         private final SharedRetryBudget budget;
 
-        Router(int index, double slack) {
+        Router(int index, int size, double slack) {
             hints = entry(index).hints();
             list = new RouterList(entry(index), () -> true, new ManualClock(0));
-            active = new ActiveRouters(list::count);
+            active = new ActiveRouters(list::fleetSize);
+            list.updateFleetSize(new StoreItem(FleetSizeRecorder.KEY, 1, Integer.toString(size), false));
             budget = new SharedRetryBudget(RATIO, slack, WINDOW_MILLIS);
         }
 
@@ -78,16 +79,16 @@
      * Guards against routers that each take the whole budget, since all were killed, their entries lapsed, and the
      * store is away.
      */
-    @Test(dataProvider = "fleets", groups = "known-red")
+    @Test(dataProvider = "fleets")
     public void routersThatKnowNoOtherKeepTheBudget(int size, double slack, double perSecond) {
         requests.clear();
         retries.clear();
         List<Router> routers = new ArrayList<>();
-        IntStream.range(0, size).forEach(i -> routers.add(new Router(i, slack)));
+        IntStream.range(0, size).forEach(i -> routers.add(new Router(i, size, slack)));
         routers.forEach(r -> r.readList(size));
         for (long now = 0; now < END_MILLIS; now += STEP_MILLIS) {
             if (now == BACK_MILLIS) {
-                routers.replaceAll(r -> new Router(routers.indexOf(r), slack));
+                routers.replaceAll(r -> new Router(routers.indexOf(r), size, slack));
             }
             if (now == STORE_BACK_MILLIS) {
                 routers.forEach(r -> r.readList(size));
