--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.function.LongToDoubleFunction;
 import org.hornbeamhead.core.limit.LimitExchange;
 import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.limit.StatedLimit;
@@ -29,30 +30,23 @@
     private final LimitExchange exchange;
     private Runnable onChange = () -> {};
 
-    /** Supplies the part of a limit over all routers that this router may use. */
-    @FunctionalInterface
-    public interface Share {
-        /**
-         * Returns the part.
-         *
-         * @param nowMillis the monotonic time
-         * @return the part, above 0 and at most 1
-         */
-        double at(long nowMillis);
-    }
-
     /**
      * The dependencies.
      *
      * @param life a random number that identifies this run of the router
      * @param clock the clock
      * @param registry the replicas
-     * @param share the part of each limit that this router may use
+     * @param share returns the part of each limit that this router may use at a monotonic time, above 0 and at most 1
      * @param metrics the metrics of the process
      * @param datagrams the socket for hints
      */
     public record Dependencies(
-            long life, Clock clock, ReplicaRegistry registry, Share share, Metrics metrics, PeerDatagrams datagrams) {}
+            long life,
+            Clock clock,
+            ReplicaRegistry registry,
+            LongToDoubleFunction share,
+            Metrics metrics,
+            PeerDatagrams datagrams) {}
 
     /**
      * Starts to receive hints of other routers.
@@ -120,7 +114,7 @@
             return true;
         }
         long now = clock.monotonicMillis();
-        return limiter.accepts(dependencies.share().at(now), now);
+        return limiter.accepts(dependencies.share().applyAsDouble(now), now);
     }
 
     /**
@@ -135,7 +129,7 @@
             return OptionalLong.empty();
         }
         long now = clock.monotonicMillis();
-        double share = dependencies.share().at(now);
+        double share = dependencies.share().applyAsDouble(now);
         LiveReplica first = replicas.stream()
                 .min(Comparator.comparingLong(r -> r.limiter().nextReturnMillis(share, now)))
                 .orElseThrow();
