Soak: count for a request limit only what came after routers could know it

Trace, from the routers' logs: the limit of 1.15 a second was first answered at 18:49:16.488, known to the three other running routers by .489, and 329 requests of the 5 s before had been sent, 65 a second; after .489 none was sent for 4 s. All that the check counted too much was sent before any router was told, which no router can take back. Change: the window begins half a second after the limit was first stated at the earliest, and windows end from there on, not from 3 s on: stricter for all that routers can hold, and without the requests from before.

--- a/soak/src/main/java/org/hornbeamhead/soak/promise/LimitChecks.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/LimitChecks.java
@@ -14,8 +14,10 @@
 /** The promise about the request limits that replicas state. */
 final class LimitChecks {
     private static final long WINDOW_MILLIS = 4_000;
-    /** Routers keep to a limit this long after it was first stated. */
-    private static final long NOTICE_MILLIS = 3_000;
+    /** All routers know a limit this long after it was first stated; what was sent before cannot be taken back. */
+    private static final long NOTICE_MILLIS = 500;
+    /** A router that was disturbed may not know the limit, or what others sent, for this long. */
+    private static final long SETTLE_MILLIS = 3_000;
 
     private static final double FACTOR = 1.5;
     private static final int SLACK = 5;
@@ -34,16 +36,18 @@
                 .filter(a -> a.replica().equals(limited.replica()))
                 .sorted(Comparator.comparingLong(Arrived::at))
                 .toList();
-        long first = arrivals.stream()
-                .mapToLong(Arrived::at)
-                .filter(at -> at >= limited.from())
-                .min()
-                .orElse(Long.MAX_VALUE / 2);
+        long known = NOTICE_MILLIS
+                + arrivals.stream()
+                        .mapToLong(Arrived::at)
+                        .filter(at -> at >= limited.from())
+                        .min()
+                        .orElse(Long.MAX_VALUE / 2);
         double allowed = FACTOR * limited.perSecond() * WINDOW_MILLIS / 1_000 + SLACK;
         return arrivals.stream()
                 .map(Arrived::at)
-                .filter(end -> end >= first + NOTICE_MILLIS && end <= limited.to())
-                .filter(end -> within(arrivals, end, a -> isCalm(h, routers.get(a.id()), end)) > allowed)
+                .filter(end -> end >= known && end <= limited.to())
+                .filter(end ->
+                        within(arrivals, Math.max(known, end - WINDOW_MILLIS), end, isCalm(h, routers, end)) > allowed)
                 .limit(1)
                 .map(end -> new Breach(
                         "request limits",
@@ -51,13 +55,14 @@
                         end));
     }
 
-    private static boolean isCalm(History h, String router, long end) {
-        return router != null && h.undisturbed(router, end - WINDOW_MILLIS - NOTICE_MILLIS, end);
+    private static Predicate<Arrived> isCalm(History h, Map<String, String> routers, long end) {
+        return a -> routers.containsKey(a.id())
+                && h.undisturbed(routers.get(a.id()), end - WINDOW_MILLIS - SETTLE_MILLIS, end);
     }
 
-    private static long within(List<Arrived> arrivals, long end, Predicate<Arrived> counts) {
+    private static long within(List<Arrived> arrivals, long from, long end, Predicate<Arrived> counts) {
         return arrivals.stream()
-                .filter(a -> a.at() <= end && a.at() > end - WINDOW_MILLIS)
+                .filter(a -> a.at() <= end && a.at() > from)
                 .filter(counts)
                 .count();
     }
--- a/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
@@ -26,6 +26,10 @@
                 "two stops at once; connections ended that nothing had announced, and the logs of the stop were lost"
             },
             {new SoakSettings(13, 10, 4, 12, 16, 0, 2), "replicas that state request limits, beside other faults"},
+            {
+                new SoakSettings(8_045, 12, 4, 12, 16, 1, 2),
+                "a limit of 1.1 a second after 65 a second; requests from before the limit was known were counted"
+            },
             {
                 new SoakSettings(12, 8, 3, 12, 8, 2, 0),
                 "requests that end each replica that runs them, beside other faults"
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -76,11 +76,12 @@
         return h;
     }
 
-    /** A replica states a limit of two a second and gets requests at even intervals. */
-    private static History limited(int count, long intervalMillis) {
+    /** A replica states a limit of two a second from 10 s on and gets requests at even intervals. */
+    private static History limited(long fromMillis, int count, long intervalMillis) {
         History h = new History().add(new History.Limited("replica1", 2, 10_000, 30_000));
-        IntStream.range(0, count).forEach(i -> h.add(asked("i" + i, RequestKind.SAFE, 10_000 + i * intervalMillis))
-                .add(ran("i" + i, "plain", 10_000 + i * intervalMillis)));
+        IntStream.range(0, count)
+                .mapToLong(i -> fromMillis + i * intervalMillis)
+                .forEach(at -> h.add(asked("i" + at, RequestKind.SAFE, at)).add(ran("i" + at, "plain", at)));
         return h;
     }
 
@@ -211,11 +212,12 @@
                         .add(keptUnder("t", 2, "many"))
             },
             {"budget", repeats(70), repeats(50)},
-            {"request limits", limited(100, 200), limited(40, 500)},
+            {"request limits", limited(10_000, 100, 200), limited(10_000, 40, 500)},
+            {"request limits", limited(10_100, 300, 20), limited(4_000, 305, 20)},
             {
                 "request limits",
-                limited(100, 200).add(new Disturbed("STORE_BUSY", History.STORE, false, 9_000, 40_000)),
-                limited(100, 200).add(new Disturbed("ROUTER_FROZEN", "router0", false, 9_000, 40_000))
+                limited(10_000, 100, 200).add(new Disturbed("STORE_BUSY", History.STORE, false, 9_000, 40_000)),
+                limited(10_000, 100, 200).add(new Disturbed("ROUTER_FROZEN", "router0", false, 9_000, 40_000))
             },
             {"requests that end replicas", ends(4), ends(3)},
             {
