Own interface: read each engine's answer to its end, so that its connection is used again

What was seen: in a trial (limits switched off, one router sent distinct prompts for three minutes) a router with a heap of 96 MB ended its reactor with OutOfMemoryError after 5,092 model requests; a caller waited for eleven minutes. Heap: 5,101 open client connections, 86 MB of buffers. Cause: the events are read up to the end mark; the end of the body behind it is never read, so that the HTTP client neither closes the connection nor keeps it for the next request. Change: the rest of the body is read after the end mark, for a second at most.

--- a/fleet/src/test/java/org/hornbeamhead/fleet/ProcessHandleBox.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/ProcessHandleBox.java
@@ -125,4 +125,11 @@
     boolean isAlive() {
         return process.isAlive();
     }
+
+    /** Counts the open files and sockets of the process. */
+    long openDescriptors() throws IOException {
+        try (Stream<Path> descriptors = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            return descriptors.count();
+        }
+    }
 }
--- a/fleet/src/test/java/org/hornbeamhead/fleet/WholePathTest.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/WholePathTest.java
@@ -14,6 +14,9 @@
 import org.testng.annotations.Test;
 
 public class WholePathTest {
+    /** Connections that are kept for the next requests. */
+    private static final int MAX_NEW_DESCRIPTORS = 20;
+
     private TestFleet fleet;
     private ProcessHandleBox router;
     private ProcessHandleBox service;
@@ -60,6 +63,25 @@
         assertTrue(cached > 300, whole.body());
     }
 
+    /**
+     * Guards against a connection to an engine that stays open after each answer, until the router has no memory left.
+     */
+    @Test(dataProvider = "streamOrWhole")
+    public void finishedAnswersLeaveNoConnectionsOpen(boolean stream) throws Exception {
+        fleet.post(router, "/v1/chat/completions", TestFleet.chat("first", 3, stream));
+        long before = router.openDescriptors();
+        for (int i = 0; i < 4 * MAX_NEW_DESCRIPTORS; i++) {
+            fleet.post(router, "/v1/chat/completions", TestFleet.chat("many" + i, 3, stream));
+        }
+        long opened = router.openDescriptors() - before;
+        assertTrue(opened <= MAX_NEW_DESCRIPTORS, opened + " more descriptors");
+    }
+
+    @DataProvider
+    public Object[][] streamOrWhole() {
+        return new Object[][] {{true}, {false}};
+    }
+
     @Test
     public void plainCompletionsAndBatchAreServed() throws Exception {
         String plain = Json.write(Json.object()
--- a/router/src/main/java/org/hornbeamhead/router/EngineAttempt.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineAttempt.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.consumer.ChannelConsumers;
 import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
@@ -28,6 +29,7 @@
 final class EngineAttempt {
     private static final String ID_PREFIX = "chatcmpl-";
     private static final String END_MARK = "[DONE]";
+    private static final Duration END_LIMIT = Duration.ofSeconds(1);
     private static final Duration CANCEL_LIMIT = Duration.ofSeconds(1);
     private static final int OK = 200;
     private static final int CONFLICT = 409;
@@ -108,6 +110,7 @@
             return Promise.of(ready.poll());
         }
         if (check.isComplete()) {
+            finishBody();
             return Promise.of(null);
         }
         return Promises.timeout(silence, body.get()).then(buf -> take(buf, silence), e -> Promise.ofException(lost(e)));
@@ -156,6 +159,18 @@
         }
     }
 
+    /**
+     * Reads the end of the body behind the end mark. The connection would otherwise stay open and never be used again.
+     */
+    private void finishBody() {
+        if (body != null) {
+            ChannelSupplier<ByteBuf> rest = body;
+            body = null;
+            Promises.timeout(END_LIMIT, rest.streamTo(ChannelConsumers.recycling()))
+                    .whenException(e -> rest.closeEx(e));
+        }
+    }
+
     /** Gives the attempt up and tells the engine, so that it does not go on for nobody. */
     void cancel() {
         closeBody();
