RequestLimitTest: limit the engine that gets the requests

Change: the endpoint that answered the first request is the one that states the limit. Checks as before.

--- a/fleet/src/test/java/org/hornbeamhead/fleet/RequestLimitTest.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/RequestLimitTest.java
@@ -62,14 +62,16 @@
     /** Guards against sending an endpoint more than it takes from all routers together. */
     @Test(dataProvider = "kinds")
     public void endpointGetsNoMoreThanItsLimitFromAllRouters(boolean engines) throws Exception {
-        ProcessHandleBox limited = endpoint(engines).awaitReady();
-        endpoint(engines).awaitReady();
+        List<ProcessHandleBox> endpoints =
+                List.of(endpoint(engines).awaitReady(), endpoint(engines).awaitReady());
         List<ProcessHandleBox> routers = fleet.routers(2, engines ? 2 : 0);
+        TestFleet.await(() -> ask(routers.get(0), engines, "first").statusCode() == 200);
+        ProcessHandleBox limited = requests(endpoints.get(0), engines) > 0 ? endpoints.get(0) : endpoints.get(1);
         fleet.fault(limited, engines ? ENGINE_LIMIT : SERVICE_LIMIT);
-        long before = requests(limited, engines);
-        for (int i = 0; requests(limited, engines) == before; i++) {
-            ask(routers.get(0), engines, "first" + i);
-        }
+        TestFleet.await(() -> {
+            ask(routers.get(0), engines, "first");
+            return fleet.get(routers.get(0), "/metrics").body().contains("hornbeam_limited_endpoints 1.0");
+        });
         for (ProcessHandleBox router : routers) {
             TestFleet.await(() -> fleet.get(router, "/metrics").body().contains("hornbeam_limited_endpoints 1.0"));
         }
