Drop booked returns to a limited replica that nobody used

Cause: each caller refused at a replica's limit books the next return, up to 30 s ahead. Callers that gave up left their bookings behind, and one that was refused later was told to wait for them though the replica was free: its Retry-After was not true. Found by reading. Change: a full bucket drops the bookings. RequestLimiterTest.bookedReturnsThatNobodyUsesAreDropped, red before. The test of booked returns books twice before it looks ahead in time, with the same checks.

--- a/core/src/main/java/org/hornbeamhead/core/limit/RequestLimiter.java
+++ b/core/src/main/java/org/hornbeamhead/core/limit/RequestLimiter.java
@@ -116,7 +116,15 @@
      * @return true if it is within the limit, or there is none
      */
     public boolean accepts(double share, long nowMillis) {
-        return !isLimited() || level(share, nowMillis, nowMillis) >= ONE_REQUEST;
+        if (!isLimited()) {
+            return true;
+        }
+        double level = level(share, nowMillis, nowMillis);
+        if (level >= capacity(share)) {
+            // Those who booked a return did not come, so later callers need not wait for them.
+            returnsBookedUntilMillis = Long.MIN_VALUE / 2;
+        }
+        return level >= ONE_REQUEST;
     }
 
     /** Returns when the next request may be sent if none is sent before, in milliseconds from now. */
@@ -134,7 +142,7 @@
      */
     private double level(double share, long nowMillis, long atMillis) {
         double rate = stated.requestsPerSecond() * share;
-        double capacity = Math.max(1, rate * BURST_SECONDS);
+        double capacity = capacity(share);
         long present = RecentSends.slot(nowMillis);
         double level = capacity;
         for (long slot = RecentSends.slot(atMillis) - RecentSends.SLOTS + 1; slot <= present; slot++) {
@@ -146,6 +154,10 @@
         return Math.min(capacity, level + rate * rest);
     }
 
+    private double capacity(double share) {
+        return Math.max(1, stated.requestsPerSecond() * share * BURST_SECONDS);
+    }
+
     private int sends(long slot) {
         return ownSends.count(slot)
                 + peers.values().stream().mapToInt(p -> p.count(slot)).sum();
--- a/core/src/test/java/org/hornbeamhead/core/limit/RequestLimiterTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/limit/RequestLimiterTest.java
@@ -71,9 +71,24 @@
         }
         assertFalse(limiter.accepts(1, 1_000));
         long millis = limiter.bookReturnMillis(1, 1_000);
+        long nextMillis = limiter.bookReturnMillis(1, 1_000);
         assertTrue(millis >= 1 && millis <= 5_100, "returns after " + millis + " ms");
         assertTrue(limiter.accepts(1, 1_000 + millis));
-        assertTrue(limiter.bookReturnMillis(1, 1_000) > millis, "callers return one after the other");
+        assertTrue(nextMillis > millis, "callers return one after the other");
+    }
+
+    /** Guards against callers that are told to wait for others who were refused before and did not return. */
+    @Test
+    public void bookedReturnsThatNobodyUsesAreDropped() {
+        RequestLimiter limiter = new RequestLimiter();
+        limiter.observe(new StatedLimit(2, 0, 10));
+        limiter.recordSend(1_000);
+        for (int i = 0; i < 40; i++) {
+            limiter.bookReturnMillis(1, 1_000);
+        }
+        assertTrue(limiter.accepts(1, 8_000));
+        limiter.recordSend(8_000);
+        assertTrue(limiter.bookReturnMillis(1, 8_000) <= 700);
     }
 
     /** Guards against hints that arrive twice, late or from an earlier run of a router. */
