--- a/core/src/main/java/org/hornbeamhead/core/limit/LimitExchange.java
+++ b/core/src/main/java/org/hornbeamhead/core/limit/LimitExchange.java
@@ -59,12 +59,20 @@
                         })));
     }
 
-    /** Returns the number of replicas with a limit. */
+    /**
+     * Returns how many replicas have a limit.
+     *
+     * @return the number, as far as this router knows
+     */
     public long countLimited() {
         return relevant.values().stream().filter(RequestLimiter::isLimited).count();
     }
 
-    /** Returns whether there is anything that other routers were not told yet. */
+    /**
+     * Returns whether there is anything that other routers were not told yet.
+     *
+     * @return true if {@link #takeChanges} would return any datagram
+     */
     public boolean hasChanges() {
         return relevant.values().stream().anyMatch(RequestLimiter::hasUntold);
     }
--- a/core/src/main/java/org/hornbeamhead/core/limit/RequestLimiter.java
+++ b/core/src/main/java/org/hornbeamhead/core/limit/RequestLimiter.java
@@ -92,18 +92,30 @@
                 .orElse(false);
     }
 
-    /** Records a request that this router sends to the replica. */
+    /**
+     * Records a request that this router sends to the replica.
+     *
+     * @param nowMillis the monotonic time
+     */
     public void recordSend(long nowMillis) {
         ownSends.record(nowMillis);
         untold |= isLimited();
     }
 
-    /** Returns the statement that holds. */
+    /**
+     * Returns the statement that holds.
+     *
+     * @return the statement, {@link StatedLimit#NONE} before the first answer
+     */
     public StatedLimit stated() {
         return stated;
     }
 
-    /** Returns whether the replica has a limit. */
+    /**
+     * Returns whether the replica has a limit.
+     *
+     * @return true while the statement that holds is a limit
+     */
     public boolean isLimited() {
         return stated.isLimit();
     }
@@ -196,7 +208,12 @@
         return ownSends.byAge(nowMillis).stream().mapToInt(Integer::intValue).sum();
     }
 
-    /** Returns the number of requests that all routers sent in the last seconds, as far as this router knows. */
+    /**
+     * Returns how many requests all routers sent in the last seconds.
+     *
+     * @param nowMillis the monotonic time
+     * @return the number as far as this router knows
+     */
     public int recentSends(long nowMillis) {
         long present = RecentSends.slot(nowMillis);
         return IntStream.range(0, RecentSends.SLOTS)
@@ -204,7 +221,12 @@
                 .sum();
     }
 
-    /** Returns the age of the oldest of the last hints of other routers, 0 if there are none. */
+    /**
+     * Returns the age of the oldest of the last hints of other routers.
+     *
+     * @param nowMillis the monotonic time
+     * @return the age in milliseconds, 0 if there are no hints
+     */
     public long oldestHintMillis(long nowMillis) {
         return peers.values().stream()
                 .mapToLong(p -> nowMillis - p.atMillis())
@@ -212,7 +234,11 @@
                 .orElse(0);
     }
 
-    /** Returns whether other routers do not know yet what this router sent, or which limit holds. */
+    /**
+     * Returns whether other routers do not know yet what this router sent, or which limit holds.
+     *
+     * @return true until {@link #takeEntry} is called
+     */
     public boolean hasUntold() {
         return untold;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
@@ -102,12 +102,21 @@
                 "limit=" + replica.limiter().stated().requestsPerSecond() + " source=" + source);
     }
 
-    /** Records a request that this router sends to a replica. */
+    /**
+     * Records a request that this router sends to a replica.
+     *
+     * @param replica the replica
+     */
     public void recordSend(LiveReplica replica) {
         replica.limiter().recordSend(clock.monotonicMillis());
     }
 
-    /** Returns whether a request to a replica is within the replica's limit. */
+    /**
+     * Returns whether a request to a replica is within the replica's limit.
+     *
+     * @param replica the replica
+     * @return true if it may be sent now
+     */
     public boolean accepts(LiveReplica replica) {
         RequestLimiter limiter = replica.limiter();
         if (!limiter.isLimited()) {
@@ -148,7 +157,11 @@
         return OptionalLong.of(returnMillis);
     }
 
-    /** Returns the number of replicas with a limit. */
+    /**
+     * Returns how many replicas have a limit.
+     *
+     * @return the number, as far as this router knows
+     */
     public long countLimited() {
         return exchange.countLimited();
     }
