Take an answer of the store that was read after a freeze for as old as the freeze

Cause: an answer to a question that waits at the store was taken to have come 200 ms before it was read. A frozen router reads at 28.6 s an answer that had lain in its socket since 21 s, marks its view complete up to 28.4 s, and counts version 7, named at 24.5 s, from there: superseded weights stay usable until 34 s. Change: StallDetector, which CallerServer has for requests whose callers left, moves to state and also tells when what is read now may have arrived at the earliest; the follower uses that time. Why it works: after a stall an answer proves nothing later than the stall's beginning; the next question is answered at once and proves its own time. Test: StoreFollowerTest.answerReadAfterAFreezeProvesNothingOfIt, timers first or not: complete 7.2 s after the question before, 0.4 at most after. Two tests let their timers run while a question waits, which they did not need before; a wait without them is a stall now. Their checks are the same.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -14,6 +14,7 @@
 import org.hornbeamhead.core.route.CallerLimits;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.state.StallDetector;
 
 /** Accepts and tracks the connections of callers. */
 public final class CallerServer {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreFollower.java
@@ -81,6 +81,7 @@
     private final IntSupplier routerCount;
     private final ReaderClient readers;
     private final MirrorUpdater updater;
+    private final StallDetector stalls;
     private Optional<String> currentReader = Optional.empty();
     private int failures;
     private boolean snapshotRead;
@@ -130,10 +131,12 @@
         this.routerCount = dependencies.routerCount();
         this.readers = dependencies.readers();
         this.updater = dependencies.updater();
+        this.stalls = new StallDetector(clock, timers);
     }
 
     /** Starts to read changes. */
     public void start() {
+        stalls.start();
         disconnectedSince = clock.monotonicMillis();
         answeredAt = disconnectedSince;
         poll();
@@ -199,7 +202,7 @@
         snapshotRead = true;
         suspensionDetector.check();
         if (!readsSnapshot) {
-            markCompleteWhileWaiting(sent, clock.monotonicMillis());
+            markCompleteWhileWaiting(sent, stalls.earliestArrivalMillis());
         }
         mirror.apply(changes);
         state.markCompleteUpTo(sent);
@@ -225,11 +228,12 @@
     /**
      * The store answers a waiting request as soon as there is a change. So no change was accepted during the wait
      * except those in the answer. Without this, a version would count as published at the previous request, three
-     * seconds ago in a store where nothing else changes.
+     * seconds ago in a store where nothing else changes. An answer that was read after a stall may have arrived when
+     * the stall began, and proves nothing of the time since.
      */
-    private void markCompleteWhileWaiting(long sent, long now) {
-        if (now - sent > MAX_ANSWER_DELAY_MILLIS && state.isReliable(sent)) {
-            state.markCompleteUpTo(now - MAX_ANSWER_DELAY_MILLIS);
+    private void markCompleteWhileWaiting(long sent, long arrived) {
+        if (arrived - sent > MAX_ANSWER_DELAY_MILLIS && state.isReliable(sent)) {
+            state.markCompleteUpTo(arrived - MAX_ANSWER_DELAY_MILLIS);
         }
     }
 
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/StoreFollowerTest.java
@@ -56,11 +56,11 @@
     @Test(dataProvider = "answerDelays")
     public void answerSetsCompleteUpTo(long waitMillis, long provenMillis) {
         start(millis -> {});
-        clock.advance(waitMillis);
+        timers.advance(waitMillis);
         store.answer.set(new StoreChanges(List.of(), 5, true));
         assertEquals(state.completeUpTo(), 10_000);
         long sent = awaitRequest();
-        clock.advance(waitMillis);
+        timers.advance(waitMillis);
         store.answer.set(new StoreChanges(List.of(), 6, false));
         assertEquals(state.completeUpTo(), sent + provenMillis);
     }
@@ -79,16 +79,39 @@
         mirror.addListener(i -> listener.versionPublished("m", Long.parseLong(i.value()), i.revision()));
         store.answer.set(new StoreChanges(List.of(new StoreItem("w", 4, "1", false)), 5, true));
         awaitRequest();
-        clock.advance(2_000);
+        timers.advance(2_000);
         store.answer.set(new StoreChanges(List.of(), 5, false));
         clock.advance(1_000);
         awaitRequest();
-        clock.advance(1_900);
+        timers.advance(1_900);
         store.answer.set(new StoreChanges(List.of(new StoreItem("w", 6, "2", false)), 6, false));
         long left = weights.usableMillis("m", 1, clock.monotonicMillis());
         assertTrue(left > 7_000 && left < 8_000, "left: " + left);
     }
 
+    @DataProvider
+    public Object[][] readingOrders() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /**
+     * Guards against requests that begin on superseded weights seconds after the bound, since an answer that lay unread
+     * while the process was frozen is taken for a fresh one.
+     */
+    @Test(dataProvider = "readingOrders")
+    public void answerReadAfterAFreezeProvesNothingOfIt(boolean timersFirst) {
+        start(millis -> {});
+        store.answer.set(new StoreChanges(List.of(), 5, true));
+        long sent = awaitRequest();
+        timers.advance(400);
+        clock.advance(7_000);
+        if (timersFirst) {
+            timers.advance(1);
+        }
+        store.answer.set(new StoreChanges(List.of(), 6, false));
+        assertTrue(state.completeUpTo() <= sent + 400, "complete up to " + (state.completeUpTo() - sent));
+    }
+
     /**
      * The machine is suspended while a request waits, and the answer stays in its buffer. Changes accepted meanwhile
      * are not in the answer, so it must prove nothing after its request, which is older by the suspension. It must not
