Show in logs and metrics which replicas leave or ask for a pause

Change: both headers are decoded with the others of an answer. The first answer of a run that says it leaves, and each one that puts off the end of a pause, is logged with the request, the length and the end; hornbeam_replica_notices counts leaving, back-off and invalid. Nothing is decided by it yet. A replica that says nothing costs two look-ups of a header. Tests: PlatformHeaderCodecTest (24 values, valid and damaged).

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -200,6 +200,7 @@
         boolean attributable = responseInfo.fromReplica() || responseInfo.notExecuted() || responseInfo.wrongReplica();
         if (attributable && !responseInfo.wrongReplica()) {
             observeLimit(received.status());
+            exchange.dispatcher().replicaNotices().observe(replica, responseInfo.availability(), request.id());
         }
         if (!attributable || (received.ok() && responseInfo.requestId().isEmpty())) {
             closeAndEnd(AttemptOutcome.BROKEN, "the answer bears no proof that it belongs to the request");
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -25,6 +25,7 @@
 import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.availability.ReplicaNotices;
 import org.hornbeamhead.gateway.caller.CallerHandler;
 import org.hornbeamhead.gateway.caller.CallerResponse;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
@@ -80,6 +81,7 @@
     private final Quarantine quarantine;
     private final QuotaGate quotas;
     private final ReplicaLimits replicaLimits;
+    private final ReplicaNotices replicaNotices;
     private final InFlightRequests inFlight = new InFlightRequests();
     private LoadHints loadHints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -147,6 +149,7 @@
         this.quarantine = dependencies.quarantine();
         this.quotas = dependencies.quotas();
         this.replicaLimits = dependencies.replicaLimits();
+        this.replicaNotices = new ReplicaNotices(clock, metrics);
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
@@ -356,6 +359,10 @@
         return quotas;
     }
 
+    ReplicaNotices replicaNotices() {
+        return replicaNotices;
+    }
+
     ReplicaLimits replicaLimits() {
         return replicaLimits;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.hornbeamhead.core.availability.AvailabilityNotice;
 
 /**
  * Routing information from the head of a replica's response.
@@ -14,6 +15,7 @@
  * @param weightsVersion the version of the weights that produced the response
  * @param requestLimit how many requests a second the replica takes from all routers together, empty if it states no
  *     limit, or why what it states is invalid
+ * @param availability whether the replica takes further requests
  */
 public record ReplicaResponseInfo(
         String requestId,
@@ -21,4 +23,5 @@
         boolean notExecuted,
         boolean wrongReplica,
         OptionalLong weightsVersion,
-        Either<String, OptionalDouble> requestLimit) {}
+        Either<String, OptionalDouble> requestLimit,
+        AvailabilityNotice availability) {}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.gateway.replica;
 
+import org.hornbeamhead.core.availability.NoticeState;
 import org.hornbeamhead.core.engine.EngineLoad;
 import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.replica.ReplicaEntry;
@@ -11,6 +12,7 @@
     private final EngineLoad load = new EngineLoad();
     private final OutlierDetector guard = new OutlierDetector();
     private final RequestLimiter limiter = new RequestLimiter();
+    private final NoticeState notices = new NoticeState();
     private ReplicaEntry entry;
     private long observedVersion;
     private boolean entryInvalid;
@@ -89,6 +91,15 @@
         return limiter;
     }
 
+    /**
+     * Returns what the replica said about whether it takes requests.
+     *
+     * @return the state of its notices
+     */
+    public NoticeState notices() {
+        return notices;
+    }
+
     /**
      * Returns the version of the weights that the replica serves. A response of the replica or an announcement of the
      * leader may show a change before the registry does; versions only rise during a run.
