Send no requests to a replica whose answers say that it leaves

What callers saw: requests went on for 13 s to an engine that had announced its end in its answers, since the store was away and its entry still said ready (DRAIN, 3,548 and 4,372 ms after the answer where 2,000 are allowed). They were served, but would have been cut off by the replica's end. Cause: only the store's entry could take a replica out of service; what the replica itself says was read by nobody. Change: one class, ReplicaAvailability, answers whether a replica may get a request now and why not; the choice of a replica, the check for an untried one, and the check once a connection is open ask it. A replica leaves by its entry or by an answer, whichever comes first, and this lasts as long as the run: what a run said outlives the removal of its entry, for the 4,096 runs removed last, so that an entry that lapses and comes back does not undo it. The same holds for request limits, which were forgotten in the same way. A replica that leaves by its answers gets no order to change weights, and its end is no crash. Why this is enough: the check is made on the reactor's thread directly before each send, whatever is known of the store, the list or other routers.

--- a/core/src/main/java/org/hornbeamhead/core/availability/NoticeState.java
+++ b/core/src/main/java/org/hornbeamhead/core/availability/NoticeState.java
@@ -56,6 +56,16 @@
         return nowMillis < backOffUntilMillis;
     }
 
+    /**
+     * Returns whether anything that the replica said still holds.
+     *
+     * @param nowMillis the monotonic time
+     * @return true if it is leaving or wants no requests from this router
+     */
+    public boolean isRelevant(long nowMillis) {
+        return leaving || isBackingOff(nowMillis);
+    }
+
     /**
      * Returns when the back-off ends.
      *
--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
@@ -0,0 +1,11 @@
+package org.hornbeamhead.core.availability;
+
+/** Why a router may not send a request to a replica now. */
+public enum Unavailability {
+    /** The replica's entry cannot be read. */
+    INVALID_ENTRY,
+    /** The replica is leaving, by its entry or by one of its answers. */
+    LEAVING,
+    /** All routers together have reached the replica's request limit. */
+    REQUEST_LIMIT
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -108,15 +108,25 @@
             } else if (weightsExpired()) {
                 replica.connections().release(acquired);
                 end(AttemptOutcome.NOT_SENT, "weights went out of use while it connected", Optional.empty());
-            } else if (!exchange.dispatcher().replicaLimits().accepts(replica)) {
-                replica.connections().release(acquired);
-                end(AttemptOutcome.NOT_SENT, "the replica's limit was reached while it connected", Optional.empty());
             } else {
-                send(acquired);
+                sendIfAvailable(acquired);
             }
         });
     }
 
+    /** Sends the request unless the replica became unavailable while the connection was opened. */
+    private void sendIfAvailable(ReplicaConnection acquired) {
+        exchange.dispatcher()
+                .availability()
+                .check(replica)
+                .ifPresentOrElse(
+                        reason -> {
+                            replica.connections().release(acquired);
+                            end(AttemptOutcome.NOT_SENT, reason + " while it connected", Optional.empty());
+                        },
+                        () -> send(acquired));
+    }
+
     /**
      * Returns whether the weights expired, which can happen while the connection is opened. A request that is not sent
      * has certainly not run.
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -25,6 +25,7 @@
 import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.availability.ReplicaAvailability;
 import org.hornbeamhead.gateway.availability.ReplicaNotices;
 import org.hornbeamhead.gateway.caller.CallerHandler;
 import org.hornbeamhead.gateway.caller.CallerResponse;
@@ -82,6 +83,7 @@
     private final QuotaGate quotas;
     private final ReplicaLimits replicaLimits;
     private final ReplicaNotices replicaNotices;
+    private final ReplicaAvailability availability;
     private final InFlightRequests inFlight = new InFlightRequests();
     private LoadHints loadHints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -150,6 +152,7 @@
         this.quotas = dependencies.quotas();
         this.replicaLimits = dependencies.replicaLimits();
         this.replicaNotices = new ReplicaNotices(clock, metrics);
+        this.availability = new ReplicaAvailability(replicaLimits);
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
@@ -157,7 +160,7 @@
         this.weightsExpiry = new WeightsExpiryMonitor(
                 timers, v -> weights.usableMillis(v.model(), v.version(), clock.monotonicMillis()));
         this.targetSelector = new TargetSelector(
-                clock, registry, replicaLimits, weights, dependencies.dataCentre(), dependencies.priorTraffic());
+                clock, registry, availability, weights, dependencies.dataCentre(), dependencies.priorTraffic());
     }
 
     @Override
@@ -359,6 +362,10 @@
         return quotas;
     }
 
+    ReplicaAvailability availability() {
+        return availability;
+    }
+
     ReplicaNotices replicaNotices() {
         return replicaNotices;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -18,7 +18,7 @@
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
-import org.hornbeamhead.gateway.limit.ReplicaLimits;
+import org.hornbeamhead.gateway.availability.ReplicaAvailability;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.WeightsView;
@@ -27,7 +27,7 @@
 final class TargetSelector {
     private final Clock clock;
     private final ReplicaRegistry registry;
-    private final ReplicaLimits limits;
+    private final ReplicaAvailability availability;
     private final WeightsView weights;
     private final String dataCentre;
     private final boolean priorTraffic;
@@ -36,13 +36,13 @@
     TargetSelector(
             Clock clock,
             ReplicaRegistry registry,
-            ReplicaLimits limits,
+            ReplicaAvailability availability,
             WeightsView weights,
             String dataCentre,
             boolean priorTraffic) {
         this.clock = clock;
         this.registry = registry;
-        this.limits = limits;
+        this.availability = availability;
         this.weights = weights;
         this.dataCentre = dataCentre;
         this.priorTraffic = priorTraffic;
@@ -61,7 +61,7 @@
     }
 
     boolean hasUntried(ServiceSpec service, Set<String> tried) {
-        return untriedReplicas(service, tried).anyMatch(limits::accepts);
+        return untriedReplicas(service, tried).anyMatch(availability::accepts);
     }
 
     /**
@@ -69,22 +69,21 @@
      * empty if the limits are not the reason.
      */
     OptionalLong bookReturnMillis(ServiceSpec service, String request) {
-        return limits.bookReturnMillis(registry.acceptingReplicas(service.name()), request);
+        return availability.bookReturnMillis(registry.replicas(service.name()), request);
     }
 
     private Stream<LiveReplica> untriedReplicas(ServiceSpec service, Set<String> tried) {
-        return registry.acceptingReplicas(service.name()).stream()
+        return registry.replicas(service.name()).stream()
                 .filter(r -> !tried.contains(r.entry().run()));
     }
 
     /**
-     * Returns the replicas that were not tried yet and are within their limits, without recently failed ones unless no
-     * others are left.
+     * Returns the available replicas that were not tried yet, without recently failed ones unless no others are left.
      */
     private List<LiveReplica> usableReplicas(ServiceSpec service, Set<String> tried) {
         long now = clock.monotonicMillis();
         List<LiveReplica> untried =
-                untriedReplicas(service, tried).filter(limits::accepts).toList();
+                untriedReplicas(service, tried).filter(availability::accepts).toList();
         List<LiveReplica> healthy =
                 untried.stream().filter(r -> !r.guard().isEjected(now)).toList();
         return healthy.isEmpty() ? untried : healthy;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
@@ -132,7 +132,7 @@
 
     private List<LiveReplica> servingReplicas(String model) {
         return dependencies.registry().all().stream()
-                .filter(replica -> replica.acceptsRequests() && replica.weightsVersion(model) > 0)
+                .filter(replica -> replica.isInService() && replica.weightsVersion(model) > 0)
                 .toList();
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
@@ -109,6 +109,10 @@
      */
     public void recordSend(LiveReplica replica) {
         replica.limiter().recordSend(clock.monotonicMillis());
+        if (replica.limiter().isLimited()) {
+            // A replica that was listed again is not in the exchange any more.
+            exchange.add(replica.runHash(), replica.limiter());
+        }
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashDetector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashDetector.java
@@ -70,7 +70,7 @@
      * @param replica the replica that ran it
      */
     public void connectionBroken(LostAttempt attempt, LiveReplica replica) {
-        if (replica.entry().draining()) {
+        if (replica.isLeaving()) {
             return;
         }
         LostRequests lost = lostRequests(replica);
@@ -109,7 +109,7 @@
      * @param replica the replica that ran it
      */
     public void replicaSilent(LostAttempt attempt, LiveReplica replica) {
-        if (replica.entry().draining()) {
+        if (replica.isLeaving()) {
             return;
         }
         LostRequests lost = lostRequests(replica);
@@ -159,7 +159,7 @@
     }
 
     private void reportCrash(LiveReplica replica, LostRequests lost, String reason) {
-        if (lost.crashed || replica.entry().draining()) {
+        if (lost.crashed || replica.isLeaving()) {
             return;
         }
         lost.crashed = true;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -11,15 +11,15 @@
     private final ReplicaConnectionPool connections;
     private final EngineLoad load = new EngineLoad();
     private final OutlierDetector guard = new OutlierDetector();
-    private final RequestLimiter limiter = new RequestLimiter();
-    private final NoticeState notices = new NoticeState();
+    private final RunStatements statements;
     private ReplicaEntry entry;
     private long observedVersion;
     private boolean entryInvalid;
 
-    LiveReplica(ReplicaEntry entry, ReplicaConnectionPool connections) {
+    LiveReplica(ReplicaEntry entry, ReplicaConnectionPool connections, RunStatements statements) {
         this.entry = entry;
         this.connections = connections;
+        this.statements = statements;
     }
 
     void update(ReplicaEntry newer) {
@@ -88,7 +88,7 @@
      * @return the limiter
      */
     public RequestLimiter limiter() {
-        return limiter;
+        return statements.limiter();
     }
 
     /**
@@ -97,7 +97,7 @@
      * @return the state of its notices
      */
     public NoticeState notices() {
-        return notices;
+        return statements.notices();
     }
 
     /**
@@ -120,12 +120,34 @@
         observedVersion = Math.max(observedVersion, version);
     }
 
+    RunStatements statements() {
+        return statements;
+    }
+
+    /**
+     * Returns whether the entry in the registry cannot be read.
+     *
+     * @return true until the next readable entry
+     */
+    public boolean isEntryInvalid() {
+        return entryInvalid;
+    }
+
+    /**
+     * Returns whether the replica is leaving.
+     *
+     * @return true if its entry or one of its answers said so
+     */
+    public boolean isLeaving() {
+        return entry.draining() || notices().isLeaving();
+    }
+
     /**
-     * Returns whether the replica accepts new requests.
+     * Returns whether the replica stays in service.
      *
-     * @return false for a replica that drains or whose entry cannot be read
+     * @return false for a replica that is leaving or whose entry cannot be read
      */
-    public boolean acceptsRequests() {
-        return !entry.draining() && !entryInvalid;
+    public boolean isInService() {
+        return !isLeaving() && !entryInvalid;
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
@@ -31,6 +31,7 @@
     private final Map<String, LiveReplica> byId = new HashMap<>();
     private final Map<String, LiveReplica> byRun = new HashMap<>();
     private final Map<Integer, LiveReplica> byRunHash = new HashMap<>();
+    private final RunStatements.Archive removedRuns = new RunStatements.Archive();
     private Consumer<LiveReplica> onRemoved = replica -> {};
 
     /**
@@ -91,7 +92,7 @@
                         logger.atWarning().log("replica %s is ignored, its address is invalid: %s", entry.id(), reason))
                 .forEach(address -> {
                     ReplicaConnectionPool connections = new ReplicaConnectionPool(reactor, clock, address);
-                    LiveReplica replica = new LiveReplica(entry, connections);
+                    LiveReplica replica = new LiveReplica(entry, connections, removedRuns.take(entry.run()));
                     byId.put(entry.id(), replica);
                     byRun.put(entry.run(), replica);
                     byRunHash.put(replica.runHash(), replica);
@@ -111,6 +112,7 @@
             byRun.remove(removed.entry().run());
             byRunHash.remove(removed.runHash());
             removed.connections().close();
+            removedRuns.add(removed.entry().run(), removed.statements(), clock.monotonicMillis());
             log("replica gone", removed.entry(), revision);
             onRemoved.accept(removed);
         }
@@ -163,14 +165,14 @@
     }
 
     /**
-     * Returns the replicas of a service that accept requests.
+     * Returns the replicas of a service.
      *
      * @param service the service
-     * @return the replicas, including those that failed recently
+     * @return all that are listed, including those that are not available
      */
-    public List<LiveReplica> acceptingReplicas(String service) {
+    public List<LiveReplica> replicas(String service) {
         return byId.values().stream()
-                .filter(replica -> replica.entry().service().equals(service) && replica.acceptsRequests())
+                .filter(replica -> replica.entry().service().equals(service))
                 .toList();
     }
 
--- a/gateway/src/test/java/org/hornbeamhead/gateway/replica/ReplicaRegistryTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/replica/ReplicaRegistryTest.java
@@ -33,8 +33,12 @@
         registry = new ReplicaRegistry(Eventloop.builder().withCurrentThread().build(), clock);
     }
 
+    private List<LiveReplica> inService() {
+        return registry.replicas("lm").stream().filter(LiveReplica::isInService).toList();
+    }
+
     private LiveReplica onlyReplica() {
-        List<LiveReplica> all = registry.acceptingReplicas("lm");
+        List<LiveReplica> all = inService();
         assertEquals(all.size(), 1);
         return all.get(0);
     }
@@ -115,6 +119,61 @@
         registry.markEntryInvalid("nobody", 4);
         assertEquals(Stream.of(onlyReplica()).map(r -> r.entry().id()).toList(), List.of("s"));
         registry.put(FIRST_RUN, 5);
-        assertEquals(registry.acceptingReplicas("lm").size(), 2);
+        assertEquals(inService().size(), 2);
+    }
+
+    private enum EntryEvent {
+        RENEWED,
+        CHANGED,
+        UNREADABLE,
+        LAPSED,
+        REPLACED
+    }
+
+    private void apply(EntryEvent event) {
+        switch (event) {
+            case RENEWED -> registry.put(FIRST_RUN, 2);
+            case CHANGED -> registry.put(entry(1_000, 6), 2);
+            case UNREADABLE -> registry.markEntryInvalid("r", 2);
+            case LAPSED -> registry.remove("r", 2);
+            default -> registry.put(SECOND_RUN, 2);
+        }
+    }
+
+    @DataProvider
+    public Object[][] entryEvents() {
+        return new Object[][] {
+            {List.of(EntryEvent.RENEWED)},
+            {List.of(EntryEvent.CHANGED)},
+            {List.of(EntryEvent.UNREADABLE, EntryEvent.RENEWED)},
+            {List.of(EntryEvent.LAPSED, EntryEvent.RENEWED)},
+            {List.of(EntryEvent.LAPSED, EntryEvent.LAPSED, EntryEvent.RENEWED, EntryEvent.LAPSED, EntryEvent.CHANGED)}
+        };
+    }
+
+    /** Guards against forgetting that a replica leaves when its entry is renewed, or lapses and comes back. */
+    @Test(dataProvider = "entryEvents")
+    public void leavingLastsAsLongAsTheRun(List<EntryEvent> events) {
+        registry.put(FIRST_RUN, 1);
+        onlyReplica().notices().recordLeaving();
+        events.forEach(this::apply);
+        assertTrue(inService().isEmpty());
+        apply(EntryEvent.REPLACED);
+        assertEquals(onlyReplica().entry(), SECOND_RUN);
+    }
+
+    /** Guards against unbounded memory after many replacements. */
+    @Test
+    public void statementsOfTheOldestRemovedRunsAreDropped() {
+        for (int run = 1; run <= 5_000; run++) {
+            registry.put(entry(run, 5), run);
+            onlyReplica().notices().recordLeaving();
+        }
+        registry.remove("r", 5_001);
+        registry.put(entry(1, 5), 5_002);
+        assertEquals(inService().size(), 1);
+        registry.remove("r", 5_003);
+        registry.put(entry(5_000, 5), 5_004);
+        assertTrue(inService().isEmpty());
     }
 }
