Send a replica nothing within the pause that it asked for

Cause: Retry-After of replicas was read by nobody. A refusal counted as a failure, three in a row ejected the replica for a second, and any answer to an earlier request reset the count. A refusal that asks for one is no failure. If no replica takes requests, the caller is refused at once and told when the first one does, be it by the end of a pause or by a limit, plus the usual spread. Why this is enough: as for replicas that leave, the check is made directly before each send.

--- a/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
+++ b/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
@@ -6,6 +6,8 @@
     INVALID_ENTRY,
     /** The replica is leaving, by its entry or by one of its answers. */
     LEAVING,
+    /** The replica asked this router for a pause that is not over. */
+    BACK_OFF,
     /** All routers together have reached the replica's request limit. */
     REQUEST_LIMIT
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.crash.CrashHistoryPersister;
 import org.hornbeamhead.core.entry.ActiveRouters;
@@ -38,6 +39,7 @@
 import org.hornbeamhead.gateway.quarantine.Quarantine;
 import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.quota.QuotaReports;
+import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.state.FleetSizeRecorder;
 import org.hornbeamhead.gateway.state.HttpMirrorClient;
@@ -269,6 +271,10 @@
         metrics.gauge("hornbeam_store_away", () -> storeView.isDisconnected() ? 1 : 0);
         metrics.gauge("hornbeam_reads_store", () -> storeView.readsStore() ? 1 : 0);
         metrics.gauge("hornbeam_limited_replicas", replicaLimits::countLimited);
+        metrics.gauge("hornbeam_leaving_replicas", () -> countReplicas(LiveReplica::isLeaving));
+        metrics.gauge(
+                "hornbeam_backing_off_replicas",
+                () -> countReplicas(r -> r.notices().isBackingOff(clock.monotonicMillis())));
         metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
         quarantine.start();
         datagrams.start(settings.hintAddress());
@@ -286,6 +292,10 @@
                 .log("router %s started", settings.self().node());
     }
 
+    private long countReplicas(Predicate<LiveReplica> condition) {
+        return registry.all().stream().filter(condition).count();
+    }
+
     private Promise<HttpResponse> handlePeerRequest(HttpRequest request) throws Exception {
         AsyncServlet servlet =
                 switch (request.getPath()) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
@@ -1,22 +1,35 @@
 package org.hornbeamhead.gateway.availability;
 
+import com.google.common.flogger.FluentLogger;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.hornbeamhead.core.availability.Unavailability;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 
-/** Decides whether this router may send a request to a replica now. */
+/** Decides whether this router may send a request to a replica now, and when a caller may return if none takes it. */
 public final class ReplicaAvailability {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final Clock clock;
     private final ReplicaLimits limits;
 
     /**
      * Creates the decision.
      *
+     * @param clock the clock
      * @param limits the request limits of replicas
      */
-    public ReplicaAvailability(ReplicaLimits limits) {
+    public ReplicaAvailability(Clock clock, ReplicaLimits limits) {
+        this.clock = clock;
         this.limits = limits;
     }
 
@@ -33,6 +46,9 @@
         if (replica.isLeaving()) {
             return Optional.of(Unavailability.LEAVING);
         }
+        if (replica.notices().isBackingOff(clock.monotonicMillis())) {
+            return Optional.of(Unavailability.BACK_OFF);
+        }
         return limits.accepts(replica) ? Optional.empty() : Optional.of(Unavailability.REQUEST_LIMIT);
     }
 
@@ -51,10 +67,42 @@
      *
      * @param replicas the replicas of the service
      * @param request the id of the request, for the log
-     * @return the time until the caller may return, in milliseconds; empty if it is not known
+     * @return the time until the first of them takes requests again, in milliseconds; empty if one takes them now, or
+     *     if none is known to take them again
      */
     public OptionalLong bookReturnMillis(List<LiveReplica> replicas, String request) {
-        return limits.bookReturnMillis(
-                replicas.stream().filter(LiveReplica::isInService).toList(), request);
+        if (replicas.stream().anyMatch(this::accepts)) {
+            return OptionalLong.empty();
+        }
+        OptionalLong returnMillis = replicas.stream()
+                .filter(LiveReplica::isInService)
+                .min(Comparator.comparingLong(this::returnAtMillis))
+                .map(first -> OptionalLong.of(bookReturnMillis(first, request)))
+                .orElse(OptionalLong.empty());
+        logRefusal(replicas, request, returnMillis);
+        return returnMillis;
+    }
+
+    private long returnAtMillis(LiveReplica replica) {
+        return Math.max(replica.notices().backOffUntilMillis(), limits.nextReturnMillis(replica));
+    }
+
+    private long bookReturnMillis(LiveReplica replica, String request) {
+        long backOffMillis = replica.notices().backOffUntilMillis() - clock.monotonicMillis();
+        return Math.max(backOffMillis, limits.bookReturnMillis(replica, request));
+    }
+
+    private void logRefusal(List<LiveReplica> replicas, String request, OptionalLong returnMillis) {
+        Map<Unavailability, Long> reasons = replicas.stream()
+                .flatMap(r -> check(r).stream())
+                .collect(Collectors.groupingBy(Function.identity(), TreeMap::new, Collectors.counting()));
+        logger.atInfo()
+                .with(Logs.REQUEST, request)
+                .with(Logs.DECISION, "no replica available")
+                .with(
+                        Logs.INPUTS,
+                        "unavailable=" + reasons + " returnMillis="
+                                + (returnMillis.isPresent() ? returnMillis.getAsLong() : "unknown"))
+                .log("none of %d replicas is available", replicas.size());
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -291,13 +291,18 @@
         boolean misdirected = head.status() == 421;
         if (misdirected && responseInfo.wrongReplica()) {
             replica.guard().recordConnectFailure(now());
-        } else if (!misdirected && !replica.limiter().isLimited()) {
+        } else if (!misdirected && !isAnnounced()) {
             replica.guard().recordFailure(now());
         }
         AttemptOutcome outcome = misdirected ? AttemptOutcome.MISDIRECTED : AttemptOutcome.REFUSED;
         releaseAndEnd(outcome, "the replica did not run it: " + head.status(), Optional.empty());
     }
 
+    /** Returns whether the replica said itself that it does not take requests, which is no failure. */
+    private boolean isAnnounced() {
+        return replica.limiter().isLimited() || responseInfo.availability().isUnavailable();
+    }
+
     private void deliver() {
         stop();
         replica.guard().recordSuccess();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -152,7 +152,7 @@
         this.quotas = dependencies.quotas();
         this.replicaLimits = dependencies.replicaLimits();
         this.replicaNotices = new ReplicaNotices(clock, metrics);
-        this.availability = new ReplicaAvailability(replicaLimits);
+        this.availability = new ReplicaAvailability(clock, replicaLimits);
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -203,7 +203,7 @@
     }
 
     private void giveUp(FinalResponse answer, String reason, Optional<BufferedResponse> failure) {
-        OptionalLong limitMillis = answer == FinalResponse.NOT_RUN
+        OptionalLong returnMillis = answer == FinalResponse.NOT_RUN
                 ? dispatcher
                         .targetSelector()
                         .bookReturnMillis(
@@ -212,9 +212,9 @@
                 : OptionalLong.empty();
         sendFinalAnswer(
                 answer,
-                limitMillis.isPresent() ? "all replicas are at their request limits" : reason,
+                returnMillis.isPresent() ? "no replica takes requests now" : reason,
                 failure,
-                limitMillis.orElse(RETRY_AFTER_MILLIS));
+                returnMillis.orElse(RETRY_AFTER_MILLIS));
     }
 
     private void reportLoss(AttemptOutcome end, LiveReplica replica, long sentAt) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Returns when a caller may return whose request no replica takes because of the replicas' limits, in milliseconds;
-     * empty if the limits are not the reason.
+     * Books the return of a caller whose request no replica takes now, in milliseconds; empty if a replica takes
+     * requests, or if none is known to take them again.
      */
     OptionalLong bookReturnMillis(ServiceSpec service, String request) {
         return availability.bookReturnMillis(registry.replicas(service.name()), request);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
@@ -2,10 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
-import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.function.LongToDoubleFunction;
 import org.hornbeamhead.core.limit.LimitExchange;
 import org.hornbeamhead.core.limit.RequestLimiter;
@@ -131,34 +129,45 @@
     }
 
     /**
-     * Books the return of a caller whose request no replica takes because of the replicas' limits.
+     * Returns when the limit of a replica lets the next caller return.
      *
-     * @param replicas the replicas that could run the request otherwise
+     * @param replica the replica
+     * @return the monotonic time, the present if the replica has no limit
+     */
+    public long nextReturnMillis(LiveReplica replica) {
+        long now = clock.monotonicMillis();
+        return replica.limiter().isLimited()
+                ? replica.limiter().nextReturnMillis(dependencies.share().applyAsDouble(now), now)
+                : now;
+    }
+
+    /**
+     * Books the return of a caller to a replica, within the limit of the replica.
+     *
+     * @param replica the replica
      * @param request the id of the request, for the log
-     * @return the time until the caller may return, in milliseconds; empty if some replica is within its limit
+     * @return the time until the caller may return, in milliseconds, 0 if the replica has no limit
      */
-    public OptionalLong bookReturnMillis(List<LiveReplica> replicas, String request) {
-        if (replicas.isEmpty() || replicas.stream().anyMatch(this::accepts)) {
-            return OptionalLong.empty();
+    public long bookReturnMillis(LiveReplica replica, String request) {
+        RequestLimiter limiter = replica.limiter();
+        if (!limiter.isLimited()) {
+            return 0;
         }
         long now = clock.monotonicMillis();
         double share = dependencies.share().applyAsDouble(now);
-        LiveReplica first = replicas.stream()
-                .min(Comparator.comparingLong(r -> r.limiter().nextReturnMillis(share, now)))
-                .orElseThrow();
-        long returnMillis = first.limiter().bookReturnMillis(share, now);
+        long returnMillis = limiter.bookReturnMillis(share, now);
         dependencies.metrics().count("hornbeam_limit_refusals");
         logger.atInfo()
                 .with(Logs.REQUEST, request)
-                .with(Logs.REPLICA, first.entry().id())
+                .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.DECISION, "refused over replica limits")
                 .with(
                         Logs.INPUTS,
-                        "limit=" + first.limiter().stated().requestsPerSecond() + " sends="
-                                + first.limiter().recentSends(now) + " share=" + share + " hintAgeMillis="
-                                + first.limiter().oldestHintMillis(now) + " returnMillis=" + returnMillis)
-                .log("all %d replicas are at their request limits", replicas.size());
-        return OptionalLong.of(returnMillis);
+                        "limit=" + limiter.stated().requestsPerSecond() + " sends=" + limiter.recentSends(now)
+                                + " share=" + share + " hintAgeMillis=" + limiter.oldestHintMillis(now)
+                                + " returnMillis=" + returnMillis)
+                .log("return booked at %s", replica.entry().id());
+        return returnMillis;
     }
 
     /**
