Count and log headers of replicas that the router does not know

Change: names that are neither read here nor known to be for others are counted in hornbeam_unknown_headers and logged once each; at most 32 names of 64 characters, the rest as other. A replica that never asked for a pause costs no look at the clock. Tests: RouterAvailabilityTest.unknownHeadersAreCounted (61 names, under 40 labels), PlatformHeaderCodecTest.

--- a/core/src/main/java/org/hornbeamhead/core/availability/NoticeState.java
+++ b/core/src/main/java/org/hornbeamhead/core/availability/NoticeState.java
@@ -56,6 +56,15 @@
         return nowMillis < backOffUntilMillis;
     }
 
+    /**
+     * Returns whether the replica ever asked this router to back off.
+     *
+     * @return false as long as there is no need to look at the clock
+     */
+    public boolean hasAskedToBackOff() {
+        return backOffUntilMillis != NEVER;
+    }
+
     /**
      * Returns whether anything that the replica said still holds.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
@@ -46,12 +46,16 @@
         if (replica.isLeaving()) {
             return Optional.of(Unavailability.LEAVING);
         }
-        if (replica.notices().isBackingOff(clock.monotonicMillis())) {
+        if (isBackingOff(replica)) {
             return Optional.of(Unavailability.BACK_OFF);
         }
         return limits.accepts(replica) ? Optional.empty() : Optional.of(Unavailability.REQUEST_LIMIT);
     }
 
+    private boolean isBackingOff(LiveReplica replica) {
+        return replica.notices().hasAskedToBackOff() && replica.notices().isBackingOff(clock.monotonicMillis());
+    }
+
     /**
      * Returns whether a replica may get a request now.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -212,6 +212,7 @@
             observeLimit(received.status());
             exchange.dispatcher().replicaNotices().observe(replica, responseInfo.availability(), request.id());
         }
+        exchange.dispatcher().unknownHeaders().observe(received, replica.entry().id(), request.id());
         if (!attributable || (received.ok() && responseInfo.requestId().isEmpty())) {
             closeAndEnd(AttemptOutcome.BROKEN, "the answer bears no proof that it belongs to the request");
             return;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -84,6 +84,7 @@
     private final ReplicaLimits replicaLimits;
     private final ReplicaNotices replicaNotices;
     private final ReplicaAvailability availability;
+    private final UnknownHeaders unknownHeaders;
     private final InFlightRequests inFlight = new InFlightRequests();
     private LoadHints loadHints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -152,6 +153,7 @@
         this.quotas = dependencies.quotas();
         this.replicaLimits = dependencies.replicaLimits();
         this.replicaNotices = new ReplicaNotices(clock, metrics);
+        this.unknownHeaders = new UnknownHeaders(headerCodec, metrics);
         this.availability = new ReplicaAvailability(clock, replicaLimits);
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
@@ -366,6 +368,10 @@
         return availability;
     }
 
+    UnknownHeaders unknownHeaders() {
+        return unknownHeaders;
+    }
+
     ReplicaNotices replicaNotices() {
         return replicaNotices;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/HeaderCodec.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/HeaderCodec.java
@@ -33,6 +33,14 @@
      */
     ReplicaResponseInfo decodeResponse(ResponseHead head, String replica);
 
+    /**
+     * Returns whether a header of a replica's response is known, be it read here or only forwarded.
+     *
+     * @param name the name, in any case
+     * @return true for a name of the protocol
+     */
+    boolean isKnownResponseHeader(String name);
+
     /**
      * Returns the headers sent to the caller.
      *
