Take a replica that reports its leave out of service and out of the rollout

Cause, found while looking for the class of DRAIN elsewhere: a report states that its replica leaves, in its header and in its field state, and nobody read either. The leader went on to order a replica that leaves to change its weights. Evidence: RolloutCoordinatorTest.replicaThatReportsItsLeaveGetsNoOrder, two of eight replicas; without the change they get orders (by reading, not run).

--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/OrderTracker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/OrderTracker.java
@@ -141,6 +141,12 @@
         if (isOfAnotherRun(report, replica)) {
             return;
         }
+        if (report.leaving() && replica.notices().recordLeaving()) {
+            logger.atInfo()
+                    .with(Logs.REPLICA, replica.entry().id())
+                    .with(Logs.DECISION, "replica leaving")
+                    .log("the replica reports that it is leaving");
+        }
         String run = replica.entry().run();
         acceptedOrders.merge(run, report.acceptedOrders(), Math::max);
         long version = report.weights().getOrDefault(change.model, 0L);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/ReplicaOrderClient.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/ReplicaOrderClient.java
@@ -39,8 +39,9 @@
      * @param weights the version by model
      * @param busy whether an order is in progress
      * @param acceptedOrders the number of orders that the replica has accepted
+     * @param leaving whether the replica is leaving
      */
-    record Report(long startedAt, Map<String, Long> weights, boolean busy, long acceptedOrders) {
+    record Report(long startedAt, Map<String, Long> weights, boolean busy, long acceptedOrders, boolean leaving) {
         /** Copies the weights, so that the report is immutable. */
         public Report {
             weights = Map.copyOf(weights);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
@@ -97,7 +97,7 @@
         Set<String> removed = new HashSet<>();
         changes.forEach((run, change) -> {
             Optional<LiveReplica> replica = dependencies.registry().byRun(run);
-            if (replica.isEmpty()) {
+            if (replica.isEmpty() || replica.get().isLeaving()) {
                 removed.add(run);
             } else if (replica.get().weightsVersion(change.model) >= change.version) {
                 finished.put(run, change.version);
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakeReplicas.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakeReplicas.java
@@ -25,6 +25,7 @@
 
     final List<SentOrder> sentOrders = new ArrayList<>();
     final Set<String> unreachable = new HashSet<>();
+    final Set<String> leaving = new HashSet<>();
     long reportedStart = 1;
     long listedStart = 1;
     boolean loseOrders;
@@ -104,6 +105,7 @@
             return Promise.ofException(new IllegalStateException("no answer"));
         }
         Map<String, Long> weights = Map.of(MODEL, version(id));
-        return Promise.of(new Report(reportedStart, weights, isLoading(id), acceptedOrders.getOrDefault(id, 0L)));
+        return Promise.of(new Report(
+                reportedStart, weights, isLoading(id), acceptedOrders.getOrDefault(id, 0L), leaving.contains(id)));
     }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutCoordinatorTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutCoordinatorTest.java
@@ -218,4 +218,15 @@
                 replicas.changedVersions().toString());
         assertTrue(replicas.sentOrders.size() <= 12, "orders: " + replicas.sentOrders.size());
     }
+
+    /** Guards against orders to replicas that leave, and against a rollout that waits for them. */
+    @Test
+    public void replicaThatReportsItsLeaveGetsNoOrder() {
+        replicas.leaving.addAll(Set.of("r0", "r5"));
+        startLeader();
+        testBed.setTargetVersion(2);
+        testBed.timers.advance(4_000);
+        assertEquals(replicas.changedVersions().size(), 6);
+        assertEquals(replicas.sentOrders.size(), 6);
+    }
 }
