Own interface: endpoints that leave, or ask for a pause, get no requests

An endpoint's Retry-After was read by nobody, and the interface had no way to say that an endpoint leaves before the list of hosts or a load report does. EndpointAvailability answers for engines and plain services whether an endpoint may get a request, with the request limits, and books the return of callers: replicas-paused with the first end of a pause, spread, or at-request-limit. A stream that breaks at an endpoint that takes no requests is continued elsewhere and not resumed there. Another incarnation starts with nothing said.

--- a/core/src/main/java/org/hornbeamhead/core/outcome/Reason.java
+++ b/core/src/main/java/org/hornbeamhead/core/outcome/Reason.java
@@ -14,6 +14,8 @@
     NO_REPLICA,
     /** All replicas of the pool are at the request limits that they state. */
     AT_REQUEST_LIMIT,
+    /** All replicas of the pool asked for a pause. */
+    REPLICAS_PAUSED,
     /** The class's target cannot be met at the present load. */
     OVERLOADED,
     /** The customer exceeds its fair share while others wait. */
--- a/router/src/main/java/org/hornbeamhead/router/EndpointLimits.java
+++ b/router/src/main/java/org/hornbeamhead/router/EndpointLimits.java
@@ -5,18 +5,14 @@
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpResponse;
 import io.vavr.control.Either;
-import java.time.Duration;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.hornbeamhead.core.limit.LimitExchange;
 import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.limit.StatedLimit;
@@ -157,32 +153,24 @@
         return limiter == null || limiter.accepts(share.getAsDouble(), clock.monotonicMillis());
     }
 
-    /** Returns the endpoints that are at their limits. */
-    Set<String> atLimit() {
-        return limiters.entrySet().stream()
-                .filter(e -> e.getValue().isLimited())
-                .map(Map.Entry::getKey)
-                .filter(e -> !accepts(e))
-                .collect(Collectors.toSet());
+    /** Returns when the limit of an endpoint lets the next caller return, on the monotonic clock. */
+    long nextReturnMillis(String endpoint) {
+        long now = clock.monotonicMillis();
+        return limited(endpoint)
+                .map(l -> l.nextReturnMillis(share.getAsDouble(), now))
+                .orElse(now);
     }
 
-    /**
-     * Books the return of a caller whose request no endpoint takes because of the endpoints' limits.
-     *
-     * @param endpoints the endpoints that could run the request otherwise
-     * @return the time until the caller may return; empty if the limits are not the reason
-     */
-    Optional<Duration> bookReturn(Collection<String> endpoints) {
-        if (endpoints.isEmpty() || endpoints.stream().anyMatch(this::accepts)) {
-            return Optional.empty();
-        }
-        long now = clock.monotonicMillis();
-        double part = share.getAsDouble();
-        metrics.count("hornbeam_limit_refusals");
-        return endpoints.stream()
-                .map(limiters::get)
-                .min(Comparator.comparingLong(l -> l.nextReturnMillis(part, now)))
-                .map(l -> Duration.ofMillis(l.bookReturnMillis(part, now)));
+    /** Books the return of a caller to an endpoint, in milliseconds from now; 0 if the endpoint has no limit. */
+    long bookReturnMillis(String endpoint) {
+        Optional<RequestLimiter> limiter = limited(endpoint);
+        limiter.ifPresent(l -> metrics.count("hornbeam_limit_refusals"));
+        return limiter.map(l -> l.bookReturnMillis(share.getAsDouble(), clock.monotonicMillis()))
+                .orElse(0L);
+    }
+
+    private Optional<RequestLimiter> limited(String endpoint) {
+        return Optional.ofNullable(limiters.get(endpoint)).filter(RequestLimiter::isLimited);
     }
 
     private void logChange(String endpoint, String source) {
--- a/router/src/main/java/org/hornbeamhead/router/EngineAttempt.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineAttempt.java
@@ -78,12 +78,12 @@
 
     private Promise<Void> begin(HttpCaller caller, HttpRequest request, Duration limit) {
         long sentAt = context.clock().monotonicMillis();
-        context.limits().recordSend(address);
+        context.availability().recordSend(address);
         return caller.open(request, limit).then(r -> begun(r, sentAt), e -> Promise.ofException(lost(e)));
     }
 
     private Promise<Void> begun(HttpResponse response, long sentAt) {
-        context.limits().observe(address, response, sentAt);
+        context.availability().observe(address, response, sentAt, attemptId);
         if (response.getCode() == OK) {
             body = response.takeBodyStream();
             return Promise.complete();
--- a/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
@@ -171,7 +171,9 @@
         log("failed", failed.failure().name() + ": " + failed.getMessage());
         context.metrics()
                 .count("hornbeam_attempt_failures", "kind", failed.failure().name());
-        boolean resumable = failed.failure() == AttemptFailure.LOST && resumes < MAX_RESUMES;
+        boolean resumable = failed.failure() == AttemptFailure.LOST
+                && resumes < MAX_RESUMES
+                && context.availability().accepts(choice.replica().address());
         if (resumable) {
             resumes++;
             sent = true;
@@ -200,7 +202,7 @@
         boolean allowed =
                 !held && attempts < MAX_ATTEMPTS && (!worked || pool.retries().tryAcquire());
         Set<String> unusable = new HashSet<>(excluded);
-        unusable.addAll(context.limits().atLimit());
+        unusable.addAll(context.availability().unavailable());
         Optional<PlacementChoice> other =
                 allowed ? pool.placement().choose(pool.table(), request.chain(), target, unusable) : Optional.empty();
         if (other.isEmpty()) {
--- a/router/src/main/java/org/hornbeamhead/router/ModelPipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ModelPipeline.java
@@ -81,7 +81,11 @@
         PlacementTarget target =
                 new PlacementTarget(request.requestClass().firstToken().toMillis(), false);
         Optional<PlacementChoice> choice = pool.placement()
-                .choose(pool.table(), request.chain(), target, context.limits().atLimit());
+                .choose(
+                        pool.table(),
+                        request.chain(),
+                        target,
+                        context.availability().unavailable());
         if (choice.isEmpty()) {
             return refuseRunning(request, unplaced(pool));
         }
@@ -123,7 +127,11 @@
         }
         PlacementTarget target = batchTarget();
         return pool.placement()
-                .choose(pool.table(), request.chain(), target, context.limits().atLimit())
+                .choose(
+                        pool.table(),
+                        request.chain(),
+                        target,
+                        context.availability().unavailable())
                 .map(choice -> relay(request, pool, target, choice))
                 .orElseGet(() -> refuseRunning(request, unplaced(pool)));
     }
@@ -134,9 +142,9 @@
                 .filter(r -> r.acceptsWork(now))
                 .map(Replica::address)
                 .toList();
-        return context.limits()
+        return context.availability()
                 .bookReturn(usable)
-                .map(comeBack -> Refusals.notRun(Reason.AT_REQUEST_LIMIT, comeBack))
+                .map(refused -> Refusals.notRun(refused.reason(), refused.retryAfter()))
                 .orElseGet(() -> Refusals.notRun(Reason.NO_REPLICA, COME_BACK));
     }
 
@@ -170,7 +178,7 @@
                         pool.table(),
                         next.request().chain(),
                         batchTarget(),
-                        context.limits().atLimit())
+                        context.availability().unavailable())
                 .map(choice -> pool.admission().decideBatch(tightest, choice, pressing, now))
                 .map(AdmissionDecision.Admit.class::isInstance)
                 .orElse(pressing);
--- a/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
+++ b/router/src/main/java/org/hornbeamhead/router/PoolDirectory.java
@@ -53,7 +53,7 @@
     }
 
     ServicePool service(String name) {
-        return services.computeIfAbsent(name, n -> new ServicePool(context.clock(), context.limits()));
+        return services.computeIfAbsent(name, n -> new ServicePool(context.clock(), context.availability()));
     }
 
     Collection<EnginePool> engines() {
@@ -74,7 +74,7 @@
     /** Takes over the list of hosts. */
     void listed(List<Endpoint> listed) {
         hosts = listed;
-        context.limits()
+        context.availability()
                 .listed(listed.stream()
                         .filter(e -> e.kind() != EndpointKind.ENTRY)
                         .map(Endpoint::address)
@@ -113,8 +113,18 @@
             toPoll.sort(Comparator.comparing(p -> !p.knownWeights().isEmpty()));
         }
         List<Poll> now = toPoll.subList(0, Math.min(POLLS_AT_ONCE, toPoll.size()));
-        now.forEach(p ->
-                control.load(p.address()).whenResult((LoadReport r) -> p.table().applyReport(p.address(), r)));
+        now.forEach(p -> control.load(p.address()).whenResult((LoadReport r) -> reported(p, r)));
         now.clear();
     }
+
+    private void reported(Poll poll, LoadReport report) {
+        boolean restarted = poll.table()
+                .find(poll.address())
+                .filter(r -> !r.incarnation().isEmpty() && !r.incarnation().equals(report.incarnation()))
+                .isPresent();
+        if (restarted) {
+            context.availability().restarted(poll.address());
+        }
+        poll.table().applyReport(poll.address(), report);
+    }
 }
--- a/router/src/main/java/org/hornbeamhead/router/Refusals.java
+++ b/router/src/main/java/org/hornbeamhead/router/Refusals.java
@@ -71,6 +71,7 @@
             case ENDPOINT_LOST, CORRUPT_ANSWER, CALLER_GONE -> GATEWAY_TIMEOUT;
             case NO_REPLICA,
                     AT_REQUEST_LIMIT,
+                    REPLICAS_PAUSED,
                     DRAINING,
                     NOT_READY,
                     CLAIM_UNAVAILABLE,
--- a/router/src/main/java/org/hornbeamhead/router/Router.java
+++ b/router/src/main/java/org/hornbeamhead/router/Router.java
@@ -74,6 +74,7 @@
     private final ConfigAgent configAgent;
     private final Quarantine quarantine;
     private final EndpointLimits limits;
+    private final EndpointNotices notices;
     private final RouterContext context;
     private final AsyncServlet routes;
     private boolean hostsKnown;
@@ -103,6 +104,7 @@
                 this::otherRouters,
                 this::sendDatagram,
                 this::limitShare);
+        this.notices = new EndpointNotices(daemon.clock(), metrics);
         this.context = new RouterContext(
                 settings,
                 daemon.clock(),
@@ -113,7 +115,7 @@
                 config,
                 new ClassHealth(),
                 quarantine,
-                limits);
+                new EndpointAvailability(daemon.clock(), new SplittableRandom(), limits, notices));
         this.hostList = new HostListClient(platform, Addresses.format(settings.hostList()));
         this.pools = new PoolDirectory(context, new HttpEngineControl(platform));
         this.server = daemon.listen(settings.http(), this::serve);
--- a/router/src/main/java/org/hornbeamhead/router/RouterContext.java
+++ b/router/src/main/java/org/hornbeamhead/router/RouterContext.java
@@ -18,7 +18,7 @@
  * @param config the configuration in force
  * @param health how the classes stand against their targets
  * @param quarantine which requests may not run
- * @param limits the request limits of endpoints
+ * @param availability which endpoints take requests
  */
 record RouterContext(
         RouterSettings settings,
@@ -30,4 +30,4 @@
         ConfigHolder config,
         ClassHealth health,
         Quarantine quarantine,
-        EndpointLimits limits) {}
+        EndpointAvailability availability) {}
--- a/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePipeline.java
@@ -174,14 +174,19 @@
             return refuse(call.head(), unplaced(pool, tries));
         }
         long sentAt = context.clock().monotonicMillis();
-        context.limits().recordSend(address.get());
+        context.availability().recordSend(address.get());
         HttpCaller caller = tries.once()
                 ? context.connections().fresh()
                 : context.connections().kept(address.get());
         return Promises.timeout(
                         CALL_LIMIT,
                         caller.open(call.toService(address.get()), CALL_LIMIT).then(response -> {
-                            context.limits().observe(address.get(), response, sentAt);
+                            context.availability()
+                                    .observe(
+                                            address.get(),
+                                            response,
+                                            sentAt,
+                                            call.head().id());
                             return relay(call, response);
                         }))
                 .then(
@@ -196,7 +201,7 @@
     private static Refusal unplaced(ServicePool pool, ServiceTries tries) {
         Reason reason = tries.addresses().isEmpty() ? Reason.NO_REPLICA : Reason.TRIES_EXHAUSTED;
         return pool.bookReturn()
-                .map(comeBack -> tries.refusal(Reason.AT_REQUEST_LIMIT, comeBack))
+                .map(refused -> tries.refusal(refused.reason(), refused.retryAfter()))
                 .orElseGet(() -> tries.refusal(reason, COME_BACK));
     }
 
--- a/router/src/main/java/org/hornbeamhead/router/ServicePool.java
+++ b/router/src/main/java/org/hornbeamhead/router/ServicePool.java
@@ -1,6 +1,5 @@
 package org.hornbeamhead.router;
 
-import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -9,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.hornbeamhead.core.endpoint.Endpoint;
+import org.hornbeamhead.core.outcome.Outcome;
 import org.hornbeamhead.core.retry.OutlierDetector;
 import org.hornbeamhead.core.retry.RetryBudget;
 import org.hornbeamhead.core.time.Clock;
@@ -22,15 +22,15 @@
     }
 
     private final Clock clock;
-    private final EndpointLimits limits;
+    private final EndpointAvailability availability;
     private final RetryBudget retries = new RetryBudget();
     private final Map<String, Replica> replicas = new HashMap<>();
     private List<Endpoint> endpoints = List.of();
     private long uses;
 
-    ServicePool(Clock clock, EndpointLimits limits) {
+    ServicePool(Clock clock, EndpointAvailability availability) {
         this.clock = clock;
-        this.limits = limits;
+        this.availability = availability;
     }
 
     void listed(List<Endpoint> listed) {
@@ -41,7 +41,7 @@
 
     /** Chooses a replica and counts a call; empty when none takes work. */
     Optional<String> choose(Set<String> excluded) {
-        Optional<String> chosen = usable().filter(a -> !excluded.contains(a) && limits.accepts(a))
+        Optional<String> chosen = usable().filter(a -> !excluded.contains(a) && availability.accepts(a))
                 .min(Comparator.<String>comparingInt(a -> replicas.get(a).calls)
                         .thenComparingLong(a -> replicas.get(a).lastUse));
         chosen.map(replicas::get).ifPresent(r -> {
@@ -59,9 +59,9 @@
                 .filter(a -> !replicas.get(a).outlier.isEjected(now));
     }
 
-    /** Books when a caller may return; empty unless all usable replicas are at their request limits. */
-    Optional<Duration> bookReturn() {
-        return limits.bookReturn(usable().toList());
+    /** Books when a caller may return; empty unless all usable replicas want no requests for now. */
+    Optional<Outcome.NotRun> bookReturn() {
+        return availability.bookReturn(usable().toList());
     }
 
     void ended(String address, boolean ok) {
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineFaults.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineFaults.java
@@ -12,6 +12,8 @@
  * @param refuse new requests are answered with 503
  * @param crashOn the process ends soon after it begins a request whose body contains this; empty for never
  * @param requestLimit the limit that its answers state, in requests a second; empty for none
+ * @param leaving its answers say that it is leaving
+ * @param retryAfter the Retry-After of refusals; empty for none
  */
 public record EngineFaults(
         boolean silent,
@@ -22,14 +24,18 @@
         boolean noEnd,
         boolean refuse,
         String crashOn,
-        String requestLimit) {
+        String requestLimit,
+        boolean leaving,
+        String retryAfter) {
     /** Nothing goes wrong. */
-    public static final EngineFaults NONE = new EngineFaults(false, -1, false, false, false, false, false, "", "");
+    public static final EngineFaults NONE =
+            new EngineFaults(false, -1, false, false, false, false, false, "", "", false, "");
 
     /** A text that is left out is empty. */
     public EngineFaults {
         crashOn = crashOn == null ? "" : crashOn;
         requestLimit = requestLimit == null ? "" : requestLimit;
+        retryAfter = retryAfter == null ? "" : retryAfter;
     }
 
     /**
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
@@ -98,7 +98,7 @@
 
     private Promise<HttpResponse> start(String id, JsonNode body) {
         if (faults.refuse() || orders.isDraining()) {
-            return HttpAnswers.text(503, "text/plain", "refused before any work");
+            return refusal();
         }
         String weights = body.path("weights").asText("");
         if (!weights.isEmpty() && !weights.equals(orders.weights())) {
@@ -113,6 +113,15 @@
         return stream(recording, 0);
     }
 
+    private Promise<HttpResponse> refusal() {
+        HttpResponse.Builder answer =
+                HttpResponse.ofCode(503).withBody("refused before any work".getBytes(StandardCharsets.UTF_8));
+        if (!faults.retryAfter().isEmpty()) {
+            answer.withHeader(HttpHeaders.RETRY_AFTER, faults.retryAfter());
+        }
+        return answer.toPromise();
+    }
+
     private static EngineRequest request(String id, JsonNode body) {
         StringBuilder prompt = new StringBuilder(body.path("prompt").asText(""));
         String partial = "";
@@ -156,6 +165,9 @@
         if (!faults.requestLimit().isEmpty()) {
             answer.withHeader(HttpHeaders.of("Hornbeam-Request-Limit"), faults.requestLimit());
         }
+        if (faults.leaving()) {
+            answer.withHeader(HttpHeaders.of("Hornbeam-Leaving"), "1");
+        }
         return answer.withBodyStream(new EngineStream(recording, from, faults)).toPromise();
     }
 
--- a/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
@@ -23,6 +23,7 @@
     private static final long CRASH_AFTER_MILLIS = 60;
     private static final int BODY_LIMIT = 1 << 20;
     private static final HttpHeader KEY = HttpHeaders.of("Idempotency-Key");
+    private static final HttpHeader LEAVING = HttpHeaders.of("Hornbeam-Leaving");
     private static final HttpHeader LIMIT = HttpHeaders.of("Hornbeam-Request-Limit");
 
     /**
@@ -34,6 +35,8 @@
      * @param failOn calls whose path contains this are answered with 500; empty for none
      * @param crashOn the process ends soon after it begins a call whose path contains this; empty for never
      * @param requestLimit the limit that its answers state, in requests a second; empty for none
+     * @param leaving its answers say that it is leaving
+     * @param retryAfter the Retry-After of refusals; empty for none
      */
     public record ServiceFaults(
             long workMillis,
@@ -41,14 +44,17 @@
             double refuseShare,
             String failOn,
             String crashOn,
-            String requestLimit) {
-        private static final ServiceFaults NONE = new ServiceFaults(0, 0, 0, "", "", "");
+            String requestLimit,
+            boolean leaving,
+            String retryAfter) {
+        private static final ServiceFaults NONE = new ServiceFaults(0, 0, 0, "", "", "", false, "");
 
         /** A text that is left out is empty. */
         public ServiceFaults {
             failOn = failOn == null ? "" : failOn;
             crashOn = crashOn == null ? "" : crashOn;
             requestLimit = requestLimit == null ? "" : requestLimit;
+            retryAfter = retryAfter == null ? "" : retryAfter;
         }
 
         private static boolean meets(String text, String path) {
@@ -98,7 +104,7 @@
 
     private Promise<HttpResponse> run(HttpRequest request) {
         if (random.nextDouble() < faults.refuseShare()) {
-            return HttpAnswers.text(503, "text/plain", "refused before any work");
+            return refusal();
         }
         calls++;
         if (ServiceFaults.meets(faults.failOn(), request.getPath())) {
@@ -122,6 +128,15 @@
                 : Promises.delay(faults.workMillis()).then(v -> answer);
     }
 
+    private Promise<HttpResponse> refusal() {
+        HttpResponse.Builder answer =
+                HttpResponse.ofCode(503).withBody("refused before any work".getBytes(StandardCharsets.UTF_8));
+        if (!faults.retryAfter().isEmpty()) {
+            answer.withHeader(HttpHeaders.RETRY_AFTER, faults.retryAfter());
+        }
+        return answer.toPromise();
+    }
+
     private Promise<HttpResponse> answer(String id, String path) {
         HttpResponse.Builder answer = HttpResponse.ok200()
                 .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
@@ -130,6 +145,9 @@
         if (!faults.requestLimit().isEmpty()) {
             answer.withHeader(LIMIT, faults.requestLimit());
         }
+        if (faults.leaving()) {
+            answer.withHeader(LEAVING, "1");
+        }
         return answer.toPromise();
     }
 
