Soak: replicas that leave by their answers or ask for pauses, and two promises

Replicas announce their leave in answers 2.5 to 6 s before their entry says so, while heartbeats still renew it as ready, and others turn requests away for up to 4 s and ask for pauses of 0.7 to 3 s, beside all other faults. Two promises, from what callers and replicas see: what a caller sends 2 s after its router passed the announcement on does not reach that replica from that process, whatever happens to the store; a replica gets two requests at most from a router between half a second after its refusal and the end of the pause. PromisesTest: both go red on broken histories (six pairs).

--- a/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
@@ -27,6 +27,8 @@
     private final OptionSpec<Integer> callers = number("callers", "callers", 16);
     private final OptionSpec<Integer> crashing = number("crashing", "requests that end each replica that runs them", 1);
     private final OptionSpec<Integer> limiting = number("limiting", "replicas that state a request limit", 2);
+    private final OptionSpec<Integer> announcing =
+            number("announcing", "replicas at a time that leave by their answers or ask for pauses", 1);
     private final OptionSpec<String> json =
             parser.accepts("json", "file for the results, a JSON line a run").withRequiredArg();
 
@@ -81,7 +83,8 @@
                 options.valueOf(replicas),
                 options.valueOf(callers),
                 options.valueOf(crashing),
-                options.valueOf(limiting));
+                options.valueOf(limiting),
+                options.valueOf(announcing));
         Path directory = Files.createTempDirectory("hornbeam-soak-" + runSeed + "-");
         try {
             SoakReport report = new SoakRun(settings, directory).play();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -31,6 +31,8 @@
     private final Consumer<SoakReplica> onEnd;
     private volatile boolean grey;
     private volatile OptionalDouble limit = OptionalDouble.empty();
+    private volatile long pauseMillis;
+    private volatile boolean leaving;
 
     SoakReplica(
             String id,
@@ -80,10 +82,36 @@
         limit = requestsPerSecond;
     }
 
-    private String withLimit(String answer) {
-        return limit.isPresent()
-                ? answer.replaceFirst("\r\n", "\r\nServer-Limit: " + limit.getAsDouble() + "\r\n")
-                : answer;
+    /** Says in all its answers from now on that it leaves. */
+    void announceLeave() {
+        leaving = true;
+    }
+
+    /** Turns requests away from now on and asks for a pause of this length; 0 to serve again. */
+    void pause(long millis) {
+        pauseMillis = millis;
+    }
+
+    private String withNotices(StandinReplica.ReceivedRequest r, String answer) {
+        String noticed = answer;
+        if (limit.isPresent()) {
+            noticed = withHeader(noticed, "Server-Limit: " + limit.getAsDouble());
+        }
+        if (leaving) {
+            history.add(new History.Announced(id(), r.id()));
+            noticed = withHeader(noticed, "Server-Leaving: 1");
+        }
+        return noticed;
+    }
+
+    private static String withHeader(String answer, String header) {
+        return answer.replaceFirst("\r\n", "\r\n" + header + "\r\n");
+    }
+
+    private void turnAway(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, long millis)
+            throws IOException {
+        history.add(new History.Paused(id(), r.id(), millis, clock.millis()));
+        to.write(withHeader(withNotices(r, StandinReplica.notExecuted(503)), "Retry-After: " + millis / 1_000.0));
     }
 
     private void work(StandinReplica.ReceivedRequest r, StandinReplica.Connection to)
@@ -91,16 +119,21 @@
         boolean fails = grey && random.nextInt(GREY_ONE_IN) == 0;
         int how = random.nextInt(Failure.values().length);
         Failure failure = fails ? Failure.values()[how] : Failure.NONE;
-        boolean runs = failure != Failure.REFUSES;
+        long pause = pauseMillis;
+        boolean runs = failure != Failure.REFUSES && pause == 0;
         history.add(new History.Arrived(
                 r.id(), id(), service, r.customer(), r.cacheSalt(), r.expectedWeights(), runs, clock.millis()));
+        if (pause > 0) {
+            turnAway(r, to, pause);
+            return;
+        }
         if (runs && CrashingCallers.content(r.head()).isPresent()) {
             end(r);
             return;
         }
         Thread.sleep(random.nextInt(MAX_WORK_MILLIS));
         if (failure == Failure.REFUSES) {
-            to.write(withLimit(StandinReplica.notExecuted(503)));
+            to.write(withNotices(r, StandinReplica.notExecuted(503)));
         } else if (failure == Failure.LOSES) {
             to.reset();
         } else if (r.cacheSalt().isEmpty()) {
@@ -127,7 +160,7 @@
 
     private void answer(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, Failure failure)
             throws IOException {
-        String whole = withLimit(StandinReplica.ok(r, RequestKind.SAFE.answer(r.id())));
+        String whole = withNotices(r, StandinReplica.ok(r, RequestKind.SAFE.answer(r.id())));
         if (failure == Failure.BREAKS_OFF) {
             to.write(whole.substring(0, whole.length() - 2)).close();
         } else if (failure == Failure.ANSWERS_TWICE) {
@@ -139,7 +172,7 @@
 
     private void stream(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, Failure failure)
             throws IOException, InterruptedException {
-        to.write(withLimit(StandinReplica.streamHead(r)));
+        to.write(withNotices(r, StandinReplica.streamHead(r)));
         for (int e = r.lastEventId() + 1; e <= RequestKind.events(); e++) {
             String event = RequestKind.event(r.id(), e);
             if (failure == Failure.BREAKS_OFF && e == RequestKind.events() / 2) {
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -53,8 +53,12 @@
                 LimitingReplicas limiting = new LimitingReplicas(fleet, history, clock);
                 threads.execute(() -> limiting.run(settings.limiting(), settings.seed()));
             }
+            AnnouncingReplicas announcing = new AnnouncingReplicas(fleet);
+            IntStream.range(0, settings.announcing())
+                    .forEach(i -> threads.execute(() -> announcing.run(settings.seed() + i)));
             strikeAll(plan, new FaultDriver(fleet, history, clock), clock, threads);
             crashing.end();
+            announcing.end();
             Thread.sleep(END_MILLIS);
             callers.end();
             threads.shutdownNow();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
@@ -10,8 +10,10 @@
  * @param callers callers that send one request after the other
  * @param crashing requests that end each replica that runs them, each sent again and again
  * @param limiting replicas that state a request limit
+ * @param announcing replicas at a time that leave by their answers, or ask for pauses
  */
-record SoakSettings(long seed, int seconds, int routers, int replicas, int callers, int crashing, int limiting) {
+record SoakSettings(
+        long seed, int seconds, int routers, int replicas, int callers, int crashing, int limiting, int announcing) {
     SoakSettings {
         if (seconds < 1 || routers < 1 || replicas < 6 || callers < 1) {
             throw new IllegalArgumentException("a run needs a second, a router, six replicas and a caller at least");
@@ -19,6 +21,9 @@
         if (limiting < 0 || limiting > replicas) {
             throw new IllegalArgumentException(limiting + " of " + replicas + " replicas cannot state a limit");
         }
+        if (announcing < 0 || announcing > replicas) {
+            throw new IllegalArgumentException(announcing + " of " + replicas + " replicas cannot announce anything");
+        }
         if (crashing < 0) {
             throw new IllegalArgumentException("a run cannot have " + crashing + " requests that end replicas");
         }
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -76,6 +76,24 @@
      */
     public record Limited(String replica, double perSecond, long from, long to) {}
 
+    /**
+     * A replica said in an answer that it leaves.
+     *
+     * @param replica the replica
+     * @param request the request that was answered
+     */
+    public record Announced(String replica, String request) {}
+
+    /**
+     * A replica turned a request away and asked the router for a pause.
+     *
+     * @param replica the replica
+     * @param request the request that was turned away
+     * @param millis how long it wants nothing from that router
+     * @param at when it answered
+     */
+    public record Paused(String replica, String request, long millis, long at) {}
+
     /**
      * An order came to an engine.
      *
@@ -135,6 +153,8 @@
     private final Collection<Arrived> arrived = new ConcurrentLinkedQueue<>();
     private final Collection<Ended> ended = new ConcurrentLinkedQueue<>();
     private final Collection<Limited> limited = new ConcurrentLinkedQueue<>();
+    private final Collection<Announced> announced = new ConcurrentLinkedQueue<>();
+    private final Collection<Paused> paused = new ConcurrentLinkedQueue<>();
     private final Collection<Ordered> ordered = new ConcurrentLinkedQueue<>();
     private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
     private final Collection<Disturbed> disturbed = new ConcurrentLinkedQueue<>();
@@ -157,6 +177,10 @@
             ended.add(e);
         } else if (seen instanceof Limited l) {
             limited.add(l);
+        } else if (seen instanceof Announced a) {
+            announced.add(a);
+        } else if (seen instanceof Paused p) {
+            paused.add(p);
         } else if (seen instanceof Ordered o) {
             ordered.add(o);
         } else if (seen instanceof Acknowledged a) {
@@ -226,6 +250,24 @@
         return List.copyOf(limited);
     }
 
+    /**
+     * Lists the announcements of leaving replicas.
+     *
+     * @return the answers that said so
+     */
+    public List<Announced> announced() {
+        return List.copyOf(announced);
+    }
+
+    /**
+     * Lists the pauses that replicas asked for.
+     *
+     * @return the refusals that said so
+     */
+    public List<Paused> paused() {
+        return List.copyOf(paused);
+    }
+
     /**
      * Lists the orders.
      *
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -31,6 +31,8 @@
         checks.put("isolation", h -> StateChecks.isolation(h, isolated));
         checks.put("budget", LoadChecks::budget);
         checks.put("request limits", LimitChecks::requestLimits);
+        checks.put("announced leaves", AvailabilityChecks::announcedLeaves);
+        checks.put("pauses", AvailabilityChecks::pauses);
         checks.put("requests that end replicas", CrashChecks::sentFewTimes);
         checks.put("service back", LoadChecks::serviceBack);
         checks.put("no uncaught errors", Promises::noUncaughtErrors);
--- a/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
@@ -16,22 +16,26 @@
     @DataProvider
     public Object[][] runs() {
         return new Object[][] {
-            {new SoakSettings(11, 8, 3, 9, 8, 0, 0), "a short one for every build"},
+            {new SoakSettings(11, 8, 3, 9, 8, 0, 0, 0), "a short one for every build"},
             {
-                new SoakSettings(1_002, 10, 4, 12, 16, 0, 0),
+                new SoakSettings(1_002, 10, 4, 12, 16, 0, 0, 0),
                 "weights named three times; an engine that refused old ones was left out for good"
             },
             {
-                new SoakSettings(2_006, 10, 4, 12, 16, 0, 0),
+                new SoakSettings(2_006, 10, 4, 12, 16, 0, 0, 0),
                 "two stops at once; connections ended that nothing had announced, and the logs of the stop were lost"
             },
-            {new SoakSettings(13, 10, 4, 12, 16, 0, 2), "replicas that state request limits, beside other faults"},
+            {new SoakSettings(13, 10, 4, 12, 16, 0, 2, 0), "replicas that state request limits, beside other faults"},
             {
-                new SoakSettings(8_045, 12, 4, 12, 16, 1, 2),
+                new SoakSettings(8_045, 12, 4, 12, 16, 1, 2, 0),
                 "a limit of 1.1 a second after 65 a second; requests from before the limit was known were counted"
             },
             {
-                new SoakSettings(12, 8, 3, 12, 8, 2, 0),
+                new SoakSettings(14, 12, 4, 12, 16, 0, 0, 2),
+                "replicas that leave by their answers or ask for pauses, beside other faults"
+            },
+            {
+                new SoakSettings(12, 8, 3, 12, 8, 2, 0, 0),
                 "requests that end each replica that runs them, beside other faults"
             },
         };
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -85,6 +85,26 @@
         return h;
     }
 
+    /** A replica answers that it leaves, and gets another request much later. */
+    private static History leaves(long laterMillis) {
+        return served("i", RequestKind.SAFE, 1_000)
+                .add(new History.Announced("replica1", "i"))
+                .add(asked("j", RequestKind.SAFE, laterMillis))
+                .add(ran("j", "plain", laterMillis + 5));
+    }
+
+    /** A replica asks for a pause of 3 s at 1 s and gets requests at even intervals from half a second later. */
+    private static History paused(int count, long intervalMillis) {
+        History h = new History()
+                .add(asked("p", RequestKind.SAFE, 990))
+                .add(ran("p", "plain", 995))
+                .add(new History.Paused("replica1", "p", 3_000, 1_000));
+        IntStream.range(0, count)
+                .mapToLong(i -> 1_600 + i * intervalMillis)
+                .forEach(at -> h.add(asked("i" + at, RequestKind.SAFE, at)).add(ran("i" + at, "plain", at)));
+        return h;
+    }
+
     /** A request ends three replicas, and is sent more often after all routers know it. */
     private static History ends(int late) {
         History h = new History();
@@ -219,6 +239,24 @@
                 limited(10_000, 100, 200).add(new Disturbed("STORE_BUSY", History.STORE, false, 9_000, 40_000)),
                 limited(10_000, 100, 200).add(new Disturbed("ROUTER_FROZEN", "router0", false, 9_000, 40_000))
             },
+            {"announced leaves", leaves(3_100), leaves(2_900)},
+            {
+                "announced leaves",
+                leaves(4_000).add(new Disturbed("STORE_SILENT", History.STORE, false, 0, 9_000)),
+                leaves(4_000).add(new Disturbed("ROUTER_FROZEN", "router0", false, 2_000, 3_000))
+            },
+            {
+                "announced leaves",
+                leaves(4_000).add(new Disturbed("REPLICA_GREY", "replica1", false, 0, 9_000)),
+                leaves(4_000).add(new Disturbed("REPLICA_DELAYED", "replica1", false, 2_000, 3_000))
+            },
+            {"pauses", paused(3, 500), paused(2, 500)},
+            {"pauses", paused(3, 1_100), paused(4, 1_300)},
+            {
+                "pauses",
+                paused(3, 500).add(new Disturbed("STORE_BUSY", History.STORE, false, 0, 9_000)),
+                paused(3, 500).add(new Disturbed("ROUTER_KILLED", "router0", false, 2_000, 3_000))
+            },
             {"requests that end replicas", ends(4), ends(3)},
             {
                 "requests that end replicas",
