--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -74,7 +74,8 @@
             target(
                     "REPLICA_HEADERS",
                     texts(HeaderReading::read),
-                    "X-Attempt-Id: 1\nX-Server-Stamp: s\nServer-Limit: 2.5\nX-Weight-Versions: 3"),
+                    "X-Attempt-Id: 1\nX-Server-Stamp: s\nServer-Limit: 2.5\nX-Weight-Versions: 3",
+                    "X-Not-Executed: 1\nRetry-After:2.5\nServer-Leaving:1"),
             // What routers tell one another of crashes.
             target("CRASH_NEWS", FuzzTargets::crashNews, "\u00c5\0\1\0\0\0\0\0\0\0\7\1\0\0\0\5\0\0\0\u0009\0\u0008"),
             // What routers keep in the store of crashes.
--- a/fuzz/src/test/java/org/hornbeamhead/platform/HeaderReading.java
+++ b/fuzz/src/test/java/org/hornbeamhead/platform/HeaderReading.java
@@ -2,24 +2,34 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.hornbeamhead.core.http.Header;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.ResponseHead;
+import org.hornbeamhead.core.http.RetryAfter;
+import org.hornbeamhead.gateway.dispatch.ReplicaResponseInfo;
 
 /** Reads lines of text as the headers of a replica's answer. */
 public final class HeaderReading {
     private HeaderReading() {}
 
-    /** Fails when the reader throws where it should report, or takes what is no number for a limit. */
+    /** Fails when the reader throws where it should report, or takes what is no number for a limit or a pause. */
     public static void read(String text) {
         List<Header> lines = Arrays.stream(text.split("\n", -1))
                 .map(l -> l.split(":", 2))
                 .map(l -> new Header(l[0], l.length > 1 ? l[1] : ""))
                 .toList();
-        new PlatformHeaderCodec()
-                .decodeResponse(new ResponseHead(200, new Headers(lines), true), "r1")
-                .requestLimit()
-                .forEach(limit -> limit.ifPresent(HeaderReading::checkLimit));
+        IntStream.of(200, 429, 503).forEach(status -> check(new ResponseHead(status, new Headers(lines), true)));
+    }
+
+    private static void check(ResponseHead head) {
+        ReplicaResponseInfo info = new PlatformHeaderCodec().decodeResponse(head, "r1");
+        info.requestLimit().forEach(limit -> limit.ifPresent(HeaderReading::checkLimit));
+        info.availability().backOffMillis().forEach(millis -> millis.ifPresent(HeaderReading::checkPause));
+        boolean saysOne = head.headers().all(PlatformHeaderCodec.LEAVING).equals(List.of("1"));
+        if (info.availability().leaving().contains(true) != saysOne) {
+            throw new AssertionError("leaving by " + head.headers().all(PlatformHeaderCodec.LEAVING));
+        }
     }
 
     private static void checkLimit(double limit) {
@@ -27,4 +37,10 @@
             throw new AssertionError("a limit of " + limit + " a second");
         }
     }
+
+    private static void checkPause(long millis) {
+        if (millis < 1 || millis > RetryAfter.MAX_MILLIS) {
+            throw new AssertionError("a pause of " + millis + " ms");
+        }
+    }
 }
