--- a/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
@@ -130,4 +130,19 @@
         reactor.delay(CHECK_ROUNDS * CrashDetector.SECOND_CHECK_DELAY_MILLIS, reactor::breakEventloop);
         reactor.run();
     }
+
+    /** Guards against taking the announced end of a replica for a crash under the requests that it ran. */
+    @Test
+    public void endOfReplicaThatAnnouncedItsLeaveIsNoCrash() throws IOException {
+        LiveReplica replica = replica();
+        replica.notices().recordLeaving();
+        server.close();
+        reactor.execute(() -> {
+            lose(Lost.BROKEN, replica);
+            lose(Lost.SILENT, replica);
+        });
+        runChecks();
+        registry.remove(REPLICA, 2);
+        assertEquals(reported, List.of());
+    }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/replica/ReplicaRegistryTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/replica/ReplicaRegistryTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.hornbeamhead.core.limit.StatedLimit;
 import org.hornbeamhead.core.replica.ReplicaEntry;
 import org.hornbeamhead.core.time.ManualClock;
 import org.testng.annotations.BeforeMethod;
@@ -176,4 +177,16 @@
         registry.put(entry(5_000, 5), 5_004);
         assertTrue(inService().isEmpty());
     }
+
+    /** Guards against requests beyond a replica's limit because its entry lapsed and came back. */
+    @Test
+    public void requestLimitOutlivesTheEntry() {
+        registry.put(FIRST_RUN, 1);
+        onlyReplica().limiter().observe(new StatedLimit(2, 10_000, 10_010));
+        apply(EntryEvent.LAPSED);
+        apply(EntryEvent.RENEWED);
+        assertTrue(onlyReplica().limiter().isLimited());
+        apply(EntryEvent.REPLACED);
+        assertFalse(onlyReplica().limiter().isLimited());
+    }
 }
