One fixture for tests of endpoints, one refusal of the stand-ins, and no look at endpoints that said nothing

The tests of limits and of availability on the own interface share their set-up, stand-in engines and services their notices and refusals; a stand-in that leaves says so in refusals too. On the own interface the endpoints that may not get a request are found among those that said something or have a limit, where each choice looked at all listed ones before.

--- a/fleet/src/test/java/org/hornbeamhead/fleet/EndpointAvailabilityTest.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/EndpointAvailabilityTest.java
@@ -5,13 +5,10 @@
 
 import java.net.http.HttpResponse;
 import java.util.List;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
-import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Endpoints that leave, or ask for a pause, by their answers alone. */
-public class EndpointAvailabilityTest {
+public class EndpointAvailabilityTest extends EndpointFixture {
     private static final int REQUESTS = 40;
     /** Shorter than the pause that the faults ask for, which begins later than this is measured from. */
     private static final long PAUSE_MILLIS = 2_000;
@@ -26,48 +23,10 @@
     private static final String SERVICE_HEALTHY = "{\"workMillis\":0,\"silentShare\":0,\"refuseShare\":0}";
     private static final String ENGINE_HEALTHY = "{\"silent\":false,\"cutAfter\":-1}";
 
-    private TestFleet fleet;
-
-    /** Starts the platform. */
-    @BeforeMethod
-    public void setUp() throws Exception {
-        fleet = new TestFleet();
-        fleet.startPlatform("0 ms");
-    }
-
-    /** Ends all processes. */
-    @AfterMethod
-    public void tearDown() throws Exception {
-        fleet.close();
-    }
-
-    @DataProvider
-    public Object[][] kinds() {
-        return new Object[][] {{true}, {false}};
-    }
-
-    private ProcessHandleBox endpoint(boolean engine) throws Exception {
-        return engine ? fleet.engine() : fleet.service();
-    }
-
-    private HttpResponse<String> ask(ProcessHandleBox router, boolean engines, String what) throws Exception {
-        return engines
-                ? fleet.post(router, "/v1/chat/completions", TestFleet.chat(what, 2, false))
-                : fleet.post(router, "/v1/services/app/" + what, "{}");
-    }
-
-    private long requests(ProcessHandleBox endpoint, boolean engine) throws Exception {
-        return fleet.stats(endpoint).path(engine ? "accepted" : "calls").asLong();
-    }
-
     private boolean hasMetric(ProcessHandleBox router, String line) throws Exception {
         return fleet.get(router, "/metrics").body().contains(line);
     }
 
-    private static long nowMillis() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     /** Guards against sending requests to an endpoint that leaves, but that the list of hosts still has. */
     @Test(dataProvider = "kinds")
     public void leavingEndpointGetsNoMoreRequests(boolean engines) throws Exception {
--- a/fleet/src/test/java/org/hornbeamhead/fleet/RequestLimitTest.java
+++ b/fleet/src/test/java/org/hornbeamhead/fleet/RequestLimitTest.java
@@ -5,13 +5,10 @@
 
 import java.net.http.HttpResponse;
 import java.util.List;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
-import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Endpoints that state how many requests a second they take from all routers together. */
-public class RequestLimitTest {
+public class RequestLimitTest extends EndpointFixture {
     private static final int LIMIT_PER_SECOND = 2;
     private static final long WINDOW_MILLIS = 4_000;
     /** Half as much again as the limit in the window, and five. */
@@ -21,44 +18,6 @@
             "{\"workMillis\":0,\"silentShare\":0,\"refuseShare\":0,\"requestLimit\":\"2\"}";
     private static final String ENGINE_LIMIT = "{\"silent\":false,\"cutAfter\":-1,\"requestLimit\":\"2\"}";
 
-    private TestFleet fleet;
-
-    /** Starts the platform. */
-    @BeforeMethod
-    public void setUp() throws Exception {
-        fleet = new TestFleet();
-        fleet.startPlatform("0 ms");
-    }
-
-    /** Ends all processes. */
-    @AfterMethod
-    public void tearDown() throws Exception {
-        fleet.close();
-    }
-
-    @DataProvider
-    public Object[][] kinds() {
-        return new Object[][] {{true}, {false}};
-    }
-
-    private ProcessHandleBox endpoint(boolean engine) throws Exception {
-        return engine ? fleet.engine() : fleet.service();
-    }
-
-    private HttpResponse<String> ask(ProcessHandleBox router, boolean engines, String what) throws Exception {
-        return engines
-                ? fleet.post(router, "/v1/chat/completions", TestFleet.chat(what, 2, false))
-                : fleet.post(router, "/v1/services/app/" + what, "{}");
-    }
-
-    private long requests(ProcessHandleBox endpoint, boolean engine) throws Exception {
-        return fleet.stats(endpoint).path(engine ? "accepted" : "calls").asLong();
-    }
-
-    private static long nowMillis() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     /** Guards against sending an endpoint more than it takes from all routers together. */
     @Test(dataProvider = "kinds")
     public void endpointGetsNoMoreThanItsLimitFromAllRouters(boolean engines) throws Exception {
--- a/router/src/main/java/org/hornbeamhead/router/EndpointAvailability.java
+++ b/router/src/main/java/org/hornbeamhead/router/EndpointAvailability.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.availability.NoticeState;
 import org.hornbeamhead.core.availability.Unavailability;
 import org.hornbeamhead.core.outcome.Outcome;
@@ -26,7 +27,6 @@
     private final RandomGenerator random;
     private final EndpointLimits limits;
     private final EndpointNotices notices;
-    private Set<String> endpoints = Set.of();
 
     EndpointAvailability(Clock clock, RandomGenerator random, EndpointLimits limits, EndpointNotices notices) {
         this.clock = clock;
@@ -37,7 +37,6 @@
 
     /** Takes over the endpoints that are listed. */
     void listed(Collection<String> listed) {
-        endpoints = Set.copyOf(listed);
         limits.listed(listed);
         notices.listed(listed);
     }
@@ -60,11 +59,11 @@
 
     /** Returns why an endpoint may not get a request now, empty if it may get one. */
     Optional<Unavailability> check(String endpoint) {
-        NoticeState state = notices.state(endpoint);
-        if (state.isLeaving()) {
+        Optional<NoticeState> state = notices.state(endpoint);
+        if (state.filter(NoticeState::isLeaving).isPresent()) {
             return Optional.of(Unavailability.LEAVING);
         }
-        if (state.isBackingOff(clock.monotonicMillis())) {
+        if (state.filter(s -> s.isBackingOff(clock.monotonicMillis())).isPresent()) {
             return Optional.of(Unavailability.BACK_OFF);
         }
         return limits.accepts(endpoint) ? Optional.empty() : Optional.of(Unavailability.REQUEST_LIMIT);
@@ -76,7 +75,9 @@
 
     /** Returns the endpoints that may not get a request now. */
     Set<String> unavailable() {
-        return endpoints.stream().filter(e -> !accepts(e)).collect(Collectors.toSet());
+        return Stream.concat(notices.noticed(), limits.limited())
+                .filter(e -> !accepts(e))
+                .collect(Collectors.toSet());
     }
 
     /**
@@ -91,17 +92,21 @@
             return Optional.empty();
         }
         return candidates.stream()
-                .filter(e -> !notices.state(e).isLeaving())
+                .filter(e -> notices.state(e).filter(NoticeState::isLeaving).isEmpty())
                 .min(Comparator.comparingLong(this::returnAtMillis))
                 .map(this::bookReturn);
     }
 
     private long returnAtMillis(String endpoint) {
-        return Math.max(notices.state(endpoint).backOffUntilMillis(), limits.nextReturnMillis(endpoint));
+        return Math.max(backOffUntilMillis(endpoint), limits.nextReturnMillis(endpoint));
+    }
+
+    private long backOffUntilMillis(String endpoint) {
+        return notices.state(endpoint).map(NoticeState::backOffUntilMillis).orElse(Long.MIN_VALUE / 2);
     }
 
     private Outcome.NotRun bookReturn(String endpoint) {
-        long backOff = notices.state(endpoint).backOffUntilMillis() - clock.monotonicMillis();
+        long backOff = backOffUntilMillis(endpoint) - clock.monotonicMillis();
         long limit = limits.bookReturnMillis(endpoint);
         if (limit >= backOff) {
             return new Outcome.NotRun(Reason.AT_REQUEST_LIMIT, Duration.ofMillis(limit));
--- a/router/src/main/java/org/hornbeamhead/router/EndpointLimits.java
+++ b/router/src/main/java/org/hornbeamhead/router/EndpointLimits.java
@@ -13,6 +13,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.limit.LimitExchange;
 import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.limit.StatedLimit;
@@ -169,6 +170,13 @@
                 .orElse(0L);
     }
 
+    /** Returns the endpoints that have a limit. */
+    Stream<String> limited() {
+        return limiters.entrySet().stream()
+                .filter(e -> e.getValue().isLimited())
+                .map(Map.Entry::getKey);
+    }
+
     private Optional<RequestLimiter> limited(String endpoint) {
         return Optional.ofNullable(limiters.get(endpoint)).filter(RequestLimiter::isLimited);
     }
--- a/router/src/main/java/org/hornbeamhead/router/EndpointNotices.java
+++ b/router/src/main/java/org/hornbeamhead/router/EndpointNotices.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.availability.NoticeState;
 import org.hornbeamhead.core.http.RetryAfter;
 import org.hornbeamhead.core.time.Clock;
@@ -26,8 +28,11 @@
 
     private final Clock clock;
     private final Metrics metrics;
+    /** The endpoints that said anything. */
     private final Map<String, NoticeState> states = new HashMap<>();
 
+    private Set<String> endpoints = Set.of();
+
     EndpointNotices(Clock clock, Metrics metrics) {
         this.clock = clock;
         this.metrics = metrics;
@@ -40,38 +45,47 @@
     }
 
     /** Takes over the endpoints that are listed; all others are forgotten. */
-    void listed(Collection<String> endpoints) {
+    void listed(Collection<String> listed) {
+        endpoints = Set.copyOf(listed);
         states.keySet().retainAll(endpoints);
-        endpoints.forEach(e -> states.computeIfAbsent(e, a -> new NoticeState()));
     }
 
     /** Forgets what the earlier process at an address said, since another one has started there. */
     void restarted(String endpoint) {
-        states.computeIfPresent(endpoint, (a, s) -> new NoticeState());
+        states.remove(endpoint);
+    }
+
+    /** Returns what an endpoint said, empty if it said nothing. */
+    Optional<NoticeState> state(String endpoint) {
+        return Optional.ofNullable(states.get(endpoint));
     }
 
-    NoticeState state(String endpoint) {
-        return states.getOrDefault(endpoint, new NoticeState());
+    /** Returns the endpoints that said anything. */
+    Stream<String> noticed() {
+        return states.keySet().stream();
     }
 
     /** Records what an answer says. Invalid statements change nothing. */
     void observe(String endpoint, HttpResponse response, String request) {
-        NoticeState state = states.get(endpoint);
-        if (state == null) {
+        if (!endpoints.contains(endpoint)) {
             return;
         }
-        if (values(response, LEAVING).equals(List.of("1")) && state.recordLeaving()) {
+        if (values(response, LEAVING).equals(List.of("1")) && recorded(endpoint).recordLeaving()) {
             report(endpoint, request, "leaving", "endpoint leaving", "");
         }
         if (response.getCode() == UNAVAILABLE) {
             RetryAfter.parse(values(response, HttpHeaders.RETRY_AFTER))
                     .peekLeft(reason -> report(endpoint, request, "invalid", "endpoint notice ignored", reason))
-                    .forEach(millis -> millis.ifPresent(m -> backOff(endpoint, state, m, request)));
+                    .forEach(millis -> millis.ifPresent(m -> backOff(endpoint, m, request)));
         }
     }
 
-    private void backOff(String endpoint, NoticeState state, long millis, String request) {
-        if (state.recordBackOff(millis, clock.monotonicMillis())) {
+    private NoticeState recorded(String endpoint) {
+        return states.computeIfAbsent(endpoint, e -> new NoticeState());
+    }
+
+    private void backOff(String endpoint, long millis, String request) {
+        if (recorded(endpoint).recordBackOff(millis, clock.monotonicMillis())) {
             report(endpoint, request, "back-off", "endpoint backs off", "millis=" + millis);
         }
     }
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
@@ -19,6 +19,7 @@
 import org.hornbeamhead.daemon.Daemon;
 import org.hornbeamhead.daemon.HttpAnswers;
 import org.hornbeamhead.daemon.Json;
+import org.hornbeamhead.standin.StandinAnswers;
 
 /**
  * A stand-in model engine. It speaks the usual protocol for chat and plain completions with server-sent events; each
@@ -98,7 +99,7 @@
 
     private Promise<HttpResponse> start(String id, JsonNode body) {
         if (faults.refuse() || orders.isDraining()) {
-            return refusal();
+            return StandinAnswers.refusal(faults.retryAfter(), faults.leaving());
         }
         String weights = body.path("weights").asText("");
         if (!weights.isEmpty() && !weights.equals(orders.weights())) {
@@ -113,15 +114,6 @@
         return stream(recording, 0);
     }
 
-    private Promise<HttpResponse> refusal() {
-        HttpResponse.Builder answer =
-                HttpResponse.ofCode(503).withBody("refused before any work".getBytes(StandardCharsets.UTF_8));
-        if (!faults.retryAfter().isEmpty()) {
-            answer.withHeader(HttpHeaders.RETRY_AFTER, faults.retryAfter());
-        }
-        return answer.toPromise();
-    }
-
     private static EngineRequest request(String id, JsonNode body) {
         StringBuilder prompt = new StringBuilder(body.path("prompt").asText(""));
         String partial = "";
@@ -162,12 +154,7 @@
                 .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
                 .withHeader(HttpHeaders.of("X-Request-Id"), recording.id())
                 .withHeader(HttpHeaders.of("X-Incarnation"), incarnation);
-        if (!faults.requestLimit().isEmpty()) {
-            answer.withHeader(HttpHeaders.of("Hornbeam-Request-Limit"), faults.requestLimit());
-        }
-        if (faults.leaving()) {
-            answer.withHeader(HttpHeaders.of("Hornbeam-Leaving"), "1");
-        }
+        StandinAnswers.addNotices(answer, faults.requestLimit(), faults.leaving());
         return answer.withBodyStream(new EngineStream(recording, from, faults)).toPromise();
     }
 
--- a/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/service/PlainServer.java
@@ -17,14 +17,13 @@
 import org.hornbeamhead.daemon.Daemon;
 import org.hornbeamhead.daemon.HttpAnswers;
 import org.hornbeamhead.daemon.Json;
+import org.hornbeamhead.standin.StandinAnswers;
 
 /** A stand-in plain service. It counts how often each id was run; that count judges whether anything ran twice. */
 public final class PlainServer {
     private static final long CRASH_AFTER_MILLIS = 60;
     private static final int BODY_LIMIT = 1 << 20;
     private static final HttpHeader KEY = HttpHeaders.of("Idempotency-Key");
-    private static final HttpHeader LEAVING = HttpHeaders.of("Hornbeam-Leaving");
-    private static final HttpHeader LIMIT = HttpHeaders.of("Hornbeam-Request-Limit");
 
     /**
      * What the service does wrong.
@@ -104,7 +103,7 @@
 
     private Promise<HttpResponse> run(HttpRequest request) {
         if (random.nextDouble() < faults.refuseShare()) {
-            return refusal();
+            return StandinAnswers.refusal(faults.retryAfter(), faults.leaving());
         }
         calls++;
         if (ServiceFaults.meets(faults.failOn(), request.getPath())) {
@@ -128,26 +127,12 @@
                 : Promises.delay(faults.workMillis()).then(v -> answer);
     }
 
-    private Promise<HttpResponse> refusal() {
-        HttpResponse.Builder answer =
-                HttpResponse.ofCode(503).withBody("refused before any work".getBytes(StandardCharsets.UTF_8));
-        if (!faults.retryAfter().isEmpty()) {
-            answer.withHeader(HttpHeaders.RETRY_AFTER, faults.retryAfter());
-        }
-        return answer.toPromise();
-    }
-
     private Promise<HttpResponse> answer(String id, String path) {
         HttpResponse.Builder answer = HttpResponse.ok200()
                 .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
                 .withBody(Json.write(Json.object().put("id", id).put("path", path))
                         .getBytes(StandardCharsets.UTF_8));
-        if (!faults.requestLimit().isEmpty()) {
-            answer.withHeader(LIMIT, faults.requestLimit());
-        }
-        if (faults.leaving()) {
-            answer.withHeader(LEAVING, "1");
-        }
+        StandinAnswers.addNotices(answer, faults.requestLimit(), faults.leaving());
         return answer.toPromise();
     }
 
