--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -118,7 +118,7 @@
     /** The promise, a history that breaks it, and one like it that does not. */
     @DataProvider
     public Object[][] histories() {
-        return Stream.of(answerHistories(), stateHistories(), loadHistories())
+        return Stream.of(answerHistories(), stateHistories(), loadHistories(), availabilityHistories())
                 .flatMap(Arrays::stream)
                 .toArray(Object[][]::new);
     }
@@ -239,6 +239,19 @@
                 limited(10_000, 100, 200).add(new Disturbed("STORE_BUSY", History.STORE, false, 9_000, 40_000)),
                 limited(10_000, 100, 200).add(new Disturbed("ROUTER_FROZEN", "router0", false, 9_000, 40_000))
             },
+            {"requests that end replicas", ends(4), ends(3)},
+            {
+                "requests that end replicas",
+                ends(4).add(new Disturbed("ALL_KILLED", History.ALL_ROUTERS, false, 4_000, 5_000)),
+                ends(4).add(new Disturbed("ALL_KILLED", History.ALL_ROUTERS, false, 4_000, 5_000))
+                        .add(new Disturbed("STORE_BUSY", History.STORE, false, 1_000, 5_000))
+            },
+            {"service back", lateRequests(80, 20), lateRequests(95, 5)},
+        };
+    }
+
+    private static Object[][] availabilityHistories() {
+        return new Object[][] {
             {"announced leaves", leaves(3_100), leaves(2_900)},
             {
                 "announced leaves",
@@ -257,14 +270,6 @@
                 paused(3, 500).add(new Disturbed("STORE_BUSY", History.STORE, false, 0, 9_000)),
                 paused(3, 500).add(new Disturbed("ROUTER_KILLED", "router0", false, 2_000, 3_000))
             },
-            {"requests that end replicas", ends(4), ends(3)},
-            {
-                "requests that end replicas",
-                ends(4).add(new Disturbed("ALL_KILLED", History.ALL_ROUTERS, false, 4_000, 5_000)),
-                ends(4).add(new Disturbed("ALL_KILLED", History.ALL_ROUTERS, false, 4_000, 5_000))
-                        .add(new Disturbed("STORE_BUSY", History.STORE, false, 1_000, 5_000))
-            },
-            {"service back", lateRequests(80, 20), lateRequests(95, 5)},
         };
     }
 
