--- a/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
+++ b/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
@@ -4,6 +4,8 @@
 public enum Unavailability {
     /** The replica's entry cannot be read. */
     INVALID_ENTRY,
+    /** This host has no path to the replica's service. */
+    NO_PATH,
     /** The replica is leaving, by its entry or by one of its answers. */
     LEAVING,
     /** The replica asked this router for a pause that is not over. */
--- a/core/src/main/java/org/hornbeamhead/core/entry/EntrySelection.java
+++ b/core/src/main/java/org/hornbeamhead/core/entry/EntrySelection.java
@@ -50,7 +50,12 @@
             return uptimeMillis < WARM_UP_MILLIS;
         }
 
-        private double effectiveCapacity() {
+        /**
+         * Returns the capacity, which is lower in the time after the start.
+         *
+         * @return requests a second
+         */
+        public double effectiveCapacity() {
             return cold() ? capacity * COLD_SHARE : capacity;
         }
     }
--- a/core/src/main/java/org/hornbeamhead/core/forward/AttemptOutcome.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/AttemptOutcome.java
@@ -2,8 +2,10 @@
 
 /** The outcome of one attempt at a replica, as far as the router can tell. */
 public enum AttemptOutcome {
-    /** The connection could not be opened; no byte of the request was sent. */
+    /** The request was withdrawn, or no connection was free, before any byte of it was sent. */
     NOT_SENT(false),
+    /** The connection could not be opened; no byte of the request was sent. */
+    NOT_CONNECTED(false),
     /** The replica reported that it did not run the request because it is full or shutting down. */
     REFUSED(false),
     /** A different replica, or one with different weights, is at the address and did not run the request. */
@@ -21,6 +23,15 @@
         this.mayHaveExecuted = mayHaveRun;
     }
 
+    /**
+     * Returns whether the attempt put load on a replica.
+     *
+     * @return false if no byte of the request was sent
+     */
+    public boolean wasSent() {
+        return this != NOT_SENT && this != NOT_CONNECTED;
+    }
+
     /**
      * Returns whether the replica may have started to execute the request.
      *
--- a/core/src/main/java/org/hornbeamhead/core/forward/ForwardingState.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/ForwardingState.java
@@ -40,7 +40,18 @@
      * @param route the request's route
      */
     public ForwardingState(Route route) {
+        this(route, 0);
+    }
+
+    /**
+     * Creates the state of a request that another router may have sent.
+     *
+     * @param route the request's route
+     * @param possibleExecutions how many attempts of the other router may have been executed
+     */
+    public ForwardingState(Route route, int possibleExecutions) {
         this.route = route;
+        this.possibleExecutions = possibleExecutions;
     }
 
     /** Records that the first bytes of a response were sent to the caller. */
@@ -72,9 +83,7 @@
         }
         boolean allowed = conditions.timeLeft() && conditions.replicaLeft() && mayRetry(outcome);
         // An attempt that was not sent put no load on any replica, so its retry is free.
-        if (allowed
-                && (outcome == AttemptOutcome.NOT_SENT
-                        || conditions.retryBudget().getAsBoolean())) {
+        if (allowed && (!outcome.wasSent() || conditions.retryBudget().getAsBoolean())) {
             return new NextStep.SendElsewhere();
         }
         return new NextStep.GiveUp(responseAfter(outcome));
--- a/core/src/main/java/org/hornbeamhead/core/http/WholeRequest.java
+++ b/core/src/main/java/org/hornbeamhead/core/http/WholeRequest.java
@@ -19,6 +19,16 @@
         return head;
     }
 
+    /**
+     * Returns the same request with other headers.
+     *
+     * @param headers the headers
+     * @return the changed request
+     */
+    public WholeRequest withHeaders(Headers headers) {
+        return new WholeRequest(new RequestHead(head.method(), head.target(), headers, head.keepAlive()), body);
+    }
+
     /**
      * Returns the body.
      *
--- a/core/src/main/java/org/hornbeamhead/core/route/CallerLimits.java
+++ b/core/src/main/java/org/hornbeamhead/core/route/CallerLimits.java
@@ -8,4 +8,19 @@
  * @param headerTimeoutMillis how long the header section may take to arrive, in milliseconds
  * @param idleTimeoutMillis how long a connection may stay idle, in milliseconds
  */
-public record CallerLimits(int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {}
+public record CallerLimits(int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {
+    /** What routers add to the headers of a caller, in bytes. */
+    private static final int RELAY_HEADER_BYTES = 512;
+
+    private static final long ROUTER_IDLE_TIMEOUT_MILLIS = 15_000;
+
+    /**
+     * Returns the limits for requests of the same callers that another router hands over.
+     *
+     * @return the limits, which leave room for the headers that routers add
+     */
+    public CallerLimits forRouters() {
+        return new CallerLimits(
+                maxHeaderBytes + RELAY_HEADER_BYTES, maxBodyBytes, headerTimeoutMillis, ROUTER_IDLE_TIMEOUT_MILLIS);
+    }
+}
--- a/fuzz/src/test/java/org/hornbeamhead/gateway/state/PeerReading.java
+++ b/fuzz/src/test/java/org/hornbeamhead/gateway/state/PeerReading.java
@@ -20,6 +20,6 @@
                         MirrorAnswer.decode(Json.write(answer.encode())).get(), answer));
         RouterList routers = new RouterList(SELF, () -> true, new ManualClock(0));
         routers.update(new StoreItem(RouterEntry.PREFIX + "n2", 1, text, false));
-        routers.callerAddresses(8, 1_000);
+        routers.callerAddresses(8, 1_000, r -> true);
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -22,9 +22,11 @@
 import org.hornbeamhead.core.quota.QuotaLedger;
 import org.hornbeamhead.core.route.CallerLimits;
 import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Daemon;
 import org.hornbeamhead.daemon.HttpAnswers;
+import org.hornbeamhead.daemon.HttpCaller;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.caller.CallerResponse;
@@ -36,6 +38,9 @@
 import org.hornbeamhead.gateway.duty.ReplicaOrderClient;
 import org.hornbeamhead.gateway.limit.CountedOrderClient;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
+import org.hornbeamhead.gateway.path.RelayRouters;
+import org.hornbeamhead.gateway.path.ReplicaPaths;
+import org.hornbeamhead.gateway.quarantine.CrashConfirmation;
 import org.hornbeamhead.gateway.quarantine.Quarantine;
 import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.quota.QuotaReports;
@@ -84,10 +89,12 @@
     private final PeerChangeNotifier notifier;
     private final LeaderTasks leaderTasks;
     private final PeerDatagrams datagrams;
+    private final CrashConfirmation crashConfirmation;
     private final Quarantine quarantine;
     private final UsageGossip quotaGossip;
     private final ReplicaLimits replicaLimits;
     private final UsageGossip limitGossip;
+    private final ReplicaPaths paths;
     private final Dispatcher dispatcher;
     private final LoadHints loadHints;
     private final CallerServer callerServer;
@@ -144,6 +151,9 @@
                 this::peerAddresses,
                 HttpMirrorClient.forReaders(reactor),
                 HttpMirrorClient.forPeers(reactor)));
+        datagrams = new PeerDatagrams(reactor);
+        paths = new ReplicaPaths(new ReplicaPaths.Dependencies(
+                clock, daemon.timers(), random, registry, this::healthPath, routers, datagrams, metrics));
         notifier = new PeerChangeNotifier(reactor, clock, this::activePeerAddresses, weights, registry);
         leaderTasks = new LeaderTasks(
                 new LeaderTasks.Dependencies(
@@ -151,14 +161,21 @@
                         clock,
                         registry,
                         weights,
-                        new CountedOrderClient(ports.orders(), registry, clock),
+                        new CountedOrderClient(ports.orders(), registry, clock, paths),
                         ports.store(),
                         mirror,
-                        notifier),
+                        notifier,
+                        this::reachesEngines),
                 settings,
                 routers,
                 state);
-        datagrams = new PeerDatagrams(reactor);
+        crashConfirmation = new CrashConfirmation(
+                clock,
+                HttpCaller.connectingAnew(reactor),
+                random,
+                registry,
+                paths,
+                () -> routers.peerAddresses(List.of()));
         quarantine = new Quarantine(quarantineDependencies(ports, random));
         QuotaLedger ledger = createQuotaLedger(random);
         quotaGossip = gossip(new QuotaReports(ledger, clock, datagrams));
@@ -175,6 +192,20 @@
         mirror.addListener(this::onStoreChange);
     }
 
+    private String healthPath(String service) {
+        return state.config()
+                .flatMap(c -> c.findService(service))
+                .map(ServiceSpec::healthPath)
+                .orElse("/");
+    }
+
+    /** Returns whether this host has paths to all engines, so that it can order them to load weights. */
+    private boolean reachesEngines() {
+        return registry.all().stream()
+                .filter(r -> !r.entry().weights().isEmpty())
+                .noneMatch(r -> paths.isLost(r.entry().service()));
+    }
+
     private UsageGossip gossip(UsageReports reports) {
         return new UsageGossip(clock, daemon.timers(), reports, activeRouters, routers::hintAddresses, datagrams);
     }
@@ -200,7 +231,9 @@
                 activeRouters,
                 quarantine,
                 new QuotaGate(ledger, clock),
-                replicaLimits);
+                replicaLimits,
+                paths,
+                new RelayRouters(reactor, clock, routers, paths, settings.self().dataCentre()));
     }
 
     private Quarantine.Dependencies quarantineDependencies(Ports ports, Random random) {
@@ -212,6 +245,7 @@
                 registry,
                 datagrams,
                 new CrashGossip.Peers(this::activeHintAddresses, routers::hintAddresses),
+                crashConfirmation,
                 metrics);
     }
 
@@ -238,6 +272,14 @@
         }
     }
 
+    private void handleRelayed(WholeRequest request, CallerResponse answer) {
+        if (shutdown.rejectsNewRequests()) {
+            dispatcher.declineRelayed(request, answer, "the router is about to end");
+        } else {
+            dispatcher.handleRelayed(request, answer);
+        }
+    }
+
     private CallerLimits callerLimits() {
         return state.config().map(RoutingConfig::limits).orElse(DEFAULT_LIMITS);
     }
@@ -261,6 +303,7 @@
      */
     public void start() throws IOException {
         callerServer.listen(settings.callerAddress());
+        callerServer.listenForRouters(settings.hintAddress(), routers::isRouterHost, this::handleRelayed);
         daemon.listen(settings.peerAddress(), this::handlePeerRequest);
         if (settings.metricsAddress().getPort() != 0) {
             daemon.listen(settings.metricsAddress(), request -> metrics.scrape());
@@ -278,6 +321,7 @@
         metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
         quarantine.start();
         datagrams.start(settings.hintAddress());
+        paths.start();
         loadHints.start();
         quotaGossip.start();
         limitGossip.start();
@@ -301,6 +345,7 @@
                 switch (request.getPath()) {
                     case MirrorServer.PATH -> storeView::handle;
                     case PeerChangeNotifier.PATH -> notifier::handle;
+                    case CrashConfirmation.PATH -> crashConfirmation::handle;
                     default -> r -> HttpAnswers.text(404, "text/plain", "no such path\n");
                 };
         return servlet.serve(request);
@@ -424,6 +469,12 @@
         return state.config().isPresent() && !shutdown.isStarted();
     }
 
+    private boolean hasAllPaths(RouterEntry router, long now) {
+        return router.node().equals(settings.self().node())
+                ? !paths.isAnyAnnounced()
+                : paths.peers().hasAllPaths(router.hints(), now);
+    }
+
     /**
      * Returns the addresses that callers should use.
      *
@@ -431,6 +482,7 @@
      * @return the addresses
      */
     public List<String> callerAddresses(int limit) {
-        return routers.callerAddresses(limit, activeRouters.fleetRate(clock.monotonicMillis()));
+        long now = clock.monotonicMillis();
+        return routers.callerAddresses(limit, activeRouters.fleetRate(now), r -> hasAllPaths(r, now));
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
@@ -13,6 +13,7 @@
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
+import org.hornbeamhead.gateway.path.ReplicaPaths;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 
 /** Decides whether this router may send a request to a replica now, and when a caller may return if none takes it. */
@@ -21,16 +22,19 @@
 
     private final Clock clock;
     private final ReplicaLimits limits;
+    private final ReplicaPaths paths;
 
     /**
      * Creates the decision.
      *
      * @param clock the clock
      * @param limits the request limits of replicas
+     * @param paths the paths of this host
      */
-    public ReplicaAvailability(Clock clock, ReplicaLimits limits) {
+    public ReplicaAvailability(Clock clock, ReplicaLimits limits, ReplicaPaths paths) {
         this.clock = clock;
         this.limits = limits;
+        this.paths = paths;
     }
 
     /**
@@ -43,6 +47,9 @@
         if (replica.isEntryInvalid()) {
             return Optional.of(Unavailability.INVALID_ENTRY);
         }
+        if (paths.isLost(replica.entry().service())) {
+            return Optional.of(Unavailability.NO_PATH);
+        }
         if (replica.isLeaving()) {
             return Optional.of(Unavailability.LEAVING);
         }
@@ -80,6 +87,7 @@
         }
         OptionalLong returnMillis = replicas.stream()
                 .filter(LiveReplica::isInService)
+                .filter(r -> !paths.isLost(r.entry().service()))
                 .min(Comparator.comparingLong(this::returnAtMillis))
                 .map(first -> OptionalLong.of(bookReturnMillis(first, request)))
                 .orElse(OptionalLong.empty());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
@@ -32,6 +32,7 @@
     private final NioReactor reactor;
     private final ITcpSocket socket;
     private final CallerServer server;
+    private final CallerHandler handler;
     private final RequestReader reader;
     private final CallerLimits limits;
     private ScheduledRunnable timer;
@@ -41,10 +42,12 @@
     private boolean closed;
     private boolean readPaused;
 
-    CallerConnection(NioReactor reactor, ITcpSocket socket, CallerServer server, CallerLimits limits) {
+    CallerConnection(
+            NioReactor reactor, ITcpSocket socket, CallerServer server, CallerHandler handler, CallerLimits limits) {
         this.reactor = reactor;
         this.socket = socket;
         this.server = server;
+        this.handler = handler;
         this.limits = limits;
         this.reader = new RequestReader(limits.maxHeaderBytes(), limits.maxBodyBytes());
     }
@@ -125,7 +128,7 @@
                 request.head().method().equals("HEAD"),
                 this::responseCompleted);
         server.requestStarted();
-        server.handle(request, response);
+        server.handle(handler, request, response);
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -3,12 +3,17 @@
 import com.google.common.flogger.FluentLogger;
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.route.CallerLimits;
@@ -31,7 +36,7 @@
     private final Metrics metrics;
     private final StallDetector stallDetector;
     private final Set<CallerConnection> openConnections = new HashSet<>();
-    private SimpleServer server;
+    private final List<SimpleServer> servers = new ArrayList<>();
     private int inFlight;
     private boolean draining;
 
@@ -60,15 +65,42 @@
      * @throws IOException if the address cannot be bound
      */
     public void listen(InetSocketAddress address) throws IOException {
-        server = SimpleServer.builder(reactor, this::accept)
+        listen(address, s -> accept(s, handler, limits.get()));
+        stallDetector.start();
+    }
+
+    /**
+     * Starts to listen for requests that other routers hand over. Connections of other hosts are closed.
+     *
+     * @param address the address to bind
+     * @param isRouter returns whether a router runs at an address
+     * @param relayHandler handles the requests
+     * @throws IOException if the address cannot be bound
+     */
+    public void listenForRouters(InetSocketAddress address, Predicate<InetAddress> isRouter, CallerHandler relayHandler)
+            throws IOException {
+        listen(address, socket -> {
+            InetAddress host = ((TcpSocket) socket).getRemoteAddress().getAddress();
+            if (isRouter.test(host)) {
+                accept(socket, relayHandler, limits.get().forRouters());
+            } else {
+                metrics.count("hornbeam_relay_connections_refused");
+                logger.atWarning().log("connection from %s, where no router is listed, is closed", host);
+                socket.close();
+            }
+        });
+    }
+
+    private void listen(InetSocketAddress address, Consumer<ITcpSocket> acceptor) throws IOException {
+        SimpleServer server = SimpleServer.builder(reactor, acceptor)
                 .withListenAddress(address)
                 .build();
         server.listen();
-        stallDetector.start();
+        servers.add(server);
     }
 
-    private void accept(ITcpSocket socket) {
-        CallerConnection connection = new CallerConnection(reactor, socket, this, limits.get());
+    private void accept(ITcpSocket socket, CallerHandler requestHandler, CallerLimits connectionLimits) {
+        CallerConnection connection = new CallerConnection(reactor, socket, this, requestHandler, connectionLimits);
         openConnections.add(connection);
         connection.start();
     }
@@ -77,19 +109,20 @@
      * Handles a request. After a stall, the request may have been waiting for long, and its caller may have left; the
      * reactor then looks for the end of the connection first, which takes two of its turns.
      */
-    void handle(WholeRequest request, ResponseWriter response) {
+    void handle(CallerHandler requestHandler, WholeRequest request, ResponseWriter response) {
         if (!stallDetector.mayHaveBacklog()) {
-            handler.handle(request, response);
+            requestHandler.handle(request, response);
             return;
         }
-        reactor.delayBackground(1, () -> reactor.delayBackground(1, () -> handleUnlessDisconnected(request, response)));
+        reactor.delayBackground(
+                1, () -> reactor.delayBackground(1, () -> handleUnlessDisconnected(requestHandler, request, response)));
     }
 
-    private void handleUnlessDisconnected(WholeRequest request, ResponseWriter response) {
+    private void handleUnlessDisconnected(CallerHandler requestHandler, WholeRequest request, ResponseWriter response) {
         if (response.isFinished()) {
             metrics.count("hornbeam_callers_gone_unserved");
         } else {
-            handler.handle(request, response);
+            requestHandler.handle(request, response);
         }
     }
 
@@ -114,7 +147,7 @@
 
     /** Stops accepting connections. */
     public void stopListening() {
-        server.close();
+        servers.forEach(SimpleServer::close);
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -12,7 +12,9 @@
 import org.hornbeamhead.core.stream.CorruptStreamException;
 import org.hornbeamhead.core.stream.EventSplitter;
 import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.gateway.path.ReplicaPaths;
 import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.replica.NoConnectionException;
 import org.hornbeamhead.gateway.replica.ReplicaConnection;
 import org.hornbeamhead.gateway.replica.ResponseListener;
 
@@ -103,8 +105,7 @@
                     replica.connections().release(acquired);
                 }
             } else if (e != null) {
-                replica.guard().recordConnectFailure(now());
-                end(AttemptOutcome.NOT_SENT, "no connection: " + e.getMessage(), Optional.empty());
+                endWithoutConnection(e);
             } else if (weightsExpired()) {
                 replica.connections().release(acquired);
                 end(AttemptOutcome.NOT_SENT, "weights went out of use while it connected", Optional.empty());
@@ -114,6 +115,18 @@
         });
     }
 
+    private void endWithoutConnection(Exception e) {
+        replica.guard().recordConnectFailure(now());
+        boolean refused = !(e instanceof NoConnectionException);
+        if (refused) {
+            exchange.dispatcher().paths().recordFailure(replica, ReplicaPaths.Failure.NOT_CONNECTED);
+        }
+        end(
+                refused ? AttemptOutcome.NOT_CONNECTED : AttemptOutcome.NOT_SENT,
+                "no connection: " + e.getMessage(),
+                Optional.empty());
+    }
+
     /** Sends the request unless the replica became unavailable while the connection was opened. */
     private void sendIfAvailable(ReplicaConnection acquired) {
         exchange.dispatcher()
@@ -150,6 +163,7 @@
                 .ifPresent(v -> timers.setWeightsWatch(
                         exchange.dispatcher().weightsExpiry().watch(v, this::cancelExpired)));
         timers.startProbeTimer(request.silenceTimeouts().probeDelayMillis(), this::probeReplica);
+        timers.startPathTimer(request.silenceTimeouts().pathDelayMillis(), this::recordSilence);
         acquired.send(request.message(options), request.method(), request::matchesResponse, this);
     }
 
@@ -158,7 +172,16 @@
      */
     private void probeReplica() {
         if (!ended && head == null) {
-            replica.connections().probe(() -> replica.guard().recordConnectFailure(now()));
+            replica.connections().probe(() -> {
+                replica.guard().recordConnectFailure(now());
+                exchange.dispatcher().paths().recordFailure(replica, ReplicaPaths.Failure.NOT_CONNECTED);
+            });
+        }
+    }
+
+    private void recordSilence() {
+        if (!ended && head == null) {
+            exchange.dispatcher().paths().recordFailure(replica, ReplicaPaths.Failure.SILENT);
         }
     }
 
@@ -201,7 +224,7 @@
 
     @Override
     public void onHead(ResponseHead received) {
-        lastHeardAt = now();
+        recordContact();
         head = received;
         responseInfo = exchange.dispatcher()
                 .headerCodec()
@@ -238,7 +261,7 @@
      */
     @Override
     public Promise<Void> onBody(byte[] bytes) {
-        lastHeardAt = now();
+        recordContact();
         if (ended || bytes.length == 0) {
             return Promise.complete();
         }
@@ -258,6 +281,11 @@
         return events.isEmpty() ? Promise.complete() : relay(events);
     }
 
+    private void recordContact() {
+        lastHeardAt = now();
+        exchange.dispatcher().paths().recordContact(replica);
+    }
+
     private Promise<Void> relay(List<EventSplitter.Event> events) {
         replica.load().recordFirstEvent(request.id(), now());
         armSilenceTimer(request.silenceTimeouts().pauseMillis());
@@ -322,6 +350,9 @@
     public void onFailure(String reason) {
         if (!ended) {
             replica.guard().recordFailure(now());
+            if (!connection.hasReceived()) {
+                exchange.dispatcher().paths().recordFailure(replica, ReplicaPaths.Failure.BROKEN);
+            }
             end(AttemptOutcome.BROKEN, reason, Optional.empty());
         }
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/AttemptTimers.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/AttemptTimers.java
@@ -8,6 +8,7 @@
     private final NioReactor reactor;
     private ScheduledRunnable silenceTimer;
     private ScheduledRunnable probeTimer;
+    private ScheduledRunnable pathTimer;
     private Runnable stopWatch = () -> {};
 
     AttemptTimers(NioReactor reactor) {
@@ -25,6 +26,11 @@
         probeTimer = reactor.delayBackground(millis, action);
     }
 
+    /** Starts the timer after which a silent replica counts as not reached. */
+    void startPathTimer(long millis, Runnable action) {
+        pathTimer = reactor.delayBackground(millis, action);
+    }
+
     /**
      * Sets the action that stops the watch on the weights version; it runs when processing starts or the attempt ends.
      */
@@ -42,6 +48,7 @@
         stopWatch.run();
         cancel(silenceTimer);
         cancel(probeTimer);
+        cancel(pathTimer);
     }
 
     private static void cancel(ScheduledRunnable timer) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -8,11 +8,13 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.LoadHint;
 import org.hornbeamhead.core.entry.ActiveRouters;
 import org.hornbeamhead.core.forward.FinalResponse;
+import org.hornbeamhead.core.forward.ForwardingState;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.quota.QuotaDecision;
@@ -30,6 +32,9 @@
 import org.hornbeamhead.gateway.caller.CallerHandler;
 import org.hornbeamhead.gateway.caller.CallerResponse;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
+import org.hornbeamhead.gateway.path.RelayHeaders;
+import org.hornbeamhead.gateway.path.RelayRouters;
+import org.hornbeamhead.gateway.path.ReplicaPaths;
 import org.hornbeamhead.gateway.quarantine.Quarantine;
 import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.replica.LiveReplica;
@@ -85,6 +90,8 @@
     private final ReplicaNotices replicaNotices;
     private final ReplicaAvailability availability;
     private final UnknownHeaders unknownHeaders;
+    private final ReplicaPaths paths;
+    private final RelayRouters relayRouters;
     private final InFlightRequests inFlight = new InFlightRequests();
     private LoadHints loadHints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -116,6 +123,8 @@
      * @param quarantine the quarantined requests
      * @param quotas the quotas of customers
      * @param replicaLimits the request limits that replicas state
+     * @param paths the paths of this host to replicas
+     * @param relayRouters the routers to which requests are handed when there is no path
      */
     public record Dependencies(
             NioReactor reactor,
@@ -132,7 +141,9 @@
             ActiveRouters routers,
             Quarantine quarantine,
             QuotaGate quotas,
-            ReplicaLimits replicaLimits) {}
+            ReplicaLimits replicaLimits,
+            ReplicaPaths paths,
+            RelayRouters relayRouters) {}
 
     /**
      * Creates a dispatcher.
@@ -154,7 +165,9 @@
         this.replicaLimits = dependencies.replicaLimits();
         this.replicaNotices = new ReplicaNotices(clock, metrics);
         this.unknownHeaders = new UnknownHeaders(headerCodec, metrics);
-        this.availability = new ReplicaAvailability(clock, replicaLimits);
+        this.paths = dependencies.paths();
+        this.relayRouters = dependencies.relayRouters();
+        this.availability = new ReplicaAvailability(clock, replicaLimits, paths);
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
@@ -170,20 +183,59 @@
         CallerRequest request = headerCodec.decodeRequest(message);
         long arrivedAt = clock.monotonicMillis();
         if (state.config().isPresent()) {
-            routeRequest(state.config().get(), request, response, arrivedAt);
+            routeRequest(state.config().get(), request, response, arrivedAt, Optional.empty());
         } else {
             startupQueue.add(
-                    () -> routeRequest(state.config().orElseThrow(), request, response, arrivedAt),
+                    () -> routeRequest(state.config().orElseThrow(), request, response, arrivedAt, Optional.empty()),
                     () -> rejectNotExecuted(request, response, "no configuration yet", NOT_READY_RETRY_MILLIS));
         }
     }
 
+    /**
+     * Handles a request that another router handed over. It is declined by a router with an older configuration, since
+     * the host that received the request would otherwise fall back to it.
+     *
+     * @param message the request
+     * @param response receives the response
+     */
+    public void handleRelayed(WholeRequest message, CallerResponse response) {
+        RelayHeaders.Origin origin = RelayHeaders.origin(message.head().headers());
+        CallerRequest request = headerCodec.decodeRequest(
+                message.withHeaders(RelayHeaders.withoutOrigin(message.head().headers())));
+        metrics.count("hornbeam_requests_of_routers");
+        state.config()
+                .filter(c -> c.version() >= origin.configurationVersion())
+                .ifPresentOrElse(
+                        c -> routeRequest(c, request, response, clock.monotonicMillis(), Optional.of(origin)),
+                        () -> decline(request, response, "the configuration is older or missing"));
+    }
+
+    /**
+     * Declines a request of another router. It has not run, and a third router may take it.
+     *
+     * @param message the request
+     * @param response receives the response
+     * @param reason the reason, sent to the other router
+     */
+    public void declineRelayed(WholeRequest message, CallerResponse response, String reason) {
+        decline(headerCodec.decodeRequest(message), response, reason);
+    }
+
+    void decline(CallerRequest request, CallerResponse response, String reason) {
+        respond(request, response, FinalResponse.NOT_RUN.status(), reason, RelayHeaders.declined(reason));
+    }
+
     /** Serves the requests that were queued until the first configuration was loaded. */
     public void configurationLoaded() {
         startupQueue.release();
     }
 
-    private void routeRequest(RoutingConfig config, CallerRequest request, CallerResponse response, long arrivedAt) {
+    private void routeRequest(
+            RoutingConfig config,
+            CallerRequest request,
+            CallerResponse response,
+            long arrivedAt,
+            Optional<RelayHeaders.Origin> origin) {
         Optional<Route> route =
                 config.findRoute(request.host(), request.message().head().path());
         if (route.isEmpty()) {
@@ -199,7 +251,7 @@
             respond(request, response, BAD_REQUEST, "the request names no id", Headers.NONE);
             return;
         }
-        forward(new RoutedRequest(config, route.get(), owner, request, arrivedAt), response);
+        forward(new RoutedRequest(config, route.get(), owner, request, arrivedAt, origin), response);
     }
 
     /**
@@ -221,6 +273,9 @@
                     routed.callerRequest(), response, "service " + name + " is not configured", STALE_RETRY_MILLIS);
             return;
         }
+        if (paths.isLost(name) && leaveToOtherRouter(routed, name, response)) {
+            return;
+        }
         routers.recordRequest(clock.monotonicMillis());
         quotas.admit(routed.quotaOwner(), routed.callerRequest().tokenCount())
                 .peek(decision -> decision.filter(d -> !d.admitted())
@@ -230,6 +285,29 @@
                 .peekLeft(reason -> respond(routed.callerRequest(), response, BAD_REQUEST, reason, Headers.NONE));
     }
 
+    /** Leaves a request to another router if there is one that may take it, and returns whether it did. */
+    private boolean leaveToOtherRouter(RoutedRequest routed, String service, CallerResponse response) {
+        if (routed.origin().isPresent()) {
+            decline(routed.callerRequest(), response, "no path to the service");
+            return true;
+        }
+        if (!relayRouters.isAvailable(service, Set.of())) {
+            return false;
+        }
+        relay(routed, service, response, 0);
+        return true;
+    }
+
+    /**
+     * Hands a request to another router.
+     *
+     * @param possibleExecutions how many attempts of this router may have been executed
+     */
+    void relay(RoutedRequest routed, String service, CallerResponse response, int possibleExecutions) {
+        ForwardingState forwarding = new ForwardingState(routed.route(), possibleExecutions);
+        new RelayedRequest(this, routed, service, response, forwarding).start();
+    }
+
     private void startExchange(ServiceRequest request, CallerResponse response) {
         budget(request.service().name()).recordRequest(clock.monotonicMillis());
         new Exchange(this, request, response).start();
@@ -368,6 +446,14 @@
         return availability;
     }
 
+    ReplicaPaths paths() {
+        return paths;
+    }
+
+    RelayRouters relayRouters() {
+        return relayRouters;
+    }
+
     UnknownHeaders unknownHeaders() {
         return unknownHeaders;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -37,9 +37,6 @@
      */
     private static final long RETRY_AFTER_MILLIS = 300;
 
-    /** The timeout of requests whose caller sets none. */
-    private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
-
     private final Dispatcher dispatcher;
     private final ServiceRequest serviceRequest;
     private final CallerResponse response;
@@ -52,24 +49,20 @@
     private ScheduledRunnable deadlineTimer;
     private Attempt attempt;
     private Optional<RequestFingerprint> fingerprint = Optional.empty();
+    private int notConnected;
     private boolean finished;
 
     Exchange(Dispatcher dispatcher, ServiceRequest serviceRequest, CallerResponse response) {
         this.dispatcher = dispatcher;
         this.serviceRequest = serviceRequest;
         this.response = response;
-        this.forwarding = new ForwardingState(serviceRequest.route());
+        this.forwarding = new ForwardingState(
+                serviceRequest.route(), serviceRequest.routed().possibleExecutions());
         this.arrivedAt = serviceRequest.routed().arrivedAt();
-        this.deadline = arrivedAt + timeoutMillis(serviceRequest);
+        this.deadline = serviceRequest.routed().deadline();
         this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId());
     }
 
-    private static long timeoutMillis(ServiceRequest request) {
-        long callerMillis = request.callerRequest().timeLeftMillis().orElse(DEFAULT_TIMEOUT_MILLIS);
-        long routeMillis = request.route().limits().timeoutMillis();
-        return routeMillis > 0 ? Math.min(callerMillis, routeMillis) : callerMillis;
-    }
-
     void start() {
         dispatcher.inFlight().add(this);
         response.onDisconnect(this::callerDisconnected);
@@ -98,7 +91,11 @@
                                 serviceRequest.owner(),
                                 tried);
         if (target.isEmpty()) {
-            giveUp(forwarding.responseAtDeadline(false), "no replica can take it", Optional.empty());
+            if (canHandOver()) {
+                handOver();
+            } else {
+                giveUp(forwarding.responseAtDeadline(false), "no replica can take it", Optional.empty());
+            }
             return;
         }
         OptionalLong retryMillis = tried.isEmpty() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
@@ -181,9 +178,10 @@
         if (finished) {
             return;
         }
+        notConnected += end == AttemptOutcome.NOT_CONNECTED ? 1 : 0;
         ForwardingState.RetryConditions conditions = new ForwardingState.RetryConditions(
                 timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
-                dispatcher.targetSelector().hasUntried(serviceRequest.service(), tried),
+                dispatcher.targetSelector().hasUntried(serviceRequest.service(), tried) || canHandOver(),
                 () -> dispatcher.takeRetry(serviceRequest.service().name()));
         reportLoss(end, replica, sentAt);
         NextStep step = forwarding.nextStep(end, conditions);
@@ -196,12 +194,39 @@
                 .with(Logs.INPUTS, logInputs(end) + " next=" + step)
                 .log("attempt ended: %s", end);
         if (step instanceof NextStep.GiveUp giveUp) {
-            giveUp(giveUp.answer(), reason, failure);
+            if (giveUp.answer() == FinalResponse.NOT_RUN && canHandOver()) {
+                handOver();
+            } else {
+                giveUp(giveUp.answer(), reason, failure);
+            }
         } else {
             startNextAttempt();
         }
     }
 
+    /**
+     * Returns whether another router may take the request: this host has no path to the service, or could not connect
+     * to any replica that it tried. A request is handed over once, and not when its response has begun.
+     */
+    private boolean canHandOver() {
+        boolean unreached = dispatcher.paths().isLost(serviceRequest.service().name())
+                || (notConnected > 0 && notConnected == tried.size());
+        return unreached
+                && serviceRequest.routed().origin().isEmpty()
+                && !forwarding.hasResponseStarted()
+                && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
+                && dispatcher
+                        .relayRouters()
+                        .isAvailable(serviceRequest.service().name(), Set.of());
+    }
+
+    private void handOver() {
+        giveBackQuota();
+        finish("HANDED_OVER");
+        dispatcher.relay(
+                serviceRequest.routed(), serviceRequest.service().name(), response, forwarding.possibleExecutions());
+    }
+
     private void giveUp(FinalResponse answer, String reason, Optional<BufferedResponse> failure) {
         OptionalLong returnMillis = answer == FinalResponse.NOT_RUN
                 ? dispatcher
@@ -256,6 +281,11 @@
         } else if (finalAnswer == FinalResponse.REPLICA_FAILURE && failure.isPresent()) {
             failure.get().sendTo(response);
         } else if (finalAnswer == FinalResponse.NOT_RUN) {
+            if (serviceRequest.routed().origin().isPresent()
+                    && dispatcher.paths().isLost(serviceRequest.service().name())) {
+                dispatcher.decline(serviceRequest.callerRequest(), response, "no path to the service");
+                return;
+            }
             dispatcher.rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryAfterMillis);
         } else {
             dispatcher.respond(serviceRequest.callerRequest(), response, statusOf(finalAnswer), reason, Headers.NONE);
@@ -406,7 +436,7 @@
         return serviceRequest.route().repeatable()
                 && forwarding.possibleExecutions() + 1
                         < serviceRequest.route().limits().maxAttempts()
-                && dispatcher.targetSelector().hasUntried(serviceRequest.service(), tried);
+                && (dispatcher.targetSelector().hasUntried(serviceRequest.service(), tried) || canHandOver());
     }
 
     /** Returns whether the request could be sent to another replica at this moment. */
@@ -415,14 +445,15 @@
                 && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
                 && dispatcher.quarantine().remainingMillis(this::fingerprint).isEmpty()
                 && dispatcher.canRetry(serviceRequest.service().name())
-                && dispatcher
-                        .targetSelector()
-                        .select(
-                                serviceRequest.config(),
-                                serviceRequest.service(),
-                                serviceRequest.callerRequest(),
-                                serviceRequest.owner(),
-                                tried)
-                        .isPresent();
+                && (canHandOver()
+                        || dispatcher
+                                .targetSelector()
+                                .select(
+                                        serviceRequest.config(),
+                                        serviceRequest.service(),
+                                        serviceRequest.callerRequest(),
+                                        serviceRequest.owner(),
+                                        tried)
+                                .isPresent());
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/HeaderCodec.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/HeaderCodec.java
@@ -24,6 +24,16 @@
      */
     Headers replicaHeaders(CallerRequest request, ForwardingOptions options);
 
+    /**
+     * Returns the headers of a request that is handed to another router: those of the caller, with the time that is
+     * left.
+     *
+     * @param request the caller's request
+     * @param timeLeftMillis how long the caller will wait, in milliseconds
+     * @return the headers, without content length and connection headers
+     */
+    Headers relayHeaders(CallerRequest request, long timeLeftMillis);
+
     /**
      * Decodes the head of a replica's response.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
@@ -4,6 +4,7 @@
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.gateway.path.RelayHeaders;
 
 /**
  * A caller's request with the route and customer that the configuration assigns to it.
@@ -13,9 +14,30 @@
  * @param owner the customer; empty on open routes
  * @param callerRequest the caller's request
  * @param arrivedAt the monotonic arrival time, in milliseconds
+ * @param origin what the router told that handed the request over; empty if a caller sent it
  */
 record RoutedRequest(
-        RoutingConfig config, Route route, Optional<KeyOwner> owner, CallerRequest callerRequest, long arrivedAt) {
+        RoutingConfig config,
+        Route route,
+        Optional<KeyOwner> owner,
+        CallerRequest callerRequest,
+        long arrivedAt,
+        Optional<RelayHeaders.Origin> origin) {
+    /** The timeout of requests whose caller sets none. */
+    private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
+
+    /** Returns when the caller or the route's timeout ends the request, on the monotonic clock. */
+    long deadline() {
+        long callerMillis = callerRequest.timeLeftMillis().orElse(DEFAULT_TIMEOUT_MILLIS);
+        long routeMillis = route.limits().timeoutMillis();
+        return arrivedAt + (routeMillis > 0 ? Math.min(callerMillis, routeMillis) : callerMillis);
+    }
+
+    /** Returns how many attempts of the router that handed the request over may have been executed. */
+    int possibleExecutions() {
+        return origin.map(RelayHeaders.Origin::possibleExecutions).orElse(0);
+    }
+
     /** Returns the customer whose quota the request counts against; empty on routes that allow anonymous requests. */
     Optional<KeyOwner> quotaOwner() {
         return route.allowsAnonymous() ? Optional.empty() : owner;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/SilenceTimeouts.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/SilenceTimeouts.java
@@ -29,6 +29,8 @@
      * rarely off by more.
      */
     private static final long PROBE_MARGIN_MILLIS = 250;
+    /** A sound replica may be silent for a second and go on. */
+    private static final long SOUND_SILENCE_MILLIS = 1_500;
     /** Multiple of the allowed pause after which a replica is considered stopped. */
     private static final double PAUSE_MULTIPLE = 2;
 
@@ -56,6 +58,15 @@
         return PROBE_MARGIN_MILLIS + (long) predictedMillis;
     }
 
+    /**
+     * Returns the time after which the replica counts as not reached, as long as nothing else is heard of its service.
+     *
+     * @return the time since sending, in milliseconds
+     */
+    long pathDelayMillis() {
+        return SOUND_SILENCE_MILLIS + (long) predictedMillis;
+    }
+
     /**
      * Returns the time after which a stream that has begun is abandoned.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderTasks.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderTasks.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.gateway.duty;
 
+import java.util.function.BooleanSupplier;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.route.ServiceSpec;
@@ -28,6 +29,7 @@
      * @param store the platform's store
      * @param mirror the mirror of the store
      * @param notifier announces changes to other routers
+     * @param reachesReplicas returns whether this host reaches the replicas
      */
     public record Dependencies(
             Timers timers,
@@ -37,7 +39,8 @@
             ReplicaOrderClient orderClient,
             PlatformStore store,
             StoreMirror mirror,
-            PeerChangeNotifier notifier) {}
+            PeerChangeNotifier notifier,
+            BooleanSupplier reachesReplicas) {}
 
     /**
      * Creates the tasks; this router is not the leader yet.
@@ -65,7 +68,8 @@
                         .map(EngineSpec::kvCapacityTokens)
                         .orElse(1L),
                 self,
-                settings.leaderPause().toMillis());
+                settings.leaderPause().toMillis(),
+                dependencies.reachesReplicas());
         rolloutCoordinator = new RolloutCoordinator(
                 coordinatorDependencies,
                 new LeaderLease(dependencies.clock(), dependencies.store(), dependencies.mirror(), self),
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/RolloutCoordinator.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/RolloutCoordinator.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.gateway.duty;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.ToLongFunction;
 import org.hornbeamhead.core.time.Clock;
@@ -27,6 +28,7 @@
     private final LeaderElection election;
     private final WeightsRollout rollout;
     private final long handoverPauseMillis;
+    private final BooleanSupplier reachesReplicas;
     private boolean stopping;
     private long orderDeadline;
     private long nextTickAt;
@@ -44,6 +46,8 @@
      * @param memoryTokens the tokens that fit into the memory of a service's engine
      * @param self this router's name
      * @param pauseMillis the minimum time between the orders of two leaders, in milliseconds
+     * @param reachesReplicas returns whether this host reaches the replicas; a router that does not leaves the
+     *     leadership to others
      */
     public record Dependencies(
             Timers timers,
@@ -55,7 +59,8 @@
             IntSupplier rank,
             ToLongFunction<String> memoryTokens,
             String self,
-            long pauseMillis) {}
+            long pauseMillis,
+            BooleanSupplier reachesReplicas) {}
 
     /**
      * Creates a coordinator that is not the leader.
@@ -69,6 +74,7 @@
         this.clock = dependencies.clock();
         this.lease = lease;
         this.handoverPauseMillis = dependencies.pauseMillis() + PAUSE_MARGIN_MILLIS;
+        this.reachesReplicas = dependencies.reachesReplicas();
         this.rollout = new WeightsRollout(dependencies, lease, notifier);
         this.election = new LeaderElection(clock, lease, dependencies.rank(), handoverPauseMillis, rollout::reset);
     }
@@ -123,7 +129,7 @@
         election.recordNeed(needed);
         if (lease.isHeld()) {
             lead(needed);
-        } else if (!stopping) {
+        } else if (!stopping && reachesReplicas.getAsBoolean()) {
             election.tryAcquire(needed);
         }
         return needed;
@@ -133,6 +139,8 @@
         lease.renewIfDue();
         if (lease.fencingToken().isEmpty()) {
             rollout.clear();
+        } else if (!reachesReplicas.getAsBoolean()) {
+            handOver();
         } else if (stopping && (!needed || isPauseOver() || now() >= orderDeadline)) {
             handOver();
         } else {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/CountedOrderClient.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/CountedOrderClient.java
@@ -4,6 +4,8 @@
 import org.hornbeamhead.core.replica.ReplicaEntry;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.gateway.duty.ReplicaOrderClient;
+import org.hornbeamhead.gateway.path.ReplicaPaths;
+import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 
 /**
@@ -14,6 +16,7 @@
     private final ReplicaOrderClient orders;
     private final ReplicaRegistry registry;
     private final Clock clock;
+    private final ReplicaPaths paths;
 
     /**
      * Wraps a client.
@@ -21,11 +24,13 @@
      * @param orders sends orders to replicas
      * @param registry the replicas
      * @param clock the clock
+     * @param paths records whether replicas answer with a report
      */
-    public CountedOrderClient(ReplicaOrderClient orders, ReplicaRegistry registry, Clock clock) {
+    public CountedOrderClient(ReplicaOrderClient orders, ReplicaRegistry registry, Clock clock, ReplicaPaths paths) {
         this.orders = orders;
         this.registry = registry;
         this.clock = clock;
+        this.paths = paths;
     }
 
     @Override
@@ -37,7 +42,16 @@
     @Override
     public Promise<Report> fetchReport(ReplicaEntry replica) {
         count(replica);
-        return orders.fetchReport(replica);
+        return orders.fetchReport(replica)
+                .whenComplete((report, e) -> registry.byRun(replica.run()).ifPresent(r -> recordReport(r, e == null)));
+    }
+
+    private void recordReport(LiveReplica replica, boolean answered) {
+        if (answered) {
+            paths.recordContact(replica);
+        } else {
+            paths.recordFailure(replica, ReplicaPaths.Failure.SILENT);
+        }
     }
 
     private void count(ReplicaEntry replica) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashDetector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashDetector.java
@@ -1,23 +1,27 @@
 package org.hornbeamhead.gateway.quarantine;
 
 import com.google.common.flogger.FluentLogger;
+import io.activej.promise.Promise;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import org.hornbeamhead.core.crash.LostAttempt;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.replica.ReplicaConnectionPool.Check;
 
 /**
  * Detects which requests were running at a replica when its process ended.
  *
  * <p>A connection can break although the replica keeps running, because its response was invalid or something on the
- * network path reset the connection. The process has ended if its host refuses a new connection, or if its registry
- * entry is removed soon afterwards. Losses at a replica that announced its shutdown are not counted against requests,
- * and neither are losses at a replica whose whole host is silent: the failure of a host is not caused by its requests.
+ * network path reset the connection. The process has ended if its host refuses a new connection and nothing indicates
+ * that this host has lost its path, or if its registry entry is removed soon afterwards. Losses at a replica that
+ * announced its shutdown are not counted against requests, and neither are losses at a replica whose whole host is
+ * silent: the failure of a host is not caused by its requests.
  *
  * <p>Not thread-safe.
  */
@@ -36,6 +40,7 @@
 
     private final Clock clock;
     private final Timers timers;
+    private final Function<LiveReplica, Promise<Boolean>> confirmation;
     private final BiConsumer<LostAttempt, LiveReplica> onCrash;
     private final Map<String, LostRequests> lostByReplica = new HashMap<>();
 
@@ -55,11 +60,17 @@
      *
      * @param clock the clock
      * @param timers the timers of the current thread
+     * @param confirmation confirms the end of a replica whose host refuses connections
      * @param onCrash receives each attempt that was lost in a crash, and the replica
      */
-    public CrashDetector(Clock clock, Timers timers, BiConsumer<LostAttempt, LiveReplica> onCrash) {
+    public CrashDetector(
+            Clock clock,
+            Timers timers,
+            Function<LiveReplica, Promise<Boolean>> confirmation,
+            BiConsumer<LostAttempt, LiveReplica> onCrash) {
         this.clock = clock;
         this.timers = timers;
+        this.confirmation = confirmation;
         this.onCrash = onCrash;
     }
 
@@ -136,8 +147,11 @@
     }
 
     private void checkProcess(LiveReplica replica, LostRequests lost, Runnable onAlive) {
-        replica.connections().refusesConnections().whenResult(refused -> {
-            if (refused) {
+        Promise<Boolean> ended = replica.connections()
+                .check()
+                .then(result -> result == Check.REFUSED ? confirmation.apply(replica) : Promise.of(false));
+        ended.whenResult(hasEnded -> {
+            if (hasEnded) {
                 lost.silent.forEach(lost.broken::putIfAbsent);
                 reportCrash(replica, lost, "the host refuses connections");
             } else {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
@@ -46,6 +46,7 @@
      * @param registry the replicas
      * @param datagrams the socket for datagrams between routers
      * @param peers the other routers
+     * @param confirmation confirms the end of a replica whose host refuses connections
      * @param metrics the metrics of the process
      */
     public record Dependencies(
@@ -56,6 +57,7 @@
             ReplicaRegistry registry,
             PeerDatagrams datagrams,
             CrashGossip.Peers peers,
+            CrashConfirmation confirmation,
             Metrics metrics) {}
 
     /**
@@ -75,7 +77,8 @@
                 dependencies.datagrams()::send);
         persister = new CrashHistoryPersister(
                 dependencies.clock(), dependencies.timers(), dependencies.random(), this::writeHistory, history);
-        detector = new CrashDetector(dependencies.clock(), dependencies.timers(), this::recordCrash);
+        detector = new CrashDetector(
+                dependencies.clock(), dependencies.timers(), dependencies.confirmation()::confirm, this::recordCrash);
     }
 
     /** Starts to follow the removal of replicas and the crash reports of other routers. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnection.java
@@ -41,6 +41,7 @@
     private ResponseReader reader;
     private boolean headDelivered;
     private boolean requestWritten;
+    private boolean received;
     private boolean closed;
     private boolean keepAlive = true;
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
@@ -83,6 +84,7 @@
         matchesRequest = matches;
         listener = responseListener;
         requestWritten = false;
+        received = false;
         expectResponse();
         socket.write(ByteBuf.wrapForReading(message)).subscribe((v, e) -> {
             requestWritten = true;
@@ -108,6 +110,7 @@
             } else if (buf == null) {
                 onEndOfStream();
             } else {
+                received = true;
                 onBytes(Bytes.of(buf.asArray()));
             }
         });
@@ -243,6 +246,15 @@
         }
     }
 
+    /**
+     * Returns whether anything was received since the last request was sent.
+     *
+     * @return true from the first byte on, whatever it belongs to
+     */
+    public boolean hasReceived() {
+        return received;
+    }
+
     void markIdle(long nowMillis) {
         idleSince = nowMillis;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnectionPool.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnectionPool.java
@@ -4,9 +4,13 @@
 import io.activej.reactor.nio.NioReactor;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Consumer;
+import org.hornbeamhead.core.http.ResponseHead;
+import org.hornbeamhead.core.settings.Addresses;
 import org.hornbeamhead.core.time.Clock;
 
 /** The connection pool of this router for one replica. */
@@ -18,6 +22,8 @@
     private static final Duration OPEN_TIMEOUT = Duration.ofMillis(250);
 
     private static final long PROBE_INTERVAL_MILLIS = 1_000;
+    /** How long a probed replica may take to answer. */
+    private static final long PROBE_ANSWER_MILLIS = 500;
 
     private final NioReactor reactor;
     private final Clock clock;
@@ -27,7 +33,14 @@
     private boolean closed;
     private long lastProbeAt = Long.MIN_VALUE / 2;
 
-    ReplicaConnectionPool(NioReactor reactor, Clock clock, InetSocketAddress address) {
+    /**
+     * Creates an empty pool.
+     *
+     * @param reactor the reactor of the current thread
+     * @param clock the clock
+     * @param address the address to connect to
+     */
+    public ReplicaConnectionPool(NioReactor reactor, Clock clock, InetSocketAddress address) {
         this.reactor = reactor;
         this.clock = clock;
         this.address = address;
@@ -91,22 +104,94 @@
     }
 
     /**
-     * Checks whether the replica's process has ended. Its host then refuses new connections at once, while a host that
+     * Sends a request for a path on a new connection, to find out whether anything is received from the replica.
+     *
+     * @param path the path
+     * @param result receives once whether the head of an answer arrived in time, whatever its status
+     */
+    public void probeAnswer(String path, Consumer<Boolean> result) {
+        openCount++;
+        ReplicaConnection.open(reactor, address, OPEN_TIMEOUT, () -> openCount--)
+                .subscribe((connection, e) -> {
+                    if (e != null) {
+                        openCount--;
+                        result.accept(false);
+                        return;
+                    }
+                    byte[] message = ("GET " + path + " HTTP/1.1\r\nHost: " + Addresses.format(address) + "\r\n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1);
+                    ProbeListener listener = new ProbeListener(result);
+                    reactor.delayBackground(PROBE_ANSWER_MILLIS, () -> {
+                        connection.close();
+                        listener.onFailure("no answer in time");
+                    });
+                    connection.send(message, "GET", head -> true, listener);
+                });
+    }
+
+    private static final class ProbeListener implements ResponseListener {
+        private final Consumer<Boolean> result;
+        private boolean ended;
+
+        ProbeListener(Consumer<Boolean> result) {
+            this.result = result;
+        }
+
+        private void end(boolean answered) {
+            if (!ended) {
+                ended = true;
+                result.accept(answered);
+            }
+        }
+
+        @Override
+        public void onHead(ResponseHead head) {
+            end(true);
+        }
+
+        @Override
+        public Promise<Void> onBody(byte[] bytes) {
+            return Promise.complete();
+        }
+
+        @Override
+        public void onComplete() {
+            end(true);
+        }
+
+        @Override
+        public void onFailure(String reason) {
+            end(false);
+        }
+    }
+
+    /** The result of a check. */
+    public enum Check {
+        /** A new connection opened. */
+        OPENED,
+        /** A new connection was refused at once. */
+        REFUSED,
+        /** A new connection did not open in time. */
+        UNANSWERED
+    }
+
+    /**
+     * Checks whether a new connection opens. The host of a process that has ended refuses it at once, while a host that
      * is disconnected or has lost its power does not answer.
      *
-     * @return true when a new connection is refused, false when it opens or the check is inconclusive
+     * @return the result
      */
-    public Promise<Boolean> refusesConnections() {
+    public Promise<Check> check() {
         openCount++;
         return ReplicaConnection.open(reactor, address, OPEN_TIMEOUT, () -> openCount--)
                 .then(
                         connection -> {
                             release(connection);
-                            return Promise.of(false);
+                            return Promise.of(Check.OPENED);
                         },
                         e -> {
                             openCount--;
-                            return Promise.of(e instanceof ConnectException);
+                            return Promise.of(e instanceof ConnectException ? Check.REFUSED : Check.UNANSWERED);
                         });
     }
 
@@ -148,7 +233,8 @@
         idle.clear();
     }
 
-    void close() {
+    /** Closes idle connections, and others once they are released. */
+    public void close() {
         closed = true;
         closeIdle();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
@@ -1,12 +1,15 @@
 package org.hornbeamhead.gateway.state;
 
 import com.google.common.flogger.FluentLogger;
+import java.net.InetAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.hornbeamhead.core.entry.EntrySelection;
 import org.hornbeamhead.core.entry.StoreReaders;
@@ -68,14 +71,18 @@
      *
      * @param limit the maximum number of addresses
      * @param requestsPerSecond the rate of requests to all routers
+     * @param hasPaths returns whether a router has paths to all services; routers that have not are left out unless
+     *     none has
      * @return the addresses for callers; the own address if no other is known
      */
-    public List<String> callerAddresses(int limit, double requestsPerSecond) {
-        List<EntrySelection.Candidate> candidates = new ArrayList<>();
-        others.values().forEach(e -> candidates.add(candidate(e)));
-        if (selfServes.getAsBoolean() || candidates.isEmpty()) {
-            candidates.add(candidate(self));
+    public List<String> callerAddresses(int limit, double requestsPerSecond, Predicate<RouterEntry> hasPaths) {
+        List<RouterEntry> serving = new ArrayList<>(others.values());
+        if (selfServes.getAsBoolean() || serving.isEmpty()) {
+            serving.add(self);
         }
+        List<RouterEntry> withPaths = serving.stream().filter(hasPaths).toList();
+        List<EntrySelection.Candidate> candidates = (withPaths.isEmpty() ? serving : withPaths)
+                .stream().map(this::candidate).toList();
         return EntrySelection.choose(candidates, requestsPerSecond).stream()
                 .distinct()
                 .limit(limit)
@@ -124,6 +131,36 @@
                 .toList();
     }
 
+    /**
+     * Returns the other routers.
+     *
+     * @return the listed routers without this one
+     */
+    public Collection<RouterEntry> others() {
+        return List.copyOf(others.values());
+    }
+
+    /**
+     * Returns whether an IP address is that of another router.
+     *
+     * @param address the address
+     * @return true if a router with that address is listed
+     */
+    public boolean isRouterHost(InetAddress address) {
+        String prefix = address.getHostAddress() + ':';
+        return others.values().stream().anyMatch(e -> e.hints().startsWith(prefix));
+    }
+
+    /**
+     * Returns the capacity of a router, which is lower for some seconds after its start.
+     *
+     * @param router the router
+     * @return requests a second
+     */
+    public double effectiveCapacity(RouterEntry router) {
+        return candidate(router).effectiveCapacity();
+    }
+
     /**
      * Returns the addresses of the active routers, for messages that concern their requests.
      *
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
@@ -42,6 +42,7 @@
         final RolloutCoordinator coordinator;
         final ReplicaRegistry registry;
         private boolean killed;
+        private boolean reachesReplicas = true;
 
         private Router(RolloutTestBed testBed, String name, int rank, StoreMirror routerMirror) {
             registry =
@@ -57,7 +58,8 @@
                     () -> rank,
                     service -> MEMORY_TOKENS,
                     name,
-                    PAUSE_MILLIS);
+                    PAUSE_MILLIS,
+                    () -> reachesReplicas);
             LeaderLease lease = new LeaderLease(testBed.clock, testBed.store, routerMirror, name);
             coordinator = new RolloutCoordinator(dependencies, lease, (changing, changed) -> {});
             coordinator.start();
--- a/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -45,7 +46,7 @@
         registry = new ReplicaRegistry(reactor, clock);
         server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         reported = new ArrayList<>();
-        detector = new CrashDetector(clock, this::schedule, (run, replica) -> reported.add(run));
+        detector = new CrashDetector(clock, this::schedule, r -> Promise.of(true), (run, replica) -> reported.add(run));
         registry.onRemoved(detector::entryRemoved);
         register(false);
     }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/RouterListTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/RouterListTest.java
@@ -35,6 +35,7 @@
         routers.update(item("n2", OTHER.toJson()));
         routers.update(item("n3", text));
         assertEquals(
-                routers.callerAddresses(8, 1_000).stream().sorted().toList(), List.of(SELF.caller(), OTHER.caller()));
+                routers.callerAddresses(8, 1_000, r -> true).stream().sorted().toList(),
+                List.of(SELF.caller(), OTHER.caller()));
     }
 }
