Spare brittle replicas rejections, over all routers together

Replicas that are brittle say how many rejections a second they bear; beyond that they fall over, and the rest of the service gets their load. Nothing read the statement. Now a brittle replica gets no more requests at a time than it has slots, by what routers know of one another, and each router its part of them or what others leave free; a rejection lowers the limit by a fifth, completed requests raise it. Routers tell one another at once of rejections, and none sends more in a second in which half of the tolerated number is known. A replica that is back counts as brittle as the others of its service. A full brittle service refuses at the router. The end of a replica that rejected requests in the last two seconds is not counted against its requests.

Ways weighed: equal parts alone (two of eight slots each for three routers, the rest unused while load is uneven); totals alone (hints are 40 ms old, and requests take 30).

--- a/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
+++ b/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
@@ -10,6 +10,8 @@
     LEAVING,
     /** The replica asked this router for a pause that is not over. */
     BACK_OFF,
+    /** The replica is brittle, and a further request might find no room. */
+    BRITTLE,
     /** All routers together have reached the replica's request limit. */
     REQUEST_LIMIT
 }
--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -15,8 +15,12 @@
 import org.hornbeamhead.core.crash.CrashReportCodec;
 import org.hornbeamhead.core.drain.DrainOrders;
 import org.hornbeamhead.core.engine.LoadHint;
+import org.hornbeamhead.core.limit.BrittleHint;
+import org.hornbeamhead.core.limit.BrittleLimit;
 import org.hornbeamhead.core.limit.LimitHint;
 import org.hornbeamhead.core.limit.RequestLimiter;
+import org.hornbeamhead.core.path.PathHint;
+import org.hornbeamhead.core.path.PeerPaths;
 import org.hornbeamhead.core.quota.QuotaContacts;
 import org.hornbeamhead.core.quota.QuotaHint;
 import org.hornbeamhead.core.quota.QuotaLedger;
@@ -70,11 +74,17 @@
                                     List.of(new LimitHint.Entry(
                                             3, Optional.of(new LimitHint.Statement(2.5, 40, 30)), List.of(1, 0, 2))))
                             .encode())),
+            // What routers tell one another of brittle replicas, and of services that they do not reach.
+            target(
+                    "BRITTLE_HINTS",
+                    FuzzTargets::brittleHints,
+                    latin(new BrittleHint(1, 2, List.of(new BrittleHint.Entry(3, 4, 1))).encode())),
+            target("PATH_HINTS", FuzzTargets::pathHints, latin(new PathHint(1, 2, Set.of(3, 4)).encode())),
             // The headers of replicas' answers.
             target(
                     "REPLICA_HEADERS",
                     texts(HeaderReading::read),
-                    "X-Attempt-Id: 1\nX-Server-Stamp: s\nServer-Limit: 2.5\nX-Weight-Versions: 3",
+                    "X-Attempt-Id: 1\nX-Server-Stamp: s\nServer-Limit: 2.5\nServer-Brittle: 3\nX-Weight-Versions: 3",
                     "X-Not-Executed: 1\nRetry-After:2.5\nServer-Leaving:1"),
             // What routers tell one another of crashes.
             target("CRASH_NEWS", FuzzTargets::crashNews, "\u00c5\0\1\0\0\0\0\0\0\0\7\1\0\0\0\5\0\0\0\u0009\0\u0008"),
@@ -166,6 +176,26 @@
         limiter.takeEntry(1, 1);
     }
 
+    private static void brittleHints(byte[] bytes) {
+        BrittleLimit limit = new BrittleLimit();
+        BrittleHint.decode(bytes).ifPresent(h -> {
+            assertEquals(BrittleHint.decode(h.encode()), Optional.of(h));
+            h.entries().forEach(e -> limit.merge(h.life(), h.sequence(), e, 0));
+        });
+        limit.accepts(1, 1, 1, 1, 1);
+        limit.entry(1, 1);
+    }
+
+    private static void pathHints(byte[] bytes) {
+        PeerPaths paths = new PeerPaths();
+        PathHint.decode(bytes).ifPresent(h -> {
+            assertEquals(PathHint.decode(h.encode()), Optional.of(h));
+            paths.merge("peer", h, 0);
+        });
+        paths.hasPath("peer", "service", 1);
+        paths.hasAllPaths("peer", 1);
+    }
+
     private static void crashNews(byte[] bytes) {
         CrashHistory history = new CrashHistory(new ManualClock(0));
         CrashReportCodec.decode(bytes).ifPresent(news -> {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -36,6 +36,7 @@
 import org.hornbeamhead.gateway.duty.LeaderTasks;
 import org.hornbeamhead.gateway.duty.PeerChangeNotifier;
 import org.hornbeamhead.gateway.duty.ReplicaOrderClient;
+import org.hornbeamhead.gateway.limit.BrittleReplicas;
 import org.hornbeamhead.gateway.limit.CountedOrderClient;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.path.RelayRouters;
@@ -93,6 +94,7 @@
     private final Quarantine quarantine;
     private final UsageGossip quotaGossip;
     private final ReplicaLimits replicaLimits;
+    private final BrittleReplicas brittleReplicas;
     private final UsageGossip limitGossip;
     private final ReplicaPaths paths;
     private final Dispatcher dispatcher;
@@ -137,38 +139,12 @@
         fleetSizeRecorder = new FleetSizeRecorder(
                 clock, daemon.timers(), ports.store(), mirror, routers, () -> state.isFresh(clock.monotonicMillis()));
         suspensionDetector = new SuspensionDetector(daemon.timers(), clock, this::onSuspension);
-        storeView = new StoreView(new StoreView.Dependencies(
-                daemon.timers(),
-                clock,
-                random,
-                ports.store(),
-                mirror,
-                state,
-                weights,
-                suspensionDetector,
-                routers,
-                settings.self().node(),
-                this::peerAddresses,
-                HttpMirrorClient.forReaders(reactor),
-                HttpMirrorClient.forPeers(reactor)));
+        storeView = new StoreView(storeViewDependencies(ports, random));
         datagrams = new PeerDatagrams(reactor);
         paths = new ReplicaPaths(new ReplicaPaths.Dependencies(
                 clock, daemon.timers(), random, registry, this::healthPath, routers, datagrams, metrics));
         notifier = new PeerChangeNotifier(reactor, clock, this::activePeerAddresses, weights, registry);
-        leaderTasks = new LeaderTasks(
-                new LeaderTasks.Dependencies(
-                        daemon.timers(),
-                        clock,
-                        registry,
-                        weights,
-                        new CountedOrderClient(ports.orders(), registry, clock, paths),
-                        ports.store(),
-                        mirror,
-                        notifier,
-                        this::reachesEngines),
-                settings,
-                routers,
-                state);
+        leaderTasks = new LeaderTasks(leaderDependencies(ports), settings, routers, state);
         crashConfirmation = new CrashConfirmation(
                 clock,
                 HttpCaller.connectingAnew(reactor),
@@ -183,6 +159,15 @@
                 new ReplicaLimits.Dependencies(random.nextLong(), clock, registry, ledger::share, metrics, datagrams));
         limitGossip = gossip(replicaLimits);
         replicaLimits.onChange(limitGossip::announce);
+        brittleReplicas = new BrittleReplicas(new BrittleReplicas.Dependencies(
+                random.nextLong(),
+                clock,
+                daemon.timers(),
+                registry,
+                activeRouters::limitShare,
+                routers,
+                datagrams,
+                metrics));
         dispatcher = new Dispatcher(dispatcherDependencies(ports, random, ledger));
         loadHints = new LoadHints(
                 reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
@@ -192,6 +177,36 @@
         mirror.addListener(this::onStoreChange);
     }
 
+    private StoreView.Dependencies storeViewDependencies(Ports ports, Random random) {
+        return new StoreView.Dependencies(
+                daemon.timers(),
+                clock,
+                random,
+                ports.store(),
+                mirror,
+                state,
+                weights,
+                suspensionDetector,
+                routers,
+                settings.self().node(),
+                this::peerAddresses,
+                HttpMirrorClient.forReaders(reactor),
+                HttpMirrorClient.forPeers(reactor));
+    }
+
+    private LeaderTasks.Dependencies leaderDependencies(Ports ports) {
+        return new LeaderTasks.Dependencies(
+                daemon.timers(),
+                clock,
+                registry,
+                weights,
+                new CountedOrderClient(ports.orders(), registry, clock, paths),
+                ports.store(),
+                mirror,
+                notifier,
+                this::reachesEngines);
+    }
+
     private String healthPath(String service) {
         return state.config()
                 .flatMap(c -> c.findService(service))
@@ -232,6 +247,7 @@
                 quarantine,
                 new QuotaGate(ledger, clock),
                 replicaLimits,
+                brittleReplicas,
                 paths,
                 new RelayRouters(reactor, clock, routers, paths, settings.self().dataCentre()));
     }
@@ -322,6 +338,7 @@
         quarantine.start();
         datagrams.start(settings.hintAddress());
         paths.start();
+        brittleReplicas.start();
         loadHints.start();
         quotaGossip.start();
         limitGossip.start();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
@@ -12,6 +12,7 @@
 import org.hornbeamhead.core.availability.Unavailability;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.gateway.limit.BrittleReplicas;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.path.ReplicaPaths;
 import org.hornbeamhead.gateway.replica.LiveReplica;
@@ -22,6 +23,7 @@
 
     private final Clock clock;
     private final ReplicaLimits limits;
+    private final BrittleReplicas brittleReplicas;
     private final ReplicaPaths paths;
 
     /**
@@ -29,11 +31,13 @@
      *
      * @param clock the clock
      * @param limits the request limits of replicas
+     * @param brittleReplicas the limits of brittle replicas
      * @param paths the paths of this host
      */
-    public ReplicaAvailability(Clock clock, ReplicaLimits limits, ReplicaPaths paths) {
+    public ReplicaAvailability(Clock clock, ReplicaLimits limits, BrittleReplicas brittleReplicas, ReplicaPaths paths) {
         this.clock = clock;
         this.limits = limits;
+        this.brittleReplicas = brittleReplicas;
         this.paths = paths;
     }
 
@@ -44,6 +48,17 @@
      * @return the reason, empty if it may get one
      */
     public Optional<Unavailability> check(LiveReplica replica) {
+        return checkPlaced(replica)
+                .or(() -> brittleReplicas.accepts(replica) ? Optional.empty() : Optional.of(Unavailability.BRITTLE));
+    }
+
+    /**
+     * Returns why a replica may not get a request that already counts in its load.
+     *
+     * @param replica the replica
+     * @return the reason, empty if it may get the request
+     */
+    public Optional<Unavailability> checkPlaced(LiveReplica replica) {
         if (replica.isEntryInvalid()) {
             return Optional.of(Unavailability.INVALID_ENTRY);
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -41,6 +41,8 @@
     private static final long SILENCE_THRESHOLD_MILLIS = 500;
     /** The lowest status that reports a failure of the replica itself (5xx). */
     private static final int MIN_SERVER_ERROR = 500;
+    /** The status with which a replica turns a request away that it has no room for. */
+    private static final int SERVICE_UNAVAILABLE = 503;
 
     private final Exchange exchange;
     private final Target target;
@@ -131,7 +133,7 @@
     private void sendIfAvailable(ReplicaConnection acquired) {
         exchange.dispatcher()
                 .availability()
-                .check(replica)
+                .checkPlaced(replica)
                 .ifPresentOrElse(
                         reason -> {
                             replica.connections().release(acquired);
@@ -233,6 +235,7 @@
         boolean attributable = responseInfo.fromReplica() || responseInfo.notExecuted() || responseInfo.wrongReplica();
         if (attributable && !responseInfo.wrongReplica()) {
             observeLimit(received.status());
+            exchange.dispatcher().brittleReplicas().observe(replica, responseInfo.brittle(), sentAt, request.id());
             exchange.dispatcher().replicaNotices().observe(replica, responseInfo.availability(), request.id());
         }
         exchange.dispatcher().unknownHeaders().observe(received, replica.entry().id(), request.id());
@@ -318,6 +321,9 @@
 
     private void endRefused() {
         boolean misdirected = head.status() == 421;
+        if (head.status() == SERVICE_UNAVAILABLE) {
+            exchange.dispatcher().brittleReplicas().recordRejection(replica, request.id());
+        }
         if (misdirected && responseInfo.wrongReplica()) {
             replica.guard().recordConnectFailure(now());
         } else if (!misdirected && !isAnnounced()) {
@@ -335,6 +341,7 @@
     private void deliver() {
         stop();
         replica.guard().recordSuccess();
+        replica.brittleLimit().recordCompletion();
         exchange.recordCompletion();
         replica.connections().release(connection);
         if (streaming) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -31,6 +31,7 @@
 import org.hornbeamhead.gateway.availability.ReplicaNotices;
 import org.hornbeamhead.gateway.caller.CallerHandler;
 import org.hornbeamhead.gateway.caller.CallerResponse;
+import org.hornbeamhead.gateway.limit.BrittleReplicas;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.path.RelayHeaders;
 import org.hornbeamhead.gateway.path.RelayRouters;
@@ -90,6 +91,7 @@
     private final ReplicaNotices replicaNotices;
     private final ReplicaAvailability availability;
     private final UnknownHeaders unknownHeaders;
+    private final BrittleReplicas brittleReplicas;
     private final ReplicaPaths paths;
     private final RelayRouters relayRouters;
     private final InFlightRequests inFlight = new InFlightRequests();
@@ -123,6 +125,7 @@
      * @param quarantine the quarantined requests
      * @param quotas the quotas of customers
      * @param replicaLimits the request limits that replicas state
+     * @param brittleReplicas the limits of brittle replicas
      * @param paths the paths of this host to replicas
      * @param relayRouters the routers to which requests are handed when there is no path
      */
@@ -142,6 +145,7 @@
             Quarantine quarantine,
             QuotaGate quotas,
             ReplicaLimits replicaLimits,
+            BrittleReplicas brittleReplicas,
             ReplicaPaths paths,
             RelayRouters relayRouters) {}
 
@@ -165,9 +169,10 @@
         this.replicaLimits = dependencies.replicaLimits();
         this.replicaNotices = new ReplicaNotices(clock, metrics);
         this.unknownHeaders = new UnknownHeaders(headerCodec, metrics);
+        this.brittleReplicas = dependencies.brittleReplicas();
         this.paths = dependencies.paths();
         this.relayRouters = dependencies.relayRouters();
-        this.availability = new ReplicaAvailability(clock, replicaLimits, paths);
+        this.availability = new ReplicaAvailability(clock, replicaLimits, brittleReplicas, paths);
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
@@ -446,6 +451,10 @@
         return availability;
     }
 
+    BrittleReplicas brittleReplicas() {
+        return brittleReplicas;
+    }
+
     ReplicaPaths paths() {
         return paths;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -243,6 +243,9 @@
     }
 
     private void reportLoss(AttemptOutcome end, LiveReplica replica, long sentAt) {
+        if (dispatcher.brittleReplicas().mayHaveFallenOver(replica)) {
+            return;
+        }
         if (end == AttemptOutcome.BROKEN) {
             dispatcher.quarantine().connectionBroken(lostAttempt(sentAt), replica);
         } else if (end == AttemptOutcome.SILENT) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.hornbeamhead.core.availability.AvailabilityNotice;
 
@@ -15,6 +16,8 @@
  * @param weightsVersion the version of the weights that produced the response
  * @param requestLimit how many requests a second the replica takes from all routers together, empty if it states no
  *     limit, or why what it states is invalid
+ * @param brittle how many rejections a second the replica bears from all routers together without falling over, empty
+ *     if it states no number, or why what it states is invalid
  * @param availability whether the replica takes further requests
  */
 public record ReplicaResponseInfo(
@@ -24,4 +27,5 @@
         boolean wrongReplica,
         OptionalLong weightsVersion,
         Either<String, OptionalDouble> requestLimit,
+        Either<String, OptionalInt> brittle,
         AvailabilityNotice availability) {}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -2,6 +2,7 @@
 
 import org.hornbeamhead.core.availability.NoticeState;
 import org.hornbeamhead.core.engine.EngineLoad;
+import org.hornbeamhead.core.limit.BrittleLimit;
 import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.replica.ReplicaEntry;
 import org.hornbeamhead.core.retry.OutlierDetector;
@@ -91,6 +92,15 @@
         return statements.limiter();
     }
 
+    /**
+     * Returns the limit of the requests in progress while the replica is brittle.
+     *
+     * @return the limit
+     */
+    public BrittleLimit brittleLimit() {
+        return statements.brittleLimit();
+    }
+
     /**
      * Returns what the replica said about whether it takes requests.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/RunStatements.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/RunStatements.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hornbeamhead.core.availability.NoticeState;
+import org.hornbeamhead.core.limit.BrittleLimit;
 import org.hornbeamhead.core.limit.RequestLimiter;
 
 /**
@@ -10,14 +11,15 @@
  *
  * @param notices whether it takes requests
  * @param limiter the limit of its requests
+ * @param brittleLimit the limit of the requests in progress while it is brittle
  */
-record RunStatements(NoticeState notices, RequestLimiter limiter) {
+record RunStatements(NoticeState notices, RequestLimiter limiter, BrittleLimit brittleLimit) {
     static RunStatements none() {
-        return new RunStatements(new NoticeState(), new RequestLimiter());
+        return new RunStatements(new NoticeState(), new RequestLimiter(), new BrittleLimit());
     }
 
     private boolean isRelevant(long nowMillis) {
-        return notices.isRelevant(nowMillis) || limiter.isRelevant(nowMillis);
+        return notices.isRelevant(nowMillis) || limiter.isRelevant(nowMillis) || brittleLimit.isBrittle(nowMillis);
     }
 
     /** The statements of runs whose entries were removed, since an entry may lapse and come back. */
