--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -6,17 +6,14 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
-import io.vavr.control.Try;
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.hornbeamhead.core.crash.CrashGossip;
-import org.hornbeamhead.core.crash.CrashHistoryPersister;
 import org.hornbeamhead.core.entry.ActiveRouters;
 import org.hornbeamhead.core.http.WholeRequest;
-import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.quota.QuotaContacts;
 import org.hornbeamhead.core.quota.QuotaLedger;
@@ -145,13 +142,7 @@
                 clock, daemon.timers(), random, registry, this::healthPath, routers, datagrams, metrics));
         notifier = new PeerChangeNotifier(reactor, clock, this::activePeerAddresses, weights, registry);
         leaderTasks = new LeaderTasks(leaderDependencies(ports), settings, routers, state);
-        crashConfirmation = new CrashConfirmation(
-                clock,
-                HttpCaller.connectingAnew(reactor),
-                random,
-                registry,
-                paths,
-                () -> routers.peerAddresses(List.of()));
+        crashConfirmation = createCrashConfirmation(random);
         quarantine = new Quarantine(quarantineDependencies(ports, random));
         QuotaLedger ledger = createQuotaLedger(random);
         quotaGossip = gossip(new QuotaReports(ledger, clock, datagrams));
@@ -159,22 +150,14 @@
                 new ReplicaLimits.Dependencies(random.nextLong(), clock, registry, ledger::share, metrics, datagrams));
         limitGossip = gossip(replicaLimits);
         replicaLimits.onChange(limitGossip::announce);
-        brittleReplicas = new BrittleReplicas(new BrittleReplicas.Dependencies(
-                random.nextLong(),
-                clock,
-                daemon.timers(),
-                registry,
-                activeRouters::limitShare,
-                routers,
-                datagrams,
-                metrics));
+        brittleReplicas = new BrittleReplicas(brittleDependencies(random));
         dispatcher = new Dispatcher(dispatcherDependencies(ports, random, ledger));
         loadHints = new LoadHints(
                 reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
         dispatcher.setLoadHints(loadHints);
         callerServer = new CallerServer(reactor, clock, this::handle, this::callerLimits, metrics);
         shutdown = new Shutdown(daemon, callerServer, registration, leaderTasks, settings.grace());
-        mirror.addListener(this::onStoreChange);
+        mirror.addListener(new StoreChanges(storeChangesDependencies())::apply);
     }
 
     private StoreView.Dependencies storeViewDependencies(Ports ports, Random random) {
@@ -194,6 +177,28 @@
                 HttpMirrorClient.forPeers(reactor));
     }
 
+    private BrittleReplicas.Dependencies brittleDependencies(Random random) {
+        return new BrittleReplicas.Dependencies(
+                random.nextLong(),
+                clock,
+                daemon.timers(),
+                registry,
+                activeRouters::limitShare,
+                routers,
+                datagrams,
+                metrics);
+    }
+
+    private CrashConfirmation createCrashConfirmation(Random random) {
+        return new CrashConfirmation(
+                clock,
+                HttpCaller.connectingAnew(reactor),
+                random,
+                registry,
+                paths,
+                () -> routers.peerAddresses(List.of()));
+    }
+
     private LeaderTasks.Dependencies leaderDependencies(Ports ports) {
         return new LeaderTasks.Dependencies(
                 daemon.timers(),
@@ -207,6 +212,21 @@
                 this::reachesEngines);
     }
 
+    private StoreChanges.Dependencies storeChangesDependencies() {
+        return new StoreChanges.Dependencies(
+                daemon.timers(),
+                documents,
+                mirror,
+                state,
+                registry,
+                routers,
+                weightsListener,
+                quarantine,
+                storeView,
+                leaderTasks,
+                dispatcher::configurationLoaded);
+    }
+
     private String healthPath(String service) {
         return state.config()
                 .flatMap(c -> c.findService(service))
@@ -368,115 +388,6 @@
         return servlet.serve(request);
     }
 
-    /**
-     * Processes a change of the store. A failure is logged and skipped, so that one invalid key does not keep the
-     * router from processing the others.
-     */
-    private void onStoreChange(StoreItem item) {
-        Try.run(() -> processChange(item)).onFailure(e -> logger.atSevere()
-                .withCause(e)
-                .with(Logs.INPUTS, "revision=" + item.revision())
-                .log("key %s cannot be applied and is skipped", item.key()));
-    }
-
-    private void processChange(StoreItem item) {
-        if (applyChange(item)) {
-            storeView.recordChange(item);
-            leaderTasks.wakeUp();
-        }
-    }
-
-    /** Applies a change, and returns whether it contains anything that other routers have to learn. */
-    private boolean applyChange(StoreItem item) {
-        if (item.key().startsWith(RouterEntry.PREFIX)) {
-            applyRouterChange(item);
-            return true;
-        }
-        if (item.key().equals(FleetSizeRecorder.KEY)) {
-            routers.updateFleetSize(item);
-            return true;
-        }
-        if (item.key().equals(CrashHistoryPersister.KEY)) {
-            quarantine.mergeStoredHistory(item);
-            return true;
-        }
-        switch (documents.kind(item.key())) {
-            case CONFIGURATION -> documents
-                    .parseConfiguration(item)
-                    .peekLeft(reason -> logUnreadable(item, reason))
-                    .forEach(config -> applyConfiguration(config, item.revision()));
-            case WEIGHTS -> documents
-                    .parseWeights(item)
-                    .peekLeft(reason -> logUnreadable(item, reason))
-                    .forEach(published ->
-                            weightsListener.versionPublished(published.model(), published.version(), item.revision()));
-            case REPLICA -> {
-                return applyReplicaChange(item);
-            }
-            default -> logger.atFine().log("key %s is not relevant to routers", item.key());
-        }
-        return true;
-    }
-
-    private void applyConfiguration(RoutingConfig config, long revision) {
-        boolean isFirst = state.config().isEmpty();
-        state.accept(config, revision);
-        if (isFirst) {
-            dispatcher.configurationLoaded();
-        }
-    }
-
-    private static void logUnreadable(StoreItem item, String reason) {
-        logger.atWarning()
-                .with(Logs.REASON, reason)
-                .with(Logs.INPUTS, "revision=" + item.revision())
-                .log("key %s cannot be parsed and is skipped", item.key());
-    }
-
-    /** Applies a replica's entry, and returns whether it is more than a renewal. */
-    private boolean applyReplicaChange(StoreItem item) {
-        String id = documents.replicaId(item.key());
-        if (item.removed()) {
-            applyRemoval(item, () -> registry.remove(id, item.revision()));
-            return true;
-        }
-        return documents
-                .parseReplica(item)
-                .fold(
-                        reason -> {
-                            logUnreadable(item, reason);
-                            registry.markEntryInvalid(id, item.revision());
-                            return true;
-                        },
-                        entry -> registry.put(entry, item.revision()));
-    }
-
-    private void applyRouterChange(StoreItem item) {
-        if (item.removed()) {
-            applyRemoval(item, () -> routers.update(item));
-        } else {
-            routers.update(item);
-        }
-    }
-
-    /** Applies a removal at once, or after the time in which an outage of the store may turn out to be its cause. */
-    private void applyRemoval(StoreItem removal, Runnable removalAction) {
-        long delayMillis = storeView.relistMillis();
-        if (delayMillis == 0 || isInitialRead()) {
-            removalAction.run();
-            return;
-        }
-        reactor.delayBackground(delayMillis, () -> {
-            if (mirror.get(removal.key()).isEmpty()) {
-                removalAction.run();
-            }
-        });
-    }
-
-    private boolean isInitialRead() {
-        return mirror.revision() == 0;
-    }
-
     /**
      * Returns whether the router should be given to callers.
      *
