Soak: routers that lose their path to all replicas, brittle replicas, and a promise for each

Each router may reach the replicas through links of its own, so that one loses all of them (refused, closed to new connections, hanging, one way) while others do not. Brittle replicas turn away what they have no slot for and fall over after more than they bear. Both promises are red on a broken history (PromisesTest).

The run waits until each router serves and names routers, not itself: a fleet of 30 names only some.

--- a/soak/src/main/java/org/hornbeamhead/soak/Callers.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/Callers.java
@@ -62,9 +62,12 @@
         }
     }
 
-    /** Tells whether a router names itself to callers. */
-    static boolean isNamed(RouterHandle router) {
-        return addresses(router).contains(router.callers());
+    /**
+     * Tells whether a router serves and tells callers which routers to use. In a large fleet it need not name itself,
+     * since only as many are named as bear the load.
+     */
+    static boolean namesRouters(RouterHandle router) {
+        return !addresses(router).isEmpty() && router.acceptsCallers();
     }
 
     private List<Integer> ask(Random random) {
--- a/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
@@ -37,6 +37,7 @@
                 case ALL_ROUTERS -> noted(f, History.ALL_ROUTERS, () -> killAll(f));
                 case STORE -> noted(f, History.STORE, () -> store(f));
                 case STORE_LINK -> noted(f, routerOf(f).name(), () -> link(fleet.storeLink(f.index()), f));
+                case PATH -> noted(f, routerOf(f).name(), () -> path(f));
                 case REPLICA -> replica(f);
                 case OPERATORS -> operators(f);
             }
@@ -124,6 +125,19 @@
         link.setMode(Mode.HEALTHY);
     }
 
+    private void path(Fault f) throws InterruptedException {
+        ReplicaLinks links = fleet.replicaLinks(f.index());
+        links.setMode(
+                switch (f.kind()) {
+                    case PATH_REFUSED -> Mode.REFUSING;
+                    case PATH_CLOSED -> Mode.REFUSING_NEW;
+                    case PATH_HANGS -> Mode.HANGING;
+                    default -> Mode.ONE_WAY;
+                });
+        Thread.sleep(f.lasting());
+        links.setMode(Mode.HEALTHY);
+    }
+
     private void replica(Fault f) throws IOException, InterruptedException {
         List<SoakReplica> all = fleet.replicas();
         SoakReplica r = all.get(f.index() % all.size());
--- a/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
@@ -1,6 +1,8 @@
 package org.hornbeamhead.soak;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -76,6 +78,15 @@
         return started;
     }
 
+    /** Returns whether a connection to the address for callers opens. */
+    boolean acceptsCallers() {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), callers())) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     int callers() {
         return ports[0];
     }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
@@ -5,7 +5,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -36,10 +39,12 @@
     private final StandinStore store = new StandinStore();
     private final List<RouterHandle> routers = new ArrayList<>();
     private final List<StandinLink> storeLinks = new ArrayList<>();
+    private final List<ReplicaLinks> replicaLinks = new ArrayList<>();
     private final List<SoakReplica> replicas = new CopyOnWriteArrayList<>();
     private final List<SoakReplica> former = new CopyOnWriteArrayList<>();
     private final List<String> keys = new CopyOnWriteArrayList<>(
             IntStream.range(0, 12).mapToObj(i -> "key" + i).toList());
+    private final Map<String, OptionalInt> brittle = new ConcurrentHashMap<>();
     private final AtomicInteger nextReplica = new AtomicInteger();
     private long version;
     private long weights = 1;
@@ -56,8 +61,7 @@
             add(i % 2 == 0 ? ENGINES : PLAIN_SERVICES.get(i / 2 % PLAIN_SERVICES.size()), settings.seed() + i);
         }
         for (int i = 0; i < settings.routers(); i++) {
-            int storePort =
-                    Integer.parseInt(store.address().substring(store.address().indexOf(':') + 1));
+            int storePort = settings.lostPaths() > 0 ? openView() : store.port();
             StandinLink link = new StandinLink(() -> storePort);
             storeLinks.add(link);
             routers.add(new RouterHandle("router" + i, link.port(), directory));
@@ -67,6 +71,14 @@
         }
     }
 
+    /** Opens an address of the store at which a router finds replicas behind links of its own. */
+    private int openView() throws IOException {
+        ReplicaLinks links = new ReplicaLinks();
+        replicaLinks.add(links);
+        String address = store.openView(links::rewrite);
+        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    }
+
     private synchronized void configure() {
         List<StandinDocuments.Customer> customers = List.of(
                 new StandinDocuments.Customer(
@@ -86,6 +98,7 @@
         String id = "replica" + nextReplica.incrementAndGet();
         SoakReplica r =
                 new SoakReplica(id, service, service.equals(ENGINES) ? weights : 0, history, clock, seed, this::ended);
+        r.setBrittle(brittle.getOrDefault(service, OptionalInt.empty()));
         replicas.add(r);
         list(r, "ready");
         return r;
@@ -201,6 +214,19 @@
         return storeLinks.get(router);
     }
 
+    ReplicaLinks replicaLinks(int router) {
+        return replicaLinks.get(router);
+    }
+
+    /** Makes the replicas of a service brittle, or sound again; returns how many there are. */
+    synchronized int setBrittle(String service, OptionalInt tolerance) {
+        brittle.put(service, tolerance);
+        List<SoakReplica> ofService =
+                replicas.stream().filter(r -> r.service().equals(service)).toList();
+        ofService.forEach(r -> r.setBrittle(tolerance));
+        return ofService.size();
+    }
+
     List<SoakReplica> replicas() {
         return replicas;
     }
@@ -225,6 +251,7 @@
         for (StandinLink l : storeLinks) {
             l.close();
         }
+        replicaLinks.forEach(ReplicaLinks::close);
         for (SoakReplica r : replicas) {
             r.close();
         }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
@@ -29,6 +29,10 @@
     private final OptionSpec<Integer> limiting = number("limiting", "replicas that state a request limit", 2);
     private final OptionSpec<Integer> announcing =
             number("announcing", "replicas at a time that leave by their answers or ask for pauses", 1);
+    private final OptionSpec<Integer> lostPaths =
+            number("lost-paths", "how often a router loses its path to all replicas", 2);
+    private final OptionSpec<Integer> brittle =
+            number("brittle", "1: the replicas of one service at a time are brittle; 0: none are", 1);
     private final OptionSpec<String> json =
             parser.accepts("json", "file for the results, a JSON line a run").withRequiredArg();
 
@@ -84,7 +88,9 @@
                 options.valueOf(callers),
                 options.valueOf(crashing),
                 options.valueOf(limiting),
-                options.valueOf(announcing));
+                options.valueOf(announcing),
+                options.valueOf(lostPaths),
+                options.valueOf(brittle) > 0);
         Path directory = Files.createTempDirectory("hornbeam-soak-" + runSeed + "-");
         try {
             SoakReport report = new SoakRun(settings, directory).play();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -1,8 +1,12 @@
 package org.hornbeamhead.soak;
 
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.hornbeamhead.platform.StandinEngine;
 import org.hornbeamhead.platform.StandinLink;
@@ -21,6 +25,14 @@
     /** One in so many requests fails at a grey replica. */
     private static final int GREY_ONE_IN = 2;
 
+    /** The slots that its entry states. */
+    private static final int SLOTS = 8;
+    /** How much longer a request takes at a brittle replica. */
+    private static final long BRITTLE_WORK_MILLIS = 250;
+
+    private static final long NOTICE_MILLIS = 3_000;
+    private static final long SECOND_MILLIS = 1_000;
+
     private final StandinReplica replica;
     private final StandinEngine engine;
     private final StandinLink link;
@@ -32,7 +44,11 @@
     private volatile boolean grey;
     private volatile OptionalDouble limit = OptionalDouble.empty();
     private volatile long pauseMillis;
+    private volatile long brittleSince;
     private volatile boolean leaving;
+    private volatile OptionalInt tolerance = OptionalInt.empty();
+    private final AtomicInteger running = new AtomicInteger();
+    private final Deque<Long> rejections = new ArrayDeque<>();
 
     SoakReplica(
             String id,
@@ -82,6 +98,26 @@
         limit = requestsPerSecond;
     }
 
+    /**
+     * Is slow from now on, turns away what it has no slot for, and falls over after too many rejections; or is sound.
+     */
+    void setBrittle(OptionalInt rejectionsPerSecond) {
+        tolerance = rejectionsPerSecond;
+        if (rejectionsPerSecond.isPresent()) {
+            brittleSince = clock.millis();
+        }
+    }
+
+    /** Records that a request was turned away, and returns whether that was one too many. */
+    private synchronized boolean isRejectionTooMany(int borne) {
+        long now = clock.millis();
+        rejections.addLast(now);
+        while (now - rejections.peekFirst() >= SECOND_MILLIS) {
+            rejections.removeFirst();
+        }
+        return rejections.size() > borne;
+    }
+
     /** Says in all its answers from now on that it leaves. */
     void announceLeave() {
         leaving = true;
@@ -97,6 +133,9 @@
         if (limit.isPresent()) {
             noticed = withHeader(noticed, "Server-Limit: " + limit.getAsDouble());
         }
+        if (tolerance.isPresent()) {
+            noticed = withHeader(noticed, "Server-Brittle: " + tolerance.getAsInt());
+        }
         if (leaving) {
             history.add(new History.Announced(id(), r.id()));
             noticed = withHeader(noticed, "Server-Leaving: 1");
@@ -116,6 +155,33 @@
 
     private void work(StandinReplica.ReceivedRequest r, StandinReplica.Connection to)
             throws IOException, InterruptedException {
+        try {
+            boolean isFull = running.incrementAndGet() > SLOTS;
+            OptionalInt borne = tolerance;
+            if (borne.isPresent() && isFull) {
+                reject(r, to, borne.getAsInt());
+            } else {
+                Thread.sleep(borne.isPresent() ? BRITTLE_WORK_MILLIS : 0);
+                workInSlot(r, to);
+            }
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
+    private void reject(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, int borne) throws IOException {
+        history.add(new History.Arrived(
+                r.id(), id(), service, r.customer(), r.cacheSalt(), r.expectedWeights(), false, clock.millis()));
+        to.write(withNotices(r, StandinReplica.notExecuted(503)));
+        // For some time after the first statement more are borne, since routers cannot know it yet.
+        if (isRejectionTooMany(borne) && clock.millis() - brittleSince > NOTICE_MILLIS) {
+            history.add(new History.Fallen(id(), service, clock.millis()));
+            onEnd.accept(this);
+        }
+    }
+
+    private void workInSlot(StandinReplica.ReceivedRequest r, StandinReplica.Connection to)
+            throws IOException, InterruptedException {
         boolean fails = grey && random.nextInt(GREY_ONE_IN) == 0;
         int how = random.nextInt(Failure.values().length);
         Failure failure = fails ? Failure.values()[how] : Failure.NONE;
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -33,8 +33,12 @@
     }
 
     SoakReport play() throws IOException, InterruptedException, TimeoutException {
-        FaultPlan plan =
-                FaultPlan.draw(settings.seed(), settings.seconds() * 1_000L, settings.routers(), settings.replicas());
+        FaultPlan plan = FaultPlan.draw(
+                settings.seed(),
+                settings.seconds() * 1_000L,
+                settings.routers(),
+                settings.replicas(),
+                settings.lostPaths());
         History history = new History();
         Stopwatch clock = new Stopwatch();
         ExecutorService threads = Executors.newCachedThreadPool();
@@ -53,6 +57,10 @@
                 LimitingReplicas limiting = new LimitingReplicas(fleet, history, clock);
                 threads.execute(() -> limiting.run(settings.limiting(), settings.seed()));
             }
+            if (settings.brittle()) {
+                BrittleReplicas brittle = new BrittleReplicas(fleet, history, clock);
+                threads.execute(() -> brittle.run(settings.seed()));
+            }
             AnnouncingReplicas announcing = new AnnouncingReplicas(fleet);
             IntStream.range(0, settings.announcing())
                     .forEach(i -> threads.execute(() -> announcing.run(settings.seed() + i)));
@@ -81,8 +89,9 @@
         }
     }
 
+    /** Waits until all routers answer callers, and each of those that callers are told of is a router of the fleet. */
     private static void awaitServing(SoakFleet fleet, Stopwatch clock) throws InterruptedException, TimeoutException {
-        while (!fleet.routers().stream().allMatch(Callers::isNamed)) {
+        while (!fleet.routers().stream().allMatch(Callers::namesRouters)) {
             if (clock.millis() > START_LIMIT_MILLIS) {
                 throw new TimeoutException("the routers did not start; their logs are in " + fleet.directory());
             }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
@@ -11,9 +11,20 @@
  * @param crashing requests that end each replica that runs them, each sent again and again
  * @param limiting replicas that state a request limit
  * @param announcing replicas at a time that leave by their answers, or ask for pauses
+ * @param lostPaths how often a router loses its path to all replicas
+ * @param brittle whether the replicas of one service at a time are brittle
  */
 record SoakSettings(
-        long seed, int seconds, int routers, int replicas, int callers, int crashing, int limiting, int announcing) {
+        long seed,
+        int seconds,
+        int routers,
+        int replicas,
+        int callers,
+        int crashing,
+        int limiting,
+        int announcing,
+        int lostPaths,
+        boolean brittle) {
     SoakSettings {
         if (seconds < 1 || routers < 1 || replicas < 6 || callers < 1) {
             throw new IllegalArgumentException("a run needs a second, a router, six replicas and a caller at least");
@@ -24,8 +35,9 @@
         if (announcing < 0 || announcing > replicas) {
             throw new IllegalArgumentException(announcing + " of " + replicas + " replicas cannot announce anything");
         }
-        if (crashing < 0) {
-            throw new IllegalArgumentException("a run cannot have " + crashing + " requests that end replicas");
+        if (crashing < 0 || lostPaths < 0) {
+            throw new IllegalArgumentException(
+                    "a run cannot have " + crashing + " requests that end replicas and " + lostPaths + " lost paths");
         }
     }
 }
--- a/soak/src/main/java/org/hornbeamhead/soak/fault/FaultKind.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultKind.java
@@ -24,6 +24,14 @@
     STORE_LINK_RESET(Target.STORE_LINK, false),
     /** What the store answers one router does not arrive, though what it is asked does. */
     STORE_LINK_ONE_WAY(Target.STORE_LINK, false),
+    /** One router's connections to all replicas are reset, and new ones are refused. */
+    PATH_REFUSED(Target.PATH, false),
+    /** One router's connections to all replicas live on, and new ones are refused. */
+    PATH_CLOSED(Target.PATH, false),
+    /** One router's connections to all replicas are silent, and new ones do not open. */
+    PATH_HANGS(Target.PATH, false),
+    /** What replicas answer one router does not arrive, though what they are asked does. */
+    PATH_ONE_WAY(Target.PATH, false),
     /** A replica's connections are silent. */
     REPLICA_SILENT(Target.REPLICA, false),
     /** A replica's connections are reset. */
@@ -51,6 +59,8 @@
         STORE,
         /** The way of one router to the store. */
         STORE_LINK,
+        /** The way of one router to all replicas. */
+        PATH,
         /** One replica. */
         REPLICA,
         /** Nothing: operators change something. */
--- a/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
@@ -1,9 +1,13 @@
 package org.hornbeamhead.soak.fault;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import org.hornbeamhead.soak.fault.FaultKind.Target;
 
 /**
  * What happens in a run, and when. The same seed gives the same plan. Faults come alone, in series of the same kind,
@@ -21,6 +25,8 @@
     private static final int MAX_SERIES_GAP_MILLIS = 900;
     private static final int MIN_LASTING_MILLIS = 300;
     private static final int MAX_LASTING_MILLIS = 4_000;
+    /** Lost paths last longer, since routers have some seconds to notice them. */
+    private static final long PATH_MILLIS = 6_000;
 
     /**
      * One fault.
@@ -44,14 +50,40 @@
      * @param untilMillis when the last fault begins at the latest
      * @param routers the routers
      * @param replicas the replicas
+     * @param lostPaths how often a router loses its path to all replicas, beside the other faults
      * @return the plan
      */
-    public static FaultPlan draw(long seed, long untilMillis, int routers, int replicas) {
+    public static FaultPlan draw(long seed, long untilMillis, int routers, int replicas, int lostPaths) {
+        List<Fault> faults = new ArrayList<>(drawOthers(seed, untilMillis, routers, replicas));
+        faults.addAll(drawLostPaths(new Random(~seed), untilMillis, routers, lostPaths));
+        faults.sort(Comparator.comparingLong(Fault::at));
+        return new FaultPlan(faults);
+    }
+
+    /** Draws the losses of paths by themselves, so that the other faults of a seed do not depend on them. */
+    private static List<Fault> drawLostPaths(Random random, long untilMillis, int routers, int lostPaths) {
+        List<FaultKind> kinds = kinds(k -> k.target() == Target.PATH);
+        return IntStream.range(0, lostPaths)
+                .mapToObj(i -> fault(
+                        kinds.get(random.nextInt(kinds.size())),
+                        QUIET_START_MILLIS + (long) random.nextInt((int) Math.max(1, untilMillis - QUIET_START_MILLIS)),
+                        random,
+                        routers,
+                        0))
+                .toList();
+    }
+
+    private static List<FaultKind> kinds(Predicate<FaultKind> condition) {
+        return Arrays.stream(FaultKind.values()).filter(condition).toList();
+    }
+
+    private static List<Fault> drawOthers(long seed, long untilMillis, int routers, int replicas) {
         Random random = new Random(seed);
+        List<FaultKind> kinds = kinds(k -> k.target() != Target.PATH);
         List<Fault> faults = new ArrayList<>();
         long at = QUIET_START_MILLIS;
         while (at < untilMillis) {
-            FaultKind kind = FaultKind.values()[random.nextInt(FaultKind.values().length)];
+            FaultKind kind = kinds.get(random.nextInt(kinds.size()));
             long next = at;
             for (int i = 1 + random.nextInt(MAX_SERIES); i > 0 && next < untilMillis; i--) {
                 faults.add(fault(kind, next, random, routers, replicas));
@@ -59,18 +91,17 @@
             }
             at += random.nextInt(2 * MEAN_GAP_MILLIS);
         }
-        faults.sort(Comparator.comparingLong(Fault::at));
-        return new FaultPlan(faults);
+        return faults;
     }
 
     private static Fault fault(FaultKind kind, long at, Random random, int routers, int replicas) {
         int index =
                 switch (kind.target()) {
-                    case ROUTER, STORE_LINK -> random.nextInt(routers);
+                    case ROUTER, STORE_LINK, PATH -> random.nextInt(routers);
                     case REPLICA -> random.nextInt(replicas);
                     case ALL_ROUTERS, STORE, OPERATORS -> 0;
                 };
         long lasting = MIN_LASTING_MILLIS + (long) random.nextInt(MAX_LASTING_MILLIS - MIN_LASTING_MILLIS);
-        return new Fault(kind, index, at, lasting);
+        return new Fault(kind, index, at, kind.target() == Target.PATH ? lasting + PATH_MILLIS : lasting);
     }
 }
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -76,6 +76,25 @@
      */
     public record Limited(String replica, double perSecond, long from, long to) {}
 
+    /**
+     * The replicas of a service were brittle.
+     *
+     * @param service the service
+     * @param replicas how many there were
+     * @param from when they began to say so
+     * @param to when they ceased to
+     */
+    public record Brittle(String service, int replicas, long from, long to) {}
+
+    /**
+     * A brittle replica fell over.
+     *
+     * @param replica the replica
+     * @param service its service
+     * @param at when
+     */
+    public record Fallen(String replica, String service, long at) {}
+
     /**
      * A replica said in an answer that it leaves.
      *
@@ -153,6 +172,8 @@
     private final Collection<Arrived> arrived = new ConcurrentLinkedQueue<>();
     private final Collection<Ended> ended = new ConcurrentLinkedQueue<>();
     private final Collection<Limited> limited = new ConcurrentLinkedQueue<>();
+    private final Collection<Brittle> brittle = new ConcurrentLinkedQueue<>();
+    private final Collection<Fallen> fallen = new ConcurrentLinkedQueue<>();
     private final Collection<Announced> announced = new ConcurrentLinkedQueue<>();
     private final Collection<Paused> paused = new ConcurrentLinkedQueue<>();
     private final Collection<Ordered> ordered = new ConcurrentLinkedQueue<>();
@@ -177,6 +198,10 @@
             ended.add(e);
         } else if (seen instanceof Limited l) {
             limited.add(l);
+        } else if (seen instanceof Brittle b) {
+            brittle.add(b);
+        } else if (seen instanceof Fallen f) {
+            fallen.add(f);
         } else if (seen instanceof Announced a) {
             announced.add(a);
         } else if (seen instanceof Paused p) {
@@ -250,6 +275,24 @@
         return List.copyOf(limited);
     }
 
+    /**
+     * Lists the times in which services were brittle.
+     *
+     * @return the times
+     */
+    public List<Brittle> brittle() {
+        return List.copyOf(brittle);
+    }
+
+    /**
+     * Lists the falls of brittle replicas.
+     *
+     * @return the falls
+     */
+    public List<Fallen> fallen() {
+        return List.copyOf(fallen);
+    }
+
     /**
      * Lists the announcements of leaving replicas.
      *
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -34,6 +34,8 @@
         checks.put("announced leaves", AvailabilityChecks::announcedLeaves);
         checks.put("pauses", AvailabilityChecks::pauses);
         checks.put("requests that end replicas", CrashChecks::sentFewTimes);
+        checks.put("served without a path", PathChecks::servedWithoutPath);
+        checks.put("brittle replicas", BrittleChecks::brittleReplicas);
         checks.put("service back", LoadChecks::serviceBack);
         checks.put("no uncaught errors", Promises::noUncaughtErrors);
     }
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -118,7 +118,7 @@
     /** The promise, a history that breaks it, and one like it that does not. */
     @DataProvider
     public Object[][] histories() {
-        return Stream.of(answerHistories(), stateHistories(), loadHistories(), availabilityHistories())
+        return Stream.of(answerHistories(), stateHistories(), loadHistories(), availabilityHistories(), pathHistories())
                 .flatMap(Arrays::stream)
                 .toArray(Object[][]::new);
     }
@@ -250,6 +250,36 @@
         };
     }
 
+    /** Twenty requests each at a cut router and at another, of which some are served at the cut one. */
+    private static History cut(int served) {
+        History h = new History().add(new Disturbed("PATH_HANGS", "router0", false, 10_000, 30_000));
+        IntStream.range(0, 20).forEach(i -> {
+            h.add(asked("c" + i, RequestKind.SAFE, 14_000 + i))
+                    .add(answered("c" + i, i < served ? 200 : 503, "", 15_000));
+            h.add(new Asked("o" + i, RequestKind.SAFE, "key", "router1", 1, 14_000 + i))
+                    .add(answered("o" + i, 200, "", 15_000));
+        });
+        return h;
+    }
+
+    private static History falls(int count) {
+        History h = new History().add(new History.Brittle("lm", 6, 1_000, 9_000));
+        IntStream.range(0, count).forEach(i -> h.add(new History.Fallen("replica" + i, "lm", 5_000 + i)));
+        return h;
+    }
+
+    private static Object[][] pathHistories() {
+        return new Object[][] {
+            {"served without a path", cut(5), cut(14)},
+            {
+                "served without a path",
+                cut(5),
+                cut(5).add(new Disturbed("ROUTER_FROZEN", "router0", false, 13_000, 16_000))
+            },
+            {"brittle replicas", falls(3), falls(2)},
+        };
+    }
+
     private static Object[][] availabilityHistories() {
         return new Object[][] {
             {"announced leaves", leaves(3_100), leaves(2_900)},
