A stream that a relaying router breaks off goes on after the last event, or ends as broken

Cause: a second hop began the response again. Now the events pass the same filter as those of replicas, the next router is told the last one, and the head is written once; a stream in progress that loses its path is handed over in the same way.

RouterPathTest.streamGoesOnAtAnotherRouterAfterTheRelayBroke: "HTTP/1.1 200 OK" in the middle of the chunks before.

A second fault, seen once by leaveOfCallerCrossesTheHop beside load: the other router had not listed the one that handed a request over, closed the connection, and the caller got 502 for a request that had not run. Such requests are now declined (requestOfUnlistedHostIsDeclinedAndNotRun).

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -339,7 +339,11 @@
      */
     public void start() throws IOException {
         callerServer.listen(settings.callerAddress());
-        callerServer.listenForRouters(settings.hintAddress(), routers::isRouterHost, this::handleRelayed);
+        callerServer.listenForRouters(
+                settings.hintAddress(),
+                routers::isRouterHost,
+                this::handleRelayed,
+                (request, answer) -> dispatcher.declineRelayed(request, answer, "no router is listed there"));
         daemon.listen(settings.peerAddress(), this::handlePeerRequest);
         if (settings.metricsAddress().getPort() != 0) {
             daemon.listen(settings.metricsAddress(), request -> metrics.scrape());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -70,24 +70,32 @@
     }
 
     /**
-     * Starts to listen for requests that other routers hand over. Connections of other hosts are closed.
+     * Starts to listen for requests that other routers hand over. Those of other hosts are declined, since a router may
+     * not be listed yet.
      *
      * @param address the address to bind
      * @param isRouter returns whether a router runs at an address
-     * @param relayHandler handles the requests
+     * @param relayHandler handles the requests of routers
+     * @param decliningHandler answers other requests
      * @throws IOException if the address cannot be bound
      */
-    public void listenForRouters(InetSocketAddress address, Predicate<InetAddress> isRouter, CallerHandler relayHandler)
+    public void listenForRouters(
+            InetSocketAddress address,
+            Predicate<InetAddress> isRouter,
+            CallerHandler relayHandler,
+            CallerHandler decliningHandler)
             throws IOException {
         listen(address, socket -> {
             InetAddress host = ((TcpSocket) socket).getRemoteAddress().getAddress();
-            if (isRouter.test(host)) {
-                accept(socket, relayHandler, limits.get().forRouters());
-            } else {
-                metrics.count("hornbeam_relay_connections_refused");
-                logger.atWarning().log("connection from %s, where no router is listed, is closed", host);
-                socket.close();
+            boolean trusted = isRouter.test(host);
+            if (!trusted) {
+                metrics.count("hornbeam_relay_connections_declined");
+                logger.atWarning().log("requests from %s, where no router is listed, are declined", host);
             }
+            accept(
+                    socket,
+                    trusted ? relayHandler : decliningHandler,
+                    limits.get().forRouters());
         });
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.activej.promise.Promise;
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -292,14 +291,13 @@
     private Promise<Void> relay(List<EventSplitter.Event> events) {
         replica.load().recordFirstEvent(request.id(), now());
         armSilenceTimer(request.silenceTimeouts().pauseMillis());
-        ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
-        events.stream().filter(e -> exchange.progress().advance(e.id())).forEach(e -> newEvents.writeBytes(e.bytes()));
-        if (newEvents.size() == 0) {
+        byte[] newEvents = exchange.progress().newEvents(events);
+        if (newEvents.length == 0) {
             return Promise.complete();
         }
         exchange.beginResponse(head);
         exchange.recordRelay();
-        return exchange.response().write(newEvents.toByteArray());
+        return exchange.response().write(newEvents);
     }
 
     @Override
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -299,20 +299,11 @@
         if (!relayRouters.isAvailable(service, Set.of())) {
             return false;
         }
-        relay(routed, service, response, 0);
+        StreamProgress progress = new StreamProgress(routed.callerRequest().lastEventId());
+        new RelayedRequest(this, routed, service, response, new ForwardingState(routed.route()), progress).start();
         return true;
     }
 
-    /**
-     * Hands a request to another router.
-     *
-     * @param possibleExecutions how many attempts of this router may have been executed
-     */
-    void relay(RoutedRequest routed, String service, CallerResponse response, int possibleExecutions) {
-        ForwardingState forwarding = new ForwardingState(routed.route(), possibleExecutions);
-        new RelayedRequest(this, routed, service, response, forwarding).start();
-    }
-
     private void startExchange(ServiceRequest request, CallerResponse response) {
         budget(request.service().name()).recordRequest(clock.monotonicMillis());
         new Exchange(this, request, response).start();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -206,14 +206,14 @@
 
     /**
      * Returns whether another router may take the request: this host has no path to the service, or could not connect
-     * to any replica that it tried. A request is handed over once, and not when its response has begun.
+     * to any replica that it tried. A request is handed over once; a stream that has begun goes on there.
      */
     private boolean canHandOver() {
         boolean unreached = dispatcher.paths().isLost(serviceRequest.service().name())
                 || (notConnected > 0 && notConnected == tried.size());
         return unreached
                 && serviceRequest.routed().origin().isEmpty()
-                && !forwarding.hasResponseStarted()
+                && (!forwarding.hasResponseStarted() || serviceRequest.route().repeatable())
                 && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
                 && dispatcher
                         .relayRouters()
@@ -223,8 +223,18 @@
     private void handOver() {
         giveBackQuota();
         finish("HANDED_OVER");
-        dispatcher.relay(
-                serviceRequest.routed(), serviceRequest.service().name(), response, forwarding.possibleExecutions());
+        ForwardingState next = new ForwardingState(serviceRequest.route(), forwarding.possibleExecutions());
+        if (forwarding.hasResponseStarted()) {
+            next.responseStarted();
+        }
+        new RelayedRequest(
+                        dispatcher,
+                        serviceRequest.routed(),
+                        serviceRequest.service().name(),
+                        response,
+                        next,
+                        progress)
+                .start();
     }
 
     private void giveUp(FinalResponse answer, String reason, Optional<BufferedResponse> failure) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/HeaderCodec.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/HeaderCodec.java
@@ -1,5 +1,6 @@
 package org.hornbeamhead.gateway.dispatch;
 
+import java.util.OptionalLong;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.http.WholeRequest;
@@ -30,9 +31,10 @@
      *
      * @param request the caller's request
      * @param timeLeftMillis how long the caller will wait, in milliseconds
+     * @param lastEventId the id of the event after which the stream is to be resumed, empty to start it
      * @return the headers, without content length and connection headers
      */
-    Headers relayHeaders(CallerRequest request, long timeLeftMillis);
+    Headers relayHeaders(CallerRequest request, long timeLeftMillis, OptionalLong lastEventId);
 
     /**
      * Decodes the head of a replica's response.
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -13,6 +13,8 @@
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.route.RequestKind;
+import org.hornbeamhead.core.stream.CorruptStreamException;
+import org.hornbeamhead.core.stream.EventSplitter;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.caller.CallerResponse;
 import org.hornbeamhead.gateway.path.RelayHeaders;
@@ -25,7 +27,8 @@
  * A request that this router hands to another router, since this host has no path to the replicas of its service.
  *
  * <p>The other router does everything for the request as if the caller had connected there; its answer is passed on
- * unchanged. It never hands the request on.
+ * unchanged. It never hands the request on. If it breaks off a stream that may be resumed, a third router goes on after
+ * the last event that the caller got.
  */
 final class RelayedRequest {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -46,6 +49,7 @@
     private final CallerResponse response;
     private final ForwardingState forwarding;
     private final long deadline;
+    private final StreamProgress progress;
     private final Set<String> tried = new HashSet<>();
     private ScheduledRunnable deadlineTimer;
     private Hop hop;
@@ -58,19 +62,22 @@
      * @param routed the request
      * @param service the service of its route
      * @param response receives the answer
-     * @param forwarding what attempts of this router may have been executed
+     * @param forwarding what attempts of this router may have been executed, and whether the response has begun
+     * @param progress the last event that was relayed to the caller
      */
     RelayedRequest(
             Dispatcher dispatcher,
             RoutedRequest routed,
             String service,
             CallerResponse response,
-            ForwardingState forwarding) {
+            ForwardingState forwarding,
+            StreamProgress progress) {
         this.dispatcher = dispatcher;
         this.routed = routed;
         this.service = service;
         this.response = response;
         this.forwarding = forwarding;
+        this.progress = progress;
         this.deadline = routed.deadline();
     }
 
@@ -180,6 +187,7 @@
         private final RelayRouters.Peer peer;
         private ReplicaConnection connection;
         private ScheduledRunnable silenceTimer;
+        private final EventSplitter streamParser = new EventSplitter();
         private BufferedResponse buffered;
         private boolean declined;
         private boolean streaming;
@@ -222,7 +230,7 @@
                     "executions=" + forwarding.possibleExecutions());
             CallerRequest request = routed.callerRequest();
             Headers headers = RelayHeaders.withOrigin(
-                    dispatcher.headerCodec().relayHeaders(request, timeLeft),
+                    dispatcher.headerCodec().relayHeaders(request, timeLeft, progress.lastEventId()),
                     new RelayHeaders.Origin(routed.config().version(), forwarding.possibleExecutions()));
             if (routed.route().repeatable()) {
                 silenceTimer = dispatcher.reactor().delayBackground(SILENCE_MILLIS, this::silent);
@@ -246,11 +254,11 @@
             declined = RelayHeaders.isDeclined(head.headers());
             streaming = !declined && head.ok() && routed.route().kind() == RequestKind.STREAM;
             Headers headers = dispatcher.headerCodec().callerHeaders(head);
-            if (streaming) {
+            if (!streaming) {
+                buffered = new BufferedResponse(head.status(), headers);
+            } else if (!forwarding.hasResponseStarted()) {
                 forwarding.responseStarted();
                 response.begin(head.status(), headers);
-            } else {
-                buffered = new BufferedResponse(head.status(), headers);
             }
         }
 
@@ -260,12 +268,21 @@
                 return Promise.complete();
             }
             if (streaming) {
-                return response.write(bytes);
+                return relayEvents(bytes);
             }
             buffered.append(bytes);
             return Promise.complete();
         }
 
+        private Promise<Void> relayEvents(byte[] bytes) {
+            try {
+                return response.write(progress.newEvents(streamParser.feed(bytes)));
+            } catch (CorruptStreamException e) {
+                closeAndEnd(AttemptOutcome.BROKEN, e.getMessage());
+                return Promise.complete();
+            }
+        }
+
         @Override
         public void onComplete() {
             if (ended) {
@@ -276,6 +293,14 @@
                 end(AttemptOutcome.NOT_SENT, "the router declined it");
                 return;
             }
+            if (!streaming && forwarding.hasResponseStarted()) {
+                end(AttemptOutcome.BROKEN, "the router cannot go on with the stream");
+                return;
+            }
+            if (streaming && streamParser.insideEvent()) {
+                end(AttemptOutcome.BROKEN, "the stream ended inside an event");
+                return;
+            }
             stop();
             finish("DELIVERED");
             if (streaming) {
