--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -2,9 +2,13 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * What callers, replicas, the store and the driver saw, in milliseconds since the run began. Many threads write; checks
@@ -167,19 +171,23 @@
     /** The subject of disturbances of all routers together. */
     public static final String ALL_ROUTERS = "all routers";
 
-    private final Collection<Asked> asked = new ConcurrentLinkedQueue<>();
-    private final Collection<Answered> answered = new ConcurrentLinkedQueue<>();
-    private final Collection<Arrived> arrived = new ConcurrentLinkedQueue<>();
-    private final Collection<Ended> ended = new ConcurrentLinkedQueue<>();
-    private final Collection<Limited> limited = new ConcurrentLinkedQueue<>();
-    private final Collection<Brittle> brittle = new ConcurrentLinkedQueue<>();
-    private final Collection<Fallen> fallen = new ConcurrentLinkedQueue<>();
-    private final Collection<Announced> announced = new ConcurrentLinkedQueue<>();
-    private final Collection<Paused> paused = new ConcurrentLinkedQueue<>();
-    private final Collection<Ordered> ordered = new ConcurrentLinkedQueue<>();
-    private final Collection<Acknowledged> acknowledged = new ConcurrentLinkedQueue<>();
-    private final Collection<Disturbed> disturbed = new ConcurrentLinkedQueue<>();
-    private final Collection<Uncaught> uncaught = new ConcurrentLinkedQueue<>();
+    private static final List<Class<? extends Record>> KINDS = List.of(
+            Asked.class,
+            Answered.class,
+            Arrived.class,
+            Ended.class,
+            Limited.class,
+            Brittle.class,
+            Fallen.class,
+            Announced.class,
+            Paused.class,
+            Ordered.class,
+            Acknowledged.class,
+            Disturbed.class,
+            Uncaught.class);
+
+    private final Map<Class<?>, Collection<Record>> seenByKind = KINDS.stream()
+            .collect(Collectors.toUnmodifiableMap(Function.identity(), kind -> new ConcurrentLinkedQueue<>()));
 
     /**
      * Adds what was seen.
@@ -188,45 +196,29 @@
      * @return this history
      */
     public History add(Record seen) {
-        if (seen instanceof Asked a) {
-            asked.add(a);
-        } else if (seen instanceof Answered a) {
-            answered.add(a);
-        } else if (seen instanceof Arrived a) {
-            arrived.add(a);
-        } else if (seen instanceof Ended e) {
-            ended.add(e);
-        } else if (seen instanceof Limited l) {
-            limited.add(l);
-        } else if (seen instanceof Brittle b) {
-            brittle.add(b);
-        } else if (seen instanceof Fallen f) {
-            fallen.add(f);
-        } else if (seen instanceof Announced a) {
-            announced.add(a);
-        } else if (seen instanceof Paused p) {
-            paused.add(p);
-        } else if (seen instanceof Ordered o) {
-            ordered.add(o);
-        } else if (seen instanceof Acknowledged a) {
-            acknowledged.add(a);
-        } else if (seen instanceof Disturbed d) {
-            disturbed.add(d);
-        } else if (seen instanceof Uncaught u) {
-            uncaught.add(u);
-        } else {
+        Collection<Record> ofKind = seenByKind.get(seen.getClass());
+        if (ofKind == null) {
             throw new IllegalArgumentException("no part of a history: " + seen);
         }
+        ofKind.add(seen);
         return this;
     }
 
+    private <T extends Record> List<T> list(Class<T> kind) {
+        return stream(kind).toList();
+    }
+
+    private <T extends Record> Stream<T> stream(Class<T> kind) {
+        return seenByKind.get(kind).stream().map(kind::cast);
+    }
+
     /**
      * Lists the requests.
      *
      * @return what callers sent
      */
     public List<Asked> asked() {
-        return List.copyOf(asked);
+        return list(Asked.class);
     }
 
     /**
@@ -236,7 +228,7 @@
      * @return what the caller sent
      */
     public Optional<Asked> asked(String id) {
-        return asked.stream().filter(a -> a.id().equals(id)).findFirst();
+        return stream(Asked.class).filter(a -> a.id().equals(id)).findFirst();
     }
 
     /**
@@ -245,7 +237,7 @@
      * @return what callers got
      */
     public List<Answered> answered() {
-        return List.copyOf(answered);
+        return list(Answered.class);
     }
 
     /**
@@ -254,7 +246,7 @@
      * @return the arrivals
      */
     public List<Arrived> arrived() {
-        return List.copyOf(arrived);
+        return list(Arrived.class);
     }
 
     /**
@@ -263,7 +255,7 @@
      * @return the ends
      */
     public List<Ended> ended() {
-        return List.copyOf(ended);
+        return list(Ended.class);
     }
 
     /**
@@ -272,7 +264,7 @@
      * @return what replicas stated
      */
     public List<Limited> limited() {
-        return List.copyOf(limited);
+        return list(Limited.class);
     }
 
     /**
@@ -281,7 +273,7 @@
      * @return the times
      */
     public List<Brittle> brittle() {
-        return List.copyOf(brittle);
+        return list(Brittle.class);
     }
 
     /**
@@ -290,7 +282,7 @@
      * @return the falls
      */
     public List<Fallen> fallen() {
-        return List.copyOf(fallen);
+        return list(Fallen.class);
     }
 
     /**
@@ -299,7 +291,7 @@
      * @return the answers that said so
      */
     public List<Announced> announced() {
-        return List.copyOf(announced);
+        return list(Announced.class);
     }
 
     /**
@@ -308,7 +300,7 @@
      * @return the refusals that said so
      */
     public List<Paused> paused() {
-        return List.copyOf(paused);
+        return list(Paused.class);
     }
 
     /**
@@ -317,7 +309,7 @@
      * @return what came to engines
      */
     public List<Ordered> ordered() {
-        return List.copyOf(ordered);
+        return list(Ordered.class);
     }
 
     /**
@@ -326,7 +318,7 @@
      * @return what the store took
      */
     public List<Acknowledged> acknowledged() {
-        return List.copyOf(acknowledged);
+        return list(Acknowledged.class);
     }
 
     /**
@@ -335,7 +327,7 @@
      * @return faults and planned work
      */
     public List<Disturbed> disturbed() {
-        return List.copyOf(disturbed);
+        return list(Disturbed.class);
     }
 
     /**
@@ -344,7 +336,7 @@
      * @return what the logs of routers tell of them
      */
     public List<Uncaught> uncaught() {
-        return List.copyOf(uncaught);
+        return list(Uncaught.class);
     }
 
     /**
@@ -356,7 +348,7 @@
      * @return whether it was not disturbed, whatever happened to the store
      */
     public boolean undisturbed(String router, long from, long to) {
-        return disturbed.stream()
+        return stream(Disturbed.class)
                 .filter(d -> Set.of(router, ALL_ROUTERS).contains(d.subject()))
                 .noneMatch(d -> d.from() <= to && d.to() >= from);
     }
@@ -371,7 +363,7 @@
      * @return whether neither it nor the store was disturbed
      */
     public boolean calm(String router, long from, long to, long settle) {
-        return disturbed.stream()
+        return stream(Disturbed.class)
                 .filter(d -> Set.of(router, STORE, ALL_ROUTERS).contains(d.subject()))
                 .noneMatch(d -> d.from() <= to && d.to() >= from - settle);
     }
