--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnection.java
@@ -22,7 +22,7 @@
  * stream close the connection, and a response that names another request is skipped.
  */
 public final class ReplicaConnection {
-    private static final SocketSettings SOCKET_SETTINGS =
+    static final SocketSettings SOCKET_SETTINGS =
             SocketSettings.builder().withTcpNoDelay(true).build();
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 4_000;
     /**
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/LeaderHandoverTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/LeaderHandoverTest.java
@@ -69,6 +69,23 @@
         assertEquals(ordersOf("a").size(), ordersBefore);
     }
 
+    /** Guards against a leader that keeps its lease though it reaches no replica, and against orders of two leaders. */
+    @Test
+    public void leaderWithoutPathLeavesLeadershipToOthers() {
+        RolloutTestBed.Router cutRouter = start(8, LOAD_MILLIS);
+        testBed.startRouter("b", 1);
+        testBed.setTargetVersion(2);
+        testBed.timers.advance(1_000);
+        int ordersOfCut = ordersOf("a").size();
+        assertTrue(ordersOfCut > 0);
+        cutRouter.setReachesReplicas(false);
+        testBed.timers.advance(10_000);
+        assertEquals(ordersOf("a").size(), ordersOfCut);
+        assertEquals(testBed.replicas.changedVersions().size(), 8);
+        long lastOfCut = ordersOf("a").get(ordersOfCut - 1).sentAt();
+        assertTrue(ordersOf("b").get(0).sentAt() - lastOfCut >= PAUSE_MILLIS);
+    }
+
     @DataProvider
     public Object[][] stops() {
         return new Object[][] {{200L, 0L}, {1_700L, 0L}, {2_900L, 0L}, {200L, 40L}, {1_700L, 1_000L}, {1_000L, 2_000L}};
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
@@ -74,6 +74,11 @@
             });
         }
 
+        /** Takes the path to all replicas from the router, or gives it back. */
+        void setReachesReplicas(boolean reaches) {
+            reachesReplicas = reaches;
+        }
+
         /** Stops all timers of the router. */
         void kill() {
             killed = true;
