--- a/soak/src/main/java/org/hornbeamhead/soak/BrittleReplicas.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/BrittleReplicas.java
@@ -16,6 +16,7 @@
     private final SoakFleet fleet;
     private final History history;
     private final Stopwatch clock;
+    private volatile boolean over;
 
     BrittleReplicas(SoakFleet fleet, History history, Stopwatch clock) {
         this.fleet = fleet;
@@ -23,10 +24,16 @@
         this.clock = clock;
     }
 
-    /** Makes one service after the other brittle until the thread is told to end. */
+    /** Makes all replicas sound for the rest of the run. */
+    void end() {
+        over = true;
+        SERVICES.forEach(s -> fleet.setBrittle(s, OptionalInt.empty()));
+    }
+
+    /** Makes one service after the other brittle until {@link #end} is called. */
     void run(long seed) {
         Random random = new Random(seed);
-        while (!Thread.currentThread().isInterrupted()) {
+        while (!over) {
             makeBrittle(SERVICES.get(random.nextInt(SERVICES.size())), 1 + random.nextInt(MAX_TOLERANCE), random);
         }
     }
@@ -37,14 +44,14 @@
         try {
             Thread.sleep(MIN_BRITTLE_MILLIS + random.nextInt(MAX_BRITTLE_MILLIS - MIN_BRITTLE_MILLIS));
         } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            over = true;
         }
         fleet.setBrittle(service, OptionalInt.empty());
         history.add(new History.Brittle(service, replicas, from, clock.millis()));
         try {
             Thread.sleep(random.nextInt(MAX_PAUSE_MILLIS));
         } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            over = true;
         }
     }
 }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -57,8 +57,8 @@
                 LimitingReplicas limiting = new LimitingReplicas(fleet, history, clock);
                 threads.execute(() -> limiting.run(settings.limiting(), settings.seed()));
             }
+            BrittleReplicas brittle = new BrittleReplicas(fleet, history, clock);
             if (settings.brittle()) {
-                BrittleReplicas brittle = new BrittleReplicas(fleet, history, clock);
                 threads.execute(() -> brittle.run(settings.seed()));
             }
             AnnouncingReplicas announcing = new AnnouncingReplicas(fleet);
@@ -67,6 +67,7 @@
             strikeAll(plan, new FaultDriver(fleet, history, clock), clock, threads);
             crashing.end();
             announcing.end();
+            brittle.end();
             Thread.sleep(END_MILLIS);
             callers.end();
             threads.shutdownNow();
