--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -338,16 +338,19 @@
     }
 
     private void stopAttempt() {
-        if (attempt != null) {
-            if (attempt.isSilent()) {
-                dispatcher
-                        .quarantine()
-                        .replicaSilent(
-                                lostAttempt(attempt.sentAt()), attempt.target().replica());
-            }
-            attempt.cancel();
-            attempt = null;
+        if (attempt == null) {
+            return;
+        }
+        // The report of a silent replica may quarantine this request, which cancels the attempt in progress.
+        Attempt stopped = attempt;
+        attempt = null;
+        if (stopped.isSilent()) {
+            dispatcher
+                    .quarantine()
+                    .replicaSilent(
+                            lostAttempt(stopped.sentAt()), stopped.target().replica());
         }
+        stopped.cancel();
     }
 
     /** Sends the response head to the caller, unless it was sent already. */
