Logs and a metric tell which software version writes a stream, and what a caller resumes

The hypotheses of the incident differ in who goes on with a stream and what it knows, of which nothing was logged. No choice depends on any of it yet.

--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/hash/package-info.java
@@ -0,0 +1,2 @@
+/** Hashes of fields that callers or replicas choose. */
+package org.hornbeamhead.core.hash;
--- a/core/src/main/java/org/hornbeamhead/core/replica/ReplicaEntry.java
+++ b/core/src/main/java/org/hornbeamhead/core/replica/ReplicaEntry.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.core.replica;
 
 import java.util.Map;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 
 /**
  * A replica's entry in the registry.
@@ -10,6 +11,7 @@
  * @param service the service's name
  * @param address the IP address and port
  * @param dataCentre the data centre
+ * @param softwareVersion the name of the version of its software; empty if it states none
  * @param draining whether it has announced its shutdown
  * @param slots the number of requests that it runs concurrently
  * @param weights the weight version of each model that it serves
@@ -20,6 +22,7 @@
         String service,
         String address,
         String dataCentre,
+        String softwareVersion,
         boolean draining,
         int slots,
         Map<String, Long> weights) {
@@ -37,4 +40,13 @@
     public String run() {
         return id + '@' + startedAt;
     }
+
+    /**
+     * Returns the version of the replica's software.
+     *
+     * @return the version, which is equal to no other if the replica states none
+     */
+    public SoftwareVersion software() {
+        return softwareVersion.isEmpty() ? SoftwareVersion.unnamed(run()) : SoftwareVersion.named(softwareVersion);
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -296,7 +296,7 @@
             return Promise.complete();
         }
         exchange.beginResponse(head);
-        exchange.recordRelay();
+        exchange.recordRelay(replica);
         return exchange.response().write(newEvents);
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/CallerRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/CallerRequest.java
@@ -18,6 +18,8 @@
  * @param tokenCount the number of prompt tokens and of output tokens at most; empty if the caller stated none, or a
  *     message that says why what it stated is invalid
  * @param lastEventId the id of the event after which the caller wants to resume a stream
+ * @param resumedAttempt the id of the request that brought the first event of that stream; empty if the caller names
+ *     none, or not just one
  */
 public record CallerRequest(
         WholeRequest message,
@@ -27,4 +29,5 @@
         OptionalLong timeLeftMillis,
         Optional<Prompt> prompt,
         Either<String, OptionalLong> tokenCount,
-        OptionalLong lastEventId) {}
+        OptionalLong lastEventId,
+        Optional<String> resumedAttempt) {}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -282,6 +282,9 @@
             return;
         }
         routers.recordRequest(clock.monotonicMillis());
+        if (routed.callerRequest().lastEventId().isPresent()) {
+            metrics.count("hornbeam_streams_resumed", "route", routed.route().name());
+        }
         quotas.admit(routed.quotaOwner(), routed.callerRequest().tokenCount())
                 .peek(decision -> decision.filter(d -> !d.admitted())
                         .ifPresentOrElse(
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -369,8 +369,11 @@
         }
     }
 
-    /** Records that events were relayed to the caller. */
-    void recordRelay() {
+    /** Records that events of a replica were relayed to the caller. */
+    void recordRelay(LiveReplica replica) {
+        if (!progress.recordSoftware(replica.entry().software())) {
+            dispatcher.metrics().count("hornbeam_streams_mixed");
+        }
         timings.recordEvents(dispatcher.clock().monotonicMillis());
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamProgress.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamProgress.java
@@ -2,12 +2,15 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.stream.EventSplitter;
 
-/** The id of the last event of a stream that was relayed to the caller. */
+/** The last event of a stream that was relayed to the caller, and the software that wrote the first one. */
 final class StreamProgress {
     private OptionalLong lastId;
+    private Optional<SoftwareVersion> software = Optional.empty();
 
     StreamProgress(OptionalLong resumeAfter) {
         this.lastId = resumeAfter;
@@ -17,6 +20,17 @@
         return lastId;
     }
 
+    /** Returns the version of the software that wrote the first event; empty before it, or if it is not known. */
+    Optional<SoftwareVersion> software() {
+        return software;
+    }
+
+    /** Records which software wrote events that were relayed, and returns whether it is that of the first one. */
+    boolean recordSoftware(SoftwareVersion writer) {
+        software = software.or(() -> Optional.of(writer));
+        return software.get().equals(writer);
+    }
+
     /** Records events and returns the bytes of those that are new. */
     byte[] newEvents(List<EventSplitter.Event> events) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
@@ -151,7 +151,7 @@
                 .with(
                         Logs.INPUTS,
                         "service=" + entry.service() + " address=" + entry.address() + " startedAt=" + entry.startedAt()
-                                + " revision=" + revision)
+                                + " software=" + entry.softwareVersion() + " revision=" + revision)
                 .log("%s: %s", decision, entry.id());
     }
 
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakeReplicas.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakeReplicas.java
@@ -48,7 +48,15 @@
         IntStream.range(0, count)
                 .forEach(i -> registry.put(
                         new ReplicaEntry(
-                                "r" + i, listedStart, "s", "10.0.0." + i + ":80", "z", false, 8, Map.of(MODEL, 1L)),
+                                "r" + i,
+                                listedStart,
+                                "s",
+                                "10.0.0." + i + ":80",
+                                "z",
+                                "v1",
+                                false,
+                                8,
+                                Map.of(MODEL, 1L)),
                         1));
     }
 
--- a/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
@@ -59,7 +59,7 @@
 
     private void register(boolean draining) {
         String address = "127.0.0.1:" + server.getLocalPort();
-        registry.put(new ReplicaEntry(REPLICA, 1, "s", address, "z", draining, 8, Map.of()), 1);
+        registry.put(new ReplicaEntry(REPLICA, 1, "s", address, "z", "v1", draining, 8, Map.of()), 1);
     }
 
     private LiveReplica replica() {
--- a/gateway/src/test/java/org/hornbeamhead/gateway/replica/ReplicaRegistryTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/replica/ReplicaRegistryTest.java
@@ -26,7 +26,7 @@
     private ReplicaRegistry registry;
 
     private static ReplicaEntry entry(long startedAt, long weights) {
-        return new ReplicaEntry("r", startedAt, "lm", "10.0.0.1:80", "z", false, 8, Map.of("m", weights));
+        return new ReplicaEntry("r", startedAt, "lm", "10.0.0.1:80", "z", "v1", false, 8, Map.of("m", weights));
     }
 
     @BeforeMethod
@@ -115,7 +115,7 @@
     @Test
     public void unreadableEntryExcludesOnlyItsReplica() {
         registry.put(FIRST_RUN, 1);
-        registry.put(new ReplicaEntry("s", 1, "lm", "10.0.0.2:80", "z", false, 8, Map.of("m", 5L)), 2);
+        registry.put(new ReplicaEntry("s", 1, "lm", "10.0.0.2:80", "z", "v1", false, 8, Map.of("m", 5L)), 2);
         registry.markEntryInvalid("r", 3);
         registry.markEntryInvalid("nobody", 4);
         assertEquals(Stream.of(onlyReplica()).map(r -> r.entry().id()).toList(), List.of("s"));
