A stream goes on within an answer only at the software that began it

Cause: a router that goes on after the last event chose any replica that it had not tried; nobody read an entry's version. Now the first event that is relayed binds the stream to the version of its writer (StreamProgress), and one class says which replicas may get a request (ReplicaScope): the choice, the question whether another is left, the wait on a silent replica and the time of return ask it. An attempt that gave nothing binds nobody, nor do bytes of an event that is not whole, which are never relayed. A version that is not stated equals only itself in the same run; an entry that names other software under the same id is another run. The router that a request is handed over to is told the version, and tells in its answer which one began the stream.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -295,8 +295,8 @@
         if (newEvents.length == 0) {
             return Promise.complete();
         }
-        exchange.beginResponse(head);
         exchange.recordRelay(replica);
+        exchange.beginResponse(head);
         return exchange.response().write(newEvents);
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -302,14 +302,14 @@
         if (!relayRouters.isAvailable(service, Set.of())) {
             return false;
         }
-        StreamProgress progress = new StreamProgress(routed.callerRequest().lastEventId());
+        StreamProgress progress = new StreamProgress(routed.callerRequest().lastEventId(), Optional.empty());
         new RelayedRequest(this, routed, service, response, new ForwardingState(routed.route()), progress).start();
         return true;
     }
 
     private void startExchange(ServiceRequest request, CallerResponse response) {
         budget(request.service().name()).recordRequest(clock.monotonicMillis());
-        new Exchange(this, request, response).start();
+        new Exchange(this, request, response, request.routed().origin().flatMap(RelayHeaders.Origin::software)).start();
     }
 
     private void rejectOverQuota(RoutedRequest routed, CallerResponse response, QuotaDecision decision) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -17,10 +16,12 @@
 import org.hornbeamhead.core.forward.NextStep;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.ResponseHead;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RequestKind;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.caller.CallerResponse;
+import org.hornbeamhead.gateway.path.RelayHeaders;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 
 /** The handling of one request from its arrival to the final response, over one or more attempts. */
@@ -41,7 +42,7 @@
     private final ServiceRequest serviceRequest;
     private final CallerResponse response;
     private final ForwardingState forwarding;
-    private final Set<String> tried = new HashSet<>();
+    private final ReplicaScope scope;
     private final long arrivedAt;
     private final long deadline;
     private final StreamProgress progress;
@@ -52,7 +53,19 @@
     private int notConnected;
     private boolean finished;
 
-    Exchange(Dispatcher dispatcher, ServiceRequest serviceRequest, CallerResponse response) {
+    /**
+     * Creates an exchange that is not started yet.
+     *
+     * @param dispatcher the dispatcher
+     * @param serviceRequest the request
+     * @param response receives the response
+     * @param software the software that began the stream which the request resumes; empty for a new request
+     */
+    Exchange(
+            Dispatcher dispatcher,
+            ServiceRequest serviceRequest,
+            CallerResponse response,
+            Optional<SoftwareVersion> software) {
         this.dispatcher = dispatcher;
         this.serviceRequest = serviceRequest;
         this.response = response;
@@ -60,7 +73,8 @@
                 serviceRequest.route(), serviceRequest.routed().possibleExecutions());
         this.arrivedAt = serviceRequest.routed().arrivedAt();
         this.deadline = serviceRequest.routed().deadline();
-        this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId());
+        this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId(), software);
+        this.scope = new ReplicaScope(serviceRequest.service().name(), progress);
     }
 
     void start() {
@@ -82,14 +96,7 @@
         }
         Optional<Target> target = timeLeftMillis() < MIN_TIME_LEFT_MILLIS
                 ? Optional.empty()
-                : dispatcher
-                        .targetSelector()
-                        .select(
-                                serviceRequest.config(),
-                                serviceRequest.service(),
-                                serviceRequest.callerRequest(),
-                                serviceRequest.owner(),
-                                tried);
+                : dispatcher.targetSelector().select(serviceRequest, scope);
         if (target.isEmpty()) {
             if (canHandOver()) {
                 handOver();
@@ -98,7 +105,7 @@
             }
             return;
         }
-        OptionalLong retryMillis = tried.isEmpty() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
+        OptionalLong retryMillis = isNew() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
         if (retryMillis.isPresent()) {
             giveBackQuota();
             finish("REFUSED_FOR_LOAD");
@@ -109,11 +116,16 @@
                     retryMillis.getAsLong());
             return;
         }
-        tried.add(target.get().replica().entry().run());
+        scope.recordTried(target.get().replica());
         attempt = new Attempt(this, target.get());
         attempt.start();
     }
 
+    /** Returns whether nothing of the request was sent yet, and its caller has no part of the response. */
+    private boolean isNew() {
+        return scope.triedCount() == 0 && progress.software().isEmpty();
+    }
+
     /** Rejects a quarantined request. It is answered at once, since waiting does not change its effect on replicas. */
     private void rejectQuarantined(long millis) {
         String reason = "replicas ended under requests with content " + fingerprint();
@@ -181,7 +193,7 @@
         notConnected += end == AttemptOutcome.NOT_CONNECTED ? 1 : 0;
         ForwardingState.RetryConditions conditions = new ForwardingState.RetryConditions(
                 timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
-                dispatcher.targetSelector().hasUntried(serviceRequest.service(), tried) || canHandOver(),
+                dispatcher.targetSelector().hasUntried(scope) || canHandOver(),
                 () -> dispatcher.takeRetry(serviceRequest.service().name()));
         reportLoss(end, replica, sentAt);
         NextStep step = forwarding.nextStep(end, conditions);
@@ -210,7 +222,7 @@
      */
     private boolean canHandOver() {
         boolean unreached = dispatcher.paths().isLost(serviceRequest.service().name())
-                || (notConnected > 0 && notConnected == tried.size());
+                || (notConnected > 0 && notConnected == scope.triedCount());
         return unreached
                 && serviceRequest.routed().origin().isEmpty()
                 && (!forwarding.hasResponseStarted() || serviceRequest.route().repeatable())
@@ -241,9 +253,7 @@
         OptionalLong returnMillis = answer == FinalResponse.NOT_RUN
                 ? dispatcher
                         .targetSelector()
-                        .bookReturnMillis(
-                                serviceRequest.service(),
-                                serviceRequest.callerRequest().id())
+                        .bookReturnMillis(scope, serviceRequest.callerRequest().id())
                 : OptionalLong.empty();
         sendFinalAnswer(
                 answer,
@@ -269,7 +279,7 @@
 
     private String logInputs(AttemptOutcome end) {
         String content = end.mayHaveExecuted() ? " content=" + fingerprint() : "";
-        return "millisLeft=" + timeLeftMillis() + " tried=" + tried.size() + content;
+        return "millisLeft=" + timeLeftMillis() + " tried=" + scope.triedCount() + content;
     }
 
     /** Returns the fingerprint of the request content, computed at first use since few requests need it. */
@@ -358,7 +368,7 @@
         if (!forwarding.hasResponseStarted()) {
             forwarding.responseStarted();
             timings.recordFirst(elapsed().toMillis());
-            response.begin(head.status(), dispatcher.headerCodec().callerHeaders(head));
+            response.begin(head.status(), responseHeaders(head));
             dispatcher
                     .metrics()
                     .time(
@@ -369,11 +379,20 @@
         }
     }
 
-    /** Records that events of a replica were relayed to the caller. */
+    /** Returns the headers for the caller, or for the router that handed the request over. */
+    private Headers responseHeaders(ResponseHead head) {
+        Headers headers = dispatcher.headerCodec().callerHeaders(head);
+        return serviceRequest.routed().origin().isPresent()
+                ? RelayHeaders.withSoftware(headers, progress.software())
+                : headers;
+    }
+
+    /** Records that events of a replica are about to be relayed to the caller. */
     void recordRelay(LiveReplica replica) {
-        if (!progress.recordSoftware(replica.entry().software())) {
+        if (!progress.mayGoOnAt(replica.software())) {
             dispatcher.metrics().count("hornbeam_streams_mixed");
         }
+        progress.recordSoftware(replica.software());
         timings.recordEvents(dispatcher.clock().monotonicMillis());
     }
 
@@ -419,7 +438,7 @@
                         + p.maxOutputTokens())
                 .orElse("");
         return "route=" + serviceRequest.route().name() + tokens + timings + " millis="
-                + elapsed().toMillis() + " tried=" + tried;
+                + elapsed().toMillis() + " tried=" + scope;
     }
 
     private Duration elapsed() {
@@ -455,7 +474,7 @@
         return serviceRequest.route().repeatable()
                 && forwarding.possibleExecutions() + 1
                         < serviceRequest.route().limits().maxAttempts()
-                && (dispatcher.targetSelector().hasUntried(serviceRequest.service(), tried) || canHandOver());
+                && (dispatcher.targetSelector().hasUntried(scope) || canHandOver());
     }
 
     /** Returns whether the request could be sent to another replica at this moment. */
@@ -467,12 +486,7 @@
                 && (canHandOver()
                         || dispatcher
                                 .targetSelector()
-                                .select(
-                                        serviceRequest.config(),
-                                        serviceRequest.service(),
-                                        serviceRequest.callerRequest(),
-                                        serviceRequest.owner(),
-                                        tried)
+                                .select(serviceRequest, scope)
                                 .isPresent());
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -231,7 +231,8 @@
             CallerRequest request = routed.callerRequest();
             Headers headers = RelayHeaders.withOrigin(
                     dispatcher.headerCodec().relayHeaders(request, timeLeft, progress.lastEventId()),
-                    new RelayHeaders.Origin(routed.config().version(), forwarding.possibleExecutions()));
+                    new RelayHeaders.Origin(
+                            routed.config().version(), forwarding.possibleExecutions(), progress.software()));
             if (routed.route().repeatable()) {
                 silenceTimer = dispatcher.reactor().delayBackground(SILENCE_MILLIS, this::silent);
             }
@@ -253,7 +254,10 @@
             cancelSilenceTimer();
             declined = RelayHeaders.isDeclined(head.headers());
             streaming = !declined && head.ok() && routed.route().kind() == RequestKind.STREAM;
-            Headers headers = dispatcher.headerCodec().callerHeaders(head);
+            Headers headers = RelayHeaders.forCaller(dispatcher.headerCodec().callerHeaders(head));
+            if (streaming) {
+                RelayHeaders.software(head.headers()).ifPresent(progress::recordSoftware);
+            }
             if (!streaming) {
                 buffered = new BufferedResponse(head.status(), headers);
             } else if (!forwarding.hasResponseStarted()) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamProgress.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamProgress.java
@@ -10,10 +10,17 @@
 /** The last event of a stream that was relayed to the caller, and the software that wrote the first one. */
 final class StreamProgress {
     private OptionalLong lastId;
-    private Optional<SoftwareVersion> software = Optional.empty();
+    private Optional<SoftwareVersion> software;
 
-    StreamProgress(OptionalLong resumeAfter) {
+    /**
+     * Creates the state of a stream.
+     *
+     * @param resumeAfter the last event that the caller got before; empty for a new stream
+     * @param software the software that wrote the events before; empty for a new stream
+     */
+    StreamProgress(OptionalLong resumeAfter, Optional<SoftwareVersion> software) {
         this.lastId = resumeAfter;
+        this.software = software;
     }
 
     OptionalLong lastEventId() {
@@ -25,10 +32,16 @@
         return software;
     }
 
-    /** Records which software wrote events that were relayed, and returns whether it is that of the first one. */
+    /** Returns whether the stream may go on at a replica with a version of the software. */
+    boolean mayGoOnAt(SoftwareVersion version) {
+        return software.isEmpty() || software.get().equals(version);
+    }
+
+    /** Records which software wrote events that are relayed, and returns whether they are the first ones. */
     boolean recordSoftware(SoftwareVersion writer) {
+        boolean first = software.isEmpty();
         software = software.or(() -> Optional.of(writer));
-        return software.get().equals(writer);
+        return first;
     }
 
     /** Records events and returns the bytes of those that are new. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.stream.Stream;
 import org.hornbeamhead.core.engine.EngineCandidate;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.EngineChooser;
@@ -48,42 +46,33 @@
         this.priorTraffic = priorTraffic;
     }
 
-    Optional<Target> select(
-            RoutingConfig config,
-            ServiceSpec service,
-            CallerRequest request,
-            Optional<KeyOwner> owner,
-            Set<String> tried) {
-        List<LiveReplica> replicas = usableReplicas(service, tried);
-        return service.engine().isPresent() && request.prompt().isPresent()
-                ? selectEngine(config, service, request.prompt().get(), owner, replicas)
+    Optional<Target> select(ServiceRequest request, ReplicaScope scope) {
+        List<LiveReplica> replicas = usableReplicas(scope);
+        Optional<Prompt> prompt = request.callerRequest().prompt();
+        return request.service().engine().isPresent() && prompt.isPresent()
+                ? selectEngine(request.config(), request.service(), prompt.get(), request.owner(), replicas)
                 : selectLeastLoaded(replicas);
     }
 
-    boolean hasUntried(ServiceSpec service, Set<String> tried) {
-        return untriedReplicas(service, tried).anyMatch(availability::accepts);
+    boolean hasUntried(ReplicaScope scope) {
+        return scope.untried(registry).anyMatch(availability::accepts);
     }
 
     /**
      * Books the return of a caller whose request no replica takes now, in milliseconds; empty if a replica takes
      * requests, or if none is known to take them again.
      */
-    OptionalLong bookReturnMillis(ServiceSpec service, String request) {
-        return availability.bookReturnMillis(registry.replicas(service.name()), request);
-    }
-
-    private Stream<LiveReplica> untriedReplicas(ServiceSpec service, Set<String> tried) {
-        return registry.replicas(service.name()).stream()
-                .filter(r -> !tried.contains(r.entry().run()));
+    OptionalLong bookReturnMillis(ReplicaScope scope, String request) {
+        return availability.bookReturnMillis(scope.suitable(registry), request);
     }
 
     /**
      * Returns the available replicas that were not tried yet, without recently failed ones unless no others are left.
      */
-    private List<LiveReplica> usableReplicas(ServiceSpec service, Set<String> tried) {
+    private List<LiveReplica> usableReplicas(ReplicaScope scope) {
         long now = clock.monotonicMillis();
         List<LiveReplica> untried =
-                untriedReplicas(service, tried).filter(availability::accepts).toList();
+                scope.untried(registry).filter(availability::accepts).toList();
         List<LiveReplica> healthy =
                 untried.stream().filter(r -> !r.guard().isEjected(now)).toList();
         return healthy.isEmpty() ? untried : healthy;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/path/RelayHeaders.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/path/RelayHeaders.java
@@ -1,9 +1,12 @@
 package org.hornbeamhead.gateway.path;
 
+import io.vavr.control.Try;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.hornbeamhead.core.http.Headers;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 
 /** The header fields that routers add to requests which they hand to one another, and to the answers. */
 public final class RelayHeaders {
@@ -14,8 +17,15 @@
     /** In an answer: why the router does not take the request, which another router may take. */
     private static final String DECLINED = "Hornbeam-Declined";
 
-    private static final Set<String> REQUEST_HEADERS =
-            Set.of(CONFIGURATION.toLowerCase(Locale.ROOT), POSSIBLE_EXECUTIONS.toLowerCase(Locale.ROOT));
+    /** In a request or an answer: which software began the stream, as a hexadecimal number. */
+    private static final String SOFTWARE = "Hornbeam-Stream-Software";
+
+    private static final int HEX = 16;
+
+    private static final Set<String> REQUEST_HEADERS = Set.of(
+            CONFIGURATION.toLowerCase(Locale.ROOT),
+            POSSIBLE_EXECUTIONS.toLowerCase(Locale.ROOT),
+            SOFTWARE.toLowerCase(Locale.ROOT));
 
     private RelayHeaders() {}
 
@@ -24,8 +34,9 @@
      *
      * @param configurationVersion the version of the configuration by which it chose the route
      * @param possibleExecutions how many of its attempts a replica may have run
+     * @param software the software that began the stream which goes on; empty for a new one, or if it is not known
      */
-    public record Origin(long configurationVersion, int possibleExecutions) {}
+    public record Origin(long configurationVersion, int possibleExecutions, Optional<SoftwareVersion> software) {}
 
     /**
      * Adds what this router tells with a request.
@@ -35,9 +46,10 @@
      * @return the extended headers
      */
     public static Headers withOrigin(Headers headers, Origin origin) {
-        return withoutOrigin(headers)
+        Headers extended = withoutOrigin(headers)
                 .with(CONFIGURATION, Long.toString(origin.configurationVersion()))
                 .with(POSSIBLE_EXECUTIONS, Integer.toString(origin.possibleExecutions()));
+        return withSoftware(extended, origin.software());
     }
 
     /**
@@ -58,8 +70,43 @@
      */
     public static Origin origin(Headers headers) {
         OptionalLong executions = headers.number(POSSIBLE_EXECUTIONS);
-        return new Origin(headers.number(CONFIGURATION).orElse(Long.MAX_VALUE), (int)
-                Math.min(Integer.MAX_VALUE, executions.orElse(1)));
+        return new Origin(
+                headers.number(CONFIGURATION).orElse(Long.MAX_VALUE),
+                (int) Math.min(Integer.MAX_VALUE, executions.orElse(1)),
+                software(headers));
+    }
+
+    /**
+     * Adds which software began a stream.
+     *
+     * @param headers the headers of a request or an answer between routers
+     * @param software the version, empty to add nothing
+     * @return the extended headers
+     */
+    public static Headers withSoftware(Headers headers, Optional<SoftwareVersion> software) {
+        return software.map(s -> headers.with(SOFTWARE, s.toString())).orElse(headers);
+    }
+
+    /**
+     * Removes from an answer of another router what is not meant for callers.
+     *
+     * @param headers the headers of the answer
+     * @return the other headers
+     */
+    public static Headers forCaller(Headers headers) {
+        return headers.without(SOFTWARE::equalsIgnoreCase);
+    }
+
+    /**
+     * Reads which software began a stream.
+     *
+     * @param headers the headers of a request or an answer of another router
+     * @return the version, empty if none is named
+     */
+    public static Optional<SoftwareVersion> software(Headers headers) {
+        return headers.first(SOFTWARE)
+                .flatMap(text -> Try.of(() -> Long.parseUnsignedLong(text, HEX)).toJavaOptional())
+                .map(SoftwareVersion::new);
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -5,6 +5,7 @@
 import org.hornbeamhead.core.limit.BrittleLimit;
 import org.hornbeamhead.core.limit.RequestLimiter;
 import org.hornbeamhead.core.replica.ReplicaEntry;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.retry.OutlierDetector;
 
 /** One run of a replica as this router knows it: its entry, connections, load and failures. */
@@ -13,6 +14,7 @@
     private final EngineLoad load = new EngineLoad();
     private final OutlierDetector guard = new OutlierDetector();
     private final RunStatements statements;
+    private final SoftwareVersion software;
     private ReplicaEntry entry;
     private long observedVersion;
     private boolean entryInvalid;
@@ -21,6 +23,7 @@
         this.entry = entry;
         this.connections = connections;
         this.statements = statements;
+        this.software = entry.software();
     }
 
     void update(ReplicaEntry newer) {
@@ -37,6 +40,10 @@
         return !entryInvalid && entry.equals(newer);
     }
 
+    boolean runsSoftwareOf(ReplicaEntry newer) {
+        return entry.softwareVersion().equals(newer.softwareVersion());
+    }
+
     /**
      * Returns a compact identifier of the run. Other routers send it in their hints, so that hints for an earlier run
      * are not applied to this one.
@@ -56,6 +63,15 @@
         return entry;
     }
 
+    /**
+     * Returns the version of the software, which does not change during a run.
+     *
+     * @return the version
+     */
+    public SoftwareVersion software() {
+        return software;
+    }
+
     /**
      * Returns the connection pool.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.nio.NioReactor;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -20,7 +21,8 @@
  * replica, prompts would be sent where their prefixes are no longer cached, orders would expect a number of accepted
  * orders that the new run has not had, and the new run would stay ejected for failures of the old one. Each run is
  * therefore a replica of its own: a later run replaces the earlier one, and entries of an earlier run are ignored, in
- * whatever order they arrive.
+ * whatever order they arrive. An entry that names other software is one of another run as well, even if no start time
+ * tells them apart.
  */
 public final class ReplicaRegistry {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -32,8 +34,8 @@
     private final Map<String, LiveReplica> byRun = new HashMap<>();
     private final Map<Integer, LiveReplica> byRunHash = new HashMap<>();
     private final RunStatements.Archive removedRuns = new RunStatements.Archive();
-    private Consumer<LiveReplica> onAdded = replica -> {};
-    private Consumer<LiveReplica> onRemoved = replica -> {};
+    private final List<Consumer<LiveReplica>> addedListeners = new ArrayList<>();
+    private final List<Consumer<LiveReplica>> removedListeners = new ArrayList<>();
 
     /**
      * Creates an empty registry.
@@ -48,21 +50,21 @@
     }
 
     /**
-     * Sets the listener for additions.
+     * Adds a listener for additions.
      *
      * @param listener called with each run of a replica that is listed from now on
      */
     public void onAdded(Consumer<LiveReplica> listener) {
-        onAdded = listener;
+        addedListeners.add(listener);
     }
 
     /**
-     * Sets the listener for removals.
+     * Adds a listener for removals.
      *
      * @param listener called with each run of a replica that is removed from now on
      */
     public void onRemoved(Consumer<LiveReplica> listener) {
-        onRemoved = listener;
+        removedListeners.add(listener);
     }
 
     private void sweep() {
@@ -82,6 +84,9 @@
         boolean renewal = known != null && known.isUnchangedBy(entry);
         if (known == null) {
             add(entry, revision);
+        } else if (known.entry().startedAt() == entry.startedAt() && !known.runsSoftwareOf(entry)) {
+            remove(entry.id(), revision);
+            add(entry, revision);
         } else if (known.entry().startedAt() == entry.startedAt()) {
             if (known.entry().draining() != entry.draining()) {
                 log("replica draining", entry, revision);
@@ -107,7 +112,7 @@
                     byRun.put(entry.run(), replica);
                     byRunHash.put(replica.runHash(), replica);
                     log("replica listed", entry, revision);
-                    onAdded.accept(replica);
+                    addedListeners.forEach(l -> l.accept(replica));
                 });
     }
 
@@ -125,7 +130,7 @@
             removed.connections().close();
             removedRuns.add(removed.entry().run(), removed.statements(), clock.monotonicMillis());
             log("replica gone", removed.entry(), revision);
-            onRemoved.accept(removed);
+            removedListeners.forEach(l -> l.accept(removed));
         }
     }
 
