A stream that a caller resumes goes on only at the software that began it

Cause: Resumes was not read, and nothing remembered which replica began a stream once its exchange had ended, least of all when its router had. While a service has several versions, a router sends the origin of a stream, 16 bytes, to three others before the caller gets the first event (OriginExchange); rendezvous hashing over the list of routers finds them from the attempt that the caller names. A router that a stream is resumed at looks at home, then asks four of them for 200 ms at most. A service that has had one version for longer than a stream may last needs no memory (SoftwareHistory): its versions are kept in the store, a write each time a service gets or loses one, so that routers which all start anew go on with streams too. If nobody knows, the request is refused as not run. Customer and service are part of what is asked for, so that naming another's attempt finds nothing. A split route is chosen by the attempt that began the stream.

--- a/core/src/main/java/org/hornbeamhead/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/hornbeamhead/core/route/RoutingConfig.java
@@ -10,6 +10,9 @@
 
 /** One version of the operators' configuration, indexed for request lookups. Immutable. */
 public final class RoutingConfig {
+    /** The time limit of a stream whose route states none, in milliseconds. */
+    private static final long UNLIMITED_STREAM_MILLIS = 60_000;
+
     private final long version;
     private final CallerLimits limits;
     private final Map<String, ServiceSpec> services;
@@ -17,6 +20,7 @@
     private final boolean keysRequired;
     private final Map<String, KeyOwner> keys;
     private final Map<String, Map<String, Route>> routesByHost;
+    private final Map<String, Long> longestStreams;
 
     /**
      * Creates an indexed configuration.
@@ -47,6 +51,25 @@
         this.routesByHost = routes.stream()
                 .collect(Collectors.groupingBy(
                         Route::host, HashMap::new, Collectors.toMap(Route::prefix, r -> r, (a, b) -> b)));
+        this.longestStreams = routes.stream()
+                .filter(r -> r.kind() == RequestKind.STREAM && r.resumable())
+                .flatMap(r -> r.services().stream().map(s -> Map.entry(s.service(), streamMillis(r))))
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue, Math::max));
+    }
+
+    private static long streamMillis(Route route) {
+        long timeoutMillis = route.limits().timeoutMillis();
+        return timeoutMillis > 0 ? timeoutMillis : UNLIMITED_STREAM_MILLIS;
+    }
+
+    /**
+     * Returns how long a stream of a service that may be resumed can last.
+     *
+     * @param service the service's name
+     * @return the longest timeout of its routes, in milliseconds
+     */
+    public long longestStreamMillis(String service) {
+        return longestStreams.getOrDefault(service, UNLIMITED_STREAM_MILLIS);
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -17,6 +17,7 @@
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.quota.QuotaContacts;
 import org.hornbeamhead.core.quota.QuotaLedger;
+import org.hornbeamhead.core.resume.SoftwareHistory;
 import org.hornbeamhead.core.route.CallerLimits;
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.route.ServiceSpec;
@@ -44,6 +45,8 @@
 import org.hornbeamhead.gateway.quota.QuotaReports;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.resume.OriginExchange;
+import org.hornbeamhead.gateway.resume.StreamOriginDirectory;
 import org.hornbeamhead.gateway.state.FleetSizeRecorder;
 import org.hornbeamhead.gateway.state.HttpMirrorClient;
 import org.hornbeamhead.gateway.state.LoadHints;
@@ -54,6 +57,7 @@
 import org.hornbeamhead.gateway.state.RouterList;
 import org.hornbeamhead.gateway.state.RouterRegistration;
 import org.hornbeamhead.gateway.state.RoutingState;
+import org.hornbeamhead.gateway.state.SoftwareVersionRecorder;
 import org.hornbeamhead.gateway.state.StoreView;
 import org.hornbeamhead.gateway.state.SuspensionDetector;
 import org.hornbeamhead.gateway.state.UsageGossip;
@@ -82,6 +86,8 @@
     private final ActiveRouters activeRouters;
     private final RouterRegistration registration;
     private final FleetSizeRecorder fleetSizeRecorder;
+    private final SoftwareHistory softwareHistory;
+    private final SoftwareVersionRecorder softwareRecorder;
     private final SuspensionDetector suspensionDetector;
     private final StoreView storeView;
     private final PeerChangeNotifier notifier;
@@ -133,8 +139,16 @@
         routers = new RouterList(settings.self(), this::isReady, clock);
         activeRouters = new ActiveRouters(routers::fleetSize);
         registration = new RouterRegistration(reactor, ports.store(), settings.self());
-        fleetSizeRecorder = new FleetSizeRecorder(
-                clock, daemon.timers(), ports.store(), mirror, routers, () -> state.isFresh(clock.monotonicMillis()));
+        fleetSizeRecorder =
+                new FleetSizeRecorder(clock, daemon.timers(), ports.store(), mirror, routers, this::isListCurrent);
+        softwareHistory = new SoftwareHistory(clock.monotonicMillis());
+        softwareRecorder = new SoftwareVersionRecorder(
+                clock,
+                daemon.timers(),
+                ports.store(),
+                mirror,
+                softwareHistory,
+                () -> isListCurrent() && routers.isFirstReader());
         suspensionDetector = new SuspensionDetector(daemon.timers(), clock, this::onSuspension);
         storeView = new StoreView(storeViewDependencies(ports, random));
         datagrams = new PeerDatagrams(reactor);
@@ -222,6 +236,7 @@
                 routers,
                 weightsListener,
                 quarantine,
+                softwareRecorder,
                 storeView,
                 leaderTasks,
                 dispatcher::configurationLoaded);
@@ -269,7 +284,22 @@
                 replicaLimits,
                 brittleReplicas,
                 paths,
-                new RelayRouters(reactor, clock, routers, paths, settings.self().dataCentre()));
+                new RelayRouters(reactor, clock, routers, paths, settings.self().dataCentre()),
+                createStreamOrigins());
+    }
+
+    private StreamOriginDirectory createStreamOrigins() {
+        OriginExchange exchange = new OriginExchange(
+                clock, daemon.timers(), settings.self().hints(), routers::hintAddresses, datagrams::send);
+        datagrams.addListener(exchange::receive);
+        StreamOriginDirectory directory =
+                new StreamOriginDirectory(clock, softwareHistory, exchange, this::isListCurrent, metrics);
+        directory.follow(registry);
+        return directory;
+    }
+
+    private boolean isListCurrent() {
+        return state.isFresh(clock.monotonicMillis());
     }
 
     private Quarantine.Dependencies quarantineDependencies(Ports ports, Random random) {
@@ -369,6 +399,7 @@
         storeView.start();
         registration.start();
         fleetSizeRecorder.start();
+        softwareRecorder.start();
         suspensionDetector.start();
         leaderTasks.start();
         daemon.onSignal(shutdown::start);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/StoreChanges.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/StoreChanges.java
@@ -15,6 +15,7 @@
 import org.hornbeamhead.gateway.state.RouterEntry;
 import org.hornbeamhead.gateway.state.RouterList;
 import org.hornbeamhead.gateway.state.RoutingState;
+import org.hornbeamhead.gateway.state.SoftwareVersionRecorder;
 import org.hornbeamhead.gateway.state.StoreView;
 import org.hornbeamhead.gateway.state.WeightsListener;
 
@@ -35,6 +36,7 @@
      * @param routers the routers
      * @param weightsListener receives published weights
      * @param quarantine receives the crash reports that routers have saved
+     * @param softwareRecorder receives the recorded software versions
      * @param storeView records changes for other routers
      * @param leaderTasks is told that there may be work
      * @param onFirstConfiguration called when the first configuration is in force
@@ -48,6 +50,7 @@
             RouterList routers,
             WeightsListener weightsListener,
             Quarantine quarantine,
+            SoftwareVersionRecorder softwareRecorder,
             StoreView storeView,
             LeaderTasks leaderTasks,
             Runnable onFirstConfiguration) {}
@@ -84,6 +87,10 @@
             dependencies.routers().updateFleetSize(item);
             return true;
         }
+        if (item.key().equals(SoftwareVersionRecorder.KEY)) {
+            dependencies.softwareRecorder().apply(item);
+            return true;
+        }
         if (item.key().equals(CrashHistoryPersister.KEY)) {
             dependencies.quarantine().mergeStoredHistory(item);
             return true;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -18,6 +18,7 @@
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.quota.QuotaDecision;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.retry.SharedRetryBudget;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
@@ -40,6 +41,7 @@
 import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.resume.StreamOriginDirectory;
 import org.hornbeamhead.gateway.state.LoadHints;
 import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.WeightsView;
@@ -73,6 +75,9 @@
      */
     private static final long OTHER_ROUTER_RETRY_MILLIS = 20;
 
+    /** Retry delay when nobody knows which software began a stream; other routers may be back in touch by then. */
+    private static final long UNKNOWN_ORIGIN_RETRY_MILLIS = 300;
+
     private final NioReactor reactor;
     private final Clock clock;
     private final HeaderCodec headerCodec;
@@ -94,6 +99,7 @@
     private final BrittleReplicas brittleReplicas;
     private final ReplicaPaths paths;
     private final RelayRouters relayRouters;
+    private final StreamResumptions resumptions;
     private final InFlightRequests inFlight = new InFlightRequests();
     private LoadHints loadHints;
     private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
@@ -128,6 +134,7 @@
      * @param brittleReplicas the limits of brittle replicas
      * @param paths the paths of this host to replicas
      * @param relayRouters the routers to which requests are handed when there is no path
+     * @param streamOrigins tells which software began streams
      */
     public record Dependencies(
             NioReactor reactor,
@@ -147,7 +154,8 @@
             ReplicaLimits replicaLimits,
             BrittleReplicas brittleReplicas,
             ReplicaPaths paths,
-            RelayRouters relayRouters) {}
+            RelayRouters relayRouters,
+            StreamOriginDirectory streamOrigins) {}
 
     /**
      * Creates a dispatcher.
@@ -172,6 +180,7 @@
         this.brittleReplicas = dependencies.brittleReplicas();
         this.paths = dependencies.paths();
         this.relayRouters = dependencies.relayRouters();
+        this.resumptions = new StreamResumptions(dependencies.streamOrigins());
         this.availability = new ReplicaAvailability(clock, replicaLimits, brittleReplicas, paths);
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
@@ -271,7 +280,7 @@
     }
 
     private void forward(RoutedRequest routed, CallerResponse response) {
-        String name = routed.route().selectService(hash(routed.callerRequest().id()));
+        String name = routed.route().selectService(hash(routed.firstAttempt()));
         Optional<ServiceSpec> service = routed.config().findService(name);
         if (service.isEmpty()) {
             rejectNotExecuted(
@@ -282,14 +291,34 @@
             return;
         }
         routers.recordRequest(clock.monotonicMillis());
-        if (routed.callerRequest().lastEventId().isPresent()) {
+        ServiceRequest request = new ServiceRequest(routed, service.get());
+        if (routed.resumesStream()) {
             metrics.count("hornbeam_streams_resumed", "route", routed.route().name());
+            resumptions.find(routed, name, response, software -> resume(request, response, software));
+        } else {
+            admit(request, response, Optional.empty());
         }
+    }
+
+    private void resume(ServiceRequest request, CallerResponse response, Optional<SoftwareVersion> software) {
+        if (software.isPresent()) {
+            admit(request, response, software);
+        } else {
+            rejectNotExecuted(
+                    request.callerRequest(),
+                    response,
+                    "it is not known which software began the stream",
+                    UNKNOWN_ORIGIN_RETRY_MILLIS);
+        }
+    }
+
+    private void admit(ServiceRequest request, CallerResponse response, Optional<SoftwareVersion> software) {
+        RoutedRequest routed = request.routed();
         quotas.admit(routed.quotaOwner(), routed.callerRequest().tokenCount())
                 .peek(decision -> decision.filter(d -> !d.admitted())
                         .ifPresentOrElse(
                                 d -> rejectOverQuota(routed, response, d),
-                                () -> startExchange(new ServiceRequest(routed, service.get()), response)))
+                                () -> startExchange(request, response, software)))
                 .peekLeft(reason -> respond(routed.callerRequest(), response, BAD_REQUEST, reason, Headers.NONE));
     }
 
@@ -307,9 +336,9 @@
         return true;
     }
 
-    private void startExchange(ServiceRequest request, CallerResponse response) {
+    private void startExchange(ServiceRequest request, CallerResponse response, Optional<SoftwareVersion> software) {
         budget(request.service().name()).recordRequest(clock.monotonicMillis());
-        new Exchange(this, request, response, request.routed().origin().flatMap(RelayHeaders.Origin::software)).start();
+        new Exchange(this, request, response, software).start();
     }
 
     private void rejectOverQuota(RoutedRequest routed, CallerResponse response, QuotaDecision decision) {
@@ -469,6 +498,10 @@
         return replicaLimits;
     }
 
+    StreamResumptions resumptions() {
+        return resumptions;
+    }
+
     InFlightRequests inFlight() {
         return inFlight;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -392,7 +392,10 @@
         if (!progress.mayGoOnAt(replica.software())) {
             dispatcher.metrics().count("hornbeam_streams_mixed");
         }
-        progress.recordSoftware(replica.software());
+        if (progress.recordSoftware(replica.software())
+                && serviceRequest.route().resumable()) {
+            dispatcher.resumptions().streamBegan(serviceRequest, replica.software());
+        }
         timings.recordEvents(dispatcher.clock().monotonicMillis());
     }
 
@@ -412,6 +415,7 @@
     private void finish(String outcome) {
         finished = true;
         dispatcher.inFlight().remove(this);
+        dispatcher.resumptions().streamEnded(serviceRequest);
         deadlineTimer.cancel();
         dispatcher
                 .metrics()
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.hornbeamhead.core.route.KeyOwner;
+import org.hornbeamhead.core.route.RequestKind;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.gateway.path.RelayHeaders;
@@ -38,6 +39,16 @@
         return origin.map(RelayHeaders.Origin::possibleExecutions).orElse(0);
     }
 
+    /** Returns whether the caller has the first events of the stream and wants those that follow. */
+    boolean resumesStream() {
+        return route.kind() == RequestKind.STREAM && callerRequest.lastEventId().isPresent();
+    }
+
+    /** Returns the id of the request that began the stream which is resumed; the own id of a new request. */
+    String firstAttempt() {
+        return callerRequest.resumedAttempt().filter(id -> resumesStream()).orElse(callerRequest.id());
+    }
+
     /** Returns the customer whose quota the request counts against; empty on routes that allow anonymous requests. */
     Optional<KeyOwner> quotaOwner() {
         return route.allowsAnonymous() ? Optional.empty() : owner;
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
@@ -0,0 +1,139 @@
+package org.hornbeamhead.gateway.resume;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.hornbeamhead.core.resume.SoftwareHistory;
+import org.hornbeamhead.core.resume.SoftwareVersion;
+import org.hornbeamhead.core.resume.StreamKey;
+import org.hornbeamhead.core.resume.StreamOrigin;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+
+/**
+ * Tells which software began a stream. Routers remember it for one another while a service has several versions; with a
+ * single version there is nothing to remember.
+ */
+public final class StreamOriginDirectory {
+    private final Clock clock;
+    private final SoftwareHistory history;
+    private final OriginExchange exchange;
+    private final BooleanSupplier listCurrent;
+    private final Metrics metrics;
+    private final Map<StreamKey, RunningStream> unannounced = new LinkedHashMap<>();
+
+    private record RunningStream(String service, StreamOrigin origin) {}
+
+    /**
+     * A stream that callers may resume.
+     *
+     * @param service its service
+     * @param key its key, empty if it is not known
+     * @param windowMillis for how long a stream of that service may be resumed, in milliseconds
+     */
+    public record Stream(String service, Optional<StreamKey> key, long windowMillis) {}
+
+    /**
+     * Creates a directory.
+     *
+     * @param clock the clock
+     * @param history the software versions of replicas
+     * @param exchange the memory of this router and others
+     * @param listCurrent whether the list of replicas is current
+     * @param metrics the metrics of the process
+     */
+    public StreamOriginDirectory(
+            Clock clock,
+            SoftwareHistory history,
+            OriginExchange exchange,
+            BooleanSupplier listCurrent,
+            Metrics metrics) {
+        this.clock = clock;
+        this.history = history;
+        this.exchange = exchange;
+        this.listCurrent = listCurrent;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Follows the list of replicas.
+     *
+     * @param registry the replicas
+     */
+    public void follow(ReplicaRegistry registry) {
+        registry.onAdded(this::replicaListed);
+        registry.onRemoved(r -> history.replicaRemoved(r.entry().service(), r.software(), clock.monotonicMillis()));
+        metrics.gauge("hornbeam_stream_origins", exchange::size);
+    }
+
+    /** Announces the running streams of a service once it has a second version. */
+    private void replicaListed(LiveReplica replica) {
+        String service = replica.entry().service();
+        history.replicaListed(service, replica.software());
+        if (soleVersion(service, 0).isPresent()) {
+            return;
+        }
+        List<StreamOrigin> running = unannounced.values().stream()
+                .filter(s -> s.service().equals(service))
+                .map(RunningStream::origin)
+                .toList();
+        running.forEach(o -> unannounced.remove(o.key()));
+        exchange.announce(running);
+    }
+
+    private Optional<SoftwareVersion> soleVersion(String service, long windowMillis) {
+        return listCurrent.getAsBoolean()
+                ? history.soleVersion(service, windowMillis, clock.monotonicMillis())
+                : Optional.empty();
+    }
+
+    /**
+     * Records that a stream began, before its caller gets the first event.
+     *
+     * @param stream the stream
+     * @param software the version that wrote the event
+     */
+    public void streamBegan(Stream stream, SoftwareVersion software) {
+        stream.key().map(key -> new StreamOrigin(key, software)).ifPresent(origin -> {
+            if (soleVersion(stream.service(), stream.windowMillis()).isPresent()) {
+                unannounced.put(origin.key(), new RunningStream(stream.service(), origin));
+            } else {
+                exchange.announce(List.of(origin));
+            }
+        });
+    }
+
+    /**
+     * Records that a stream has ended.
+     *
+     * @param stream the stream
+     */
+    public void streamEnded(Stream stream) {
+        stream.key().ifPresent(unannounced::remove);
+    }
+
+    /**
+     * Finds the software that began a stream.
+     *
+     * @param stream the stream
+     * @param listener receives the version, empty if it is not known; called once, possibly before this method returns
+     */
+    public void find(Stream stream, Consumer<Optional<SoftwareVersion>> listener) {
+        stream.key()
+                .ifPresentOrElse(
+                        key -> exchange.find(key, found -> listener.accept(orSole(stream, found))),
+                        () -> listener.accept(orSole(stream, Optional.empty())));
+    }
+
+    private Optional<SoftwareVersion> orSole(Stream stream, Optional<SoftwareVersion> remembered) {
+        Optional<SoftwareVersion> software = remembered.or(() -> soleVersion(stream.service(), stream.windowMillis()));
+        String source = remembered.isPresent() ? "remembered" : software.isPresent() ? "sole version" : "unknown";
+        metrics.count("hornbeam_stream_origins_looked_up", "source", source);
+        return software;
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
@@ -213,8 +213,12 @@
         return Math.max(count(), recordedSize);
     }
 
-    /** Returns whether this router is the first of those that read the store. */
-    boolean isFirstReader() {
+    /**
+     * Returns whether this router is the first of those that read the store.
+     *
+     * @return true on one router only, as far as all know the same list
+     */
+    public boolean isFirstReader() {
         return StoreReaders.choose(candidates()).get(0).node().equals(self.node());
     }
 
