--- a/core/src/test/java/org/hornbeamhead/core/resume/SoftwareHistoryTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/resume/SoftwareHistoryTest.java
@@ -79,6 +79,21 @@
                 LATER,
                 Optional.empty()
             },
+        };
+    }
+
+    /** Guards against taking the version that is left for the one that began a stream. */
+    @Test(dataProvider = "histories")
+    public void soleVersionIsKnownOnlyAfterTheWindow(
+            String description, Consumer<SoftwareHistory> steps, long now, Optional<SoftwareVersion> sole) {
+        SoftwareHistory history = new SoftwareHistory(START);
+        steps.accept(history);
+        assertEquals(history.soleVersion("s", WINDOW, now), sole, description);
+    }
+
+    @DataProvider
+    public Object[][] inheritedHistories() {
+        return new Object[][] {
             {
                 "an earlier process knew the same version",
                 steps(h -> {
@@ -109,13 +124,11 @@
         };
     }
 
-    /** Guards against taking the version that is left for the one that began a stream. */
-    @Test(dataProvider = "histories")
-    public void soleVersionIsKnownOnlyAfterTheWindow(
+    /** Guards against routers that start together and take the version that is left for the one that began a stream. */
+    @Test(dataProvider = "inheritedHistories")
+    public void soleVersionIsKnownFromEarlierProcesses(
             String description, Consumer<SoftwareHistory> steps, long now, Optional<SoftwareVersion> sole) {
-        SoftwareHistory history = new SoftwareHistory(START);
-        steps.accept(history);
-        assertEquals(history.soleVersion("s", WINDOW, now), sole, description);
+        soleVersionIsKnownOnlyAfterTheWindow(description, steps, now, sole);
     }
 
     @Test
