--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.Predicate;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.entry.ActiveRouters;
 import org.hornbeamhead.core.http.WholeRequest;
@@ -43,7 +42,7 @@
 import org.hornbeamhead.gateway.quarantine.Quarantine;
 import org.hornbeamhead.gateway.quota.QuotaGate;
 import org.hornbeamhead.gateway.quota.QuotaReports;
-import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.replica.ReplicaGauges;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.resume.OriginExchange;
 import org.hornbeamhead.gateway.resume.StreamOriginDirectory;
@@ -378,17 +377,7 @@
         if (settings.metricsAddress().getPort() != 0) {
             daemon.listen(settings.metricsAddress(), request -> metrics.scrape());
         }
-        metrics.gauge("hornbeam_requests_in_flight", callerServer::inFlight);
-        metrics.gauge("hornbeam_caller_connections", callerServer::connectionCount);
-        metrics.gauge("hornbeam_replicas", () -> registry.all().size());
-        metrics.gauge("hornbeam_store_away", () -> storeView.isDisconnected() ? 1 : 0);
-        metrics.gauge("hornbeam_reads_store", () -> storeView.readsStore() ? 1 : 0);
-        metrics.gauge("hornbeam_limited_replicas", replicaLimits::countLimited);
-        metrics.gauge("hornbeam_leaving_replicas", () -> countReplicas(LiveReplica::isLeaving));
-        metrics.gauge(
-                "hornbeam_backing_off_replicas",
-                () -> countReplicas(r -> r.notices().isBackingOff(clock.monotonicMillis())));
-        metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
+        registerGauges();
         quarantine.start();
         datagrams.start(settings.hintAddress());
         paths.start();
@@ -408,8 +397,14 @@
                 .log("router %s started", settings.self().node());
     }
 
-    private long countReplicas(Predicate<LiveReplica> condition) {
-        return registry.all().stream().filter(condition).count();
+    private void registerGauges() {
+        new ReplicaGauges(registry, clock).register(metrics);
+        metrics.gauge("hornbeam_requests_in_flight", callerServer::inFlight);
+        metrics.gauge("hornbeam_caller_connections", callerServer::connectionCount);
+        metrics.gauge("hornbeam_store_away", () -> storeView.isDisconnected() ? 1 : 0);
+        metrics.gauge("hornbeam_reads_store", () -> storeView.readsStore() ? 1 : 0);
+        metrics.gauge("hornbeam_limited_replicas", replicaLimits::countLimited);
+        metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
     }
 
     private Promise<HttpResponse> handlePeerRequest(HttpRequest request) throws Exception {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -340,7 +340,7 @@
         stop();
         replica.guard().recordSuccess();
         replica.brittleLimit().recordCompletion();
-        exchange.recordCompletion();
+        exchange.content().recordCompletion();
         replica.connections().release(connection);
         if (streaming) {
             exchange.beginResponse(head);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -2,11 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.nio.NioReactor;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -19,7 +15,6 @@
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.quota.QuotaDecision;
 import org.hornbeamhead.core.resume.SoftwareVersion;
-import org.hornbeamhead.core.retry.SharedRetryBudget;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
@@ -60,15 +55,6 @@
      * already.
      */
     private static final long NOT_READY_RETRY_MILLIS = 100;
-    /**
-     * Retry delay while the configuration may be stale. It is refreshed by the next long-poll read of the store, or by
-     * another router.
-     */
-    private static final long STALE_RETRY_MILLIS = 500;
-
-    /** Upper bound of the random extra delay that spreads the retries of callers that were rejected together. */
-    private static final long MAX_JITTER_MILLIS = 5_000;
-
     /**
      * Retry delay when another router can take the request at once; the short delay lets the next address lookup of the
      * caller return that router.
@@ -84,11 +70,9 @@
     private final RoutingState state;
     private final ReplicaRegistry registry;
     private final Metrics metrics;
-    private final RandomGenerator random;
     private final TargetSelector targetSelector;
     private final StartupQueue startupQueue;
     private final WeightsExpiryMonitor weightsExpiry;
-    private final RetryBudgetLimits budgetLimits;
     private final ActiveRouters routers;
     private final Quarantine quarantine;
     private final QuotaGate quotas;
@@ -102,7 +86,8 @@
     private final StreamResumptions resumptions;
     private final InFlightRequests inFlight = new InFlightRequests();
     private LoadHints loadHints;
-    private final Map<String, SharedRetryBudget> budgets = new HashMap<>();
+    private final RetryBudgets retryBudgets;
+    private final OwnAnswers answers;
 
     /**
      * Limits of the retry budget that all routers share.
@@ -169,9 +154,9 @@
         this.state = dependencies.state();
         this.registry = dependencies.registry();
         this.metrics = dependencies.metrics();
-        this.random = dependencies.random();
-        this.budgetLimits = dependencies.budgetLimits();
         this.routers = dependencies.routers();
+        this.retryBudgets = new RetryBudgets(clock, dependencies.budgetLimits(), routers);
+        this.answers = new OwnAnswers(clock, state, metrics, dependencies.random());
         this.quarantine = dependencies.quarantine();
         this.quotas = dependencies.quotas();
         this.replicaLimits = dependencies.replicaLimits();
@@ -201,7 +186,7 @@
         } else {
             startupQueue.add(
                     () -> routeRequest(state.config().orElseThrow(), request, response, arrivedAt, Optional.empty()),
-                    () -> rejectNotExecuted(request, response, "no configuration yet", NOT_READY_RETRY_MILLIS));
+                    () -> answers.rejectNotExecuted(request, response, "no configuration yet", NOT_READY_RETRY_MILLIS));
         }
     }
 
@@ -221,7 +206,7 @@
                 .filter(c -> c.version() >= origin.configurationVersion())
                 .ifPresentOrElse(
                         c -> routeRequest(c, request, response, clock.monotonicMillis(), Optional.of(origin)),
-                        () -> decline(request, response, "the configuration is older or missing"));
+                        () -> answers.decline(request, response, "the configuration is older or missing"));
     }
 
     /**
@@ -232,11 +217,7 @@
      * @param reason the reason, sent to the other router
      */
     public void declineRelayed(WholeRequest message, CallerResponse response, String reason) {
-        decline(headerCodec.decodeRequest(message), response, reason);
-    }
-
-    void decline(CallerRequest request, CallerResponse response, String reason) {
-        respond(request, response, FinalResponse.NOT_RUN.status(), reason, RelayHeaders.declined(reason));
+        answers.decline(headerCodec.decodeRequest(message), response, reason);
     }
 
     /** Serves the requests that were queued until the first configuration was loaded. */
@@ -253,16 +234,16 @@
         Optional<Route> route =
                 config.findRoute(request.host(), request.message().head().path());
         if (route.isEmpty()) {
-            deny(request, response, NOT_FOUND, "no route");
+            answers.deny(request, response, NOT_FOUND, "no route");
             return;
         }
         Optional<KeyOwner> owner = request.key().flatMap(config::findKeyOwner);
         if (owner.isEmpty() && config.requiresKeys() && !route.get().allowsAnonymous()) {
-            deny(request, response, UNAUTHORIZED, "no customer has this key");
+            answers.deny(request, response, UNAUTHORIZED, "no customer has this key");
             return;
         }
         if (request.id().isEmpty()) {
-            respond(request, response, BAD_REQUEST, "the request names no id", Headers.NONE);
+            answers.respond(request, response, BAD_REQUEST, "the request names no id", Headers.NONE);
             return;
         }
         forward(new RoutedRequest(config, route.get(), owner, request, arrivedAt, origin), response);
@@ -276,15 +257,18 @@
      * @param reason the reason, sent to the caller
      */
     public void rejectForOtherRouter(WholeRequest message, CallerResponse response, String reason) {
-        rejectNotExecuted(headerCodec.decodeRequest(message), response, reason, OTHER_ROUTER_RETRY_MILLIS);
+        answers.rejectNotExecuted(headerCodec.decodeRequest(message), response, reason, OTHER_ROUTER_RETRY_MILLIS);
     }
 
     private void forward(RoutedRequest routed, CallerResponse response) {
         String name = routed.route().selectService(hash(routed.firstAttempt()));
         Optional<ServiceSpec> service = routed.config().findService(name);
         if (service.isEmpty()) {
-            rejectNotExecuted(
-                    routed.callerRequest(), response, "service " + name + " is not configured", STALE_RETRY_MILLIS);
+            answers.rejectNotExecuted(
+                    routed.callerRequest(),
+                    response,
+                    "service " + name + " is not configured",
+                    OwnAnswers.STALE_RETRY_MILLIS);
             return;
         }
         if (paths.isLost(name) && leaveToOtherRouter(routed, name, response)) {
@@ -304,7 +288,7 @@
         if (software.isPresent()) {
             admit(request, response, software);
         } else {
-            rejectNotExecuted(
+            answers.rejectNotExecuted(
                     request.callerRequest(),
                     response,
                     "it is not known which software began the stream",
@@ -319,13 +303,14 @@
                         .ifPresentOrElse(
                                 d -> rejectOverQuota(routed, response, d),
                                 () -> startExchange(request, response, software)))
-                .peekLeft(reason -> respond(routed.callerRequest(), response, BAD_REQUEST, reason, Headers.NONE));
+                .peekLeft(
+                        reason -> answers.respond(routed.callerRequest(), response, BAD_REQUEST, reason, Headers.NONE));
     }
 
     /** Leaves a request to another router if there is one that may take it, and returns whether it did. */
     private boolean leaveToOtherRouter(RoutedRequest routed, String service, CallerResponse response) {
         if (routed.origin().isPresent()) {
-            decline(routed.callerRequest(), response, "no path to the service");
+            answers.decline(routed.callerRequest(), response, "no path to the service");
             return true;
         }
         if (!relayRouters.isAvailable(service, Set.of())) {
@@ -337,7 +322,7 @@
     }
 
     private void startExchange(ServiceRequest request, CallerResponse response, Optional<SoftwareVersion> software) {
-        budget(request.service().name()).recordRequest(clock.monotonicMillis());
+        retryBudgets.recordRequest(request.service().name());
         new Exchange(this, request, response, software).start();
     }
 
@@ -352,12 +337,12 @@
                         "customer=" + customer + " cost=" + decision.cost() + " level=" + Math.round(decision.level())
                                 + " share=" + decision.share() + " hintAgeMillis=" + decision.hintAgeMillis())
                 .log("request is over its customer's quota");
-        respond(
+        answers.respond(
                 routed.callerRequest(),
                 response,
                 FinalResponse.OVER_QUOTA.status(),
                 "the customer's quota is used up",
-                retryAfter(decision.retryAfterMillis()));
+                OwnAnswers.retryAfter(decision.retryAfterMillis()));
     }
 
     /** Returns a hash that is spread over all values, since the ids themselves may come from a counter. */
@@ -365,23 +350,6 @@
         return id.chars().asLongStream().reduce(17, (hash, c) -> hash * 1_000_003 + c) >>> 8;
     }
 
-    private SharedRetryBudget budget(String service) {
-        return budgets.computeIfAbsent(
-                service,
-                name -> new SharedRetryBudget(
-                        budgetLimits.ratio(),
-                        budgetLimits.slack(),
-                        budgetLimits.window().toMillis()));
-    }
-
-    boolean takeRetry(String service) {
-        return budget(service).tryAcquire(clock.monotonicMillis(), routers.limitShare());
-    }
-
-    boolean canRetry(String service) {
-        return budget(service).canAcquire(clock.monotonicMillis(), routers.limitShare());
-    }
-
     void recordEngineSend(LiveReplica replica, EngineChoice choice) {
         recordSend(replica, choice.prefixHash(), choice.storeMillis());
         loadHints.recordSent(replica, choice);
@@ -410,42 +378,6 @@
         loadHints = hintExchange;
     }
 
-    /**
-     * Rejects a request that the configuration does not allow.
-     *
-     * <p>When this router has had no contact with the store for a while, the configuration may have changed, and a
-     * caller with a new key would be rejected permanently. While the configuration may be stale, the caller is told to
-     * retry instead.
-     */
-    private void deny(CallerRequest request, CallerResponse response, int status, String reason) {
-        if (state.isFresh(clock.monotonicMillis())) {
-            respond(request, response, status, reason, Headers.NONE);
-        } else {
-            rejectNotExecuted(request, response, reason + " in a configuration that may be old", STALE_RETRY_MILLIS);
-        }
-    }
-
-    void rejectNotExecuted(CallerRequest request, CallerResponse response, String reason, long retryAfterMillis) {
-        long delayMillis = retryAfterMillis + random.nextLong(Math.min(retryAfterMillis, MAX_JITTER_MILLIS) + 1);
-        respond(request, response, FinalResponse.NOT_RUN.status(), reason, retryAfter(delayMillis));
-    }
-
-    private static Headers retryAfter(long millis) {
-        return Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", millis / 1000.0));
-    }
-
-    void respond(CallerRequest request, CallerResponse response, int status, String reason, Headers headers) {
-        metrics.count("hornbeam_own_answers", "status", Integer.toString(status));
-        logger.atInfo()
-                .with(Logs.REQUEST, request.id())
-                .with(Logs.DECISION, "own answer " + status)
-                .with(Logs.REASON, reason)
-                .with(Logs.INPUTS, state.inputs(clock.monotonicMillis()))
-                .log("responded with status %d", status);
-        byte[] body = (reason + "\n").getBytes(StandardCharsets.UTF_8);
-        response.respond(status, headers.with("Content-Type", "text/plain"), body);
-    }
-
     NioReactor reactor() {
         return reactor;
     }
@@ -454,6 +386,14 @@
         return clock;
     }
 
+    OwnAnswers answers() {
+        return answers;
+    }
+
+    RetryBudgets retryBudgets() {
+        return retryBudgets;
+    }
+
     HeaderCodec headerCodec() {
         return headerCodec;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -7,7 +7,6 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.hornbeamhead.core.crash.LostAttempt;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.forward.AttemptOutcome;
@@ -43,13 +42,13 @@
     private final CallerResponse response;
     private final ForwardingState forwarding;
     private final ReplicaScope scope;
+    private final RequestContent content;
     private final long arrivedAt;
     private final long deadline;
     private final StreamProgress progress;
     private final StreamTimings timings = new StreamTimings();
     private ScheduledRunnable deadlineTimer;
     private Attempt attempt;
-    private Optional<RequestFingerprint> fingerprint = Optional.empty();
     private int notConnected;
     private boolean finished;
 
@@ -71,6 +70,8 @@
         this.response = response;
         this.forwarding = new ForwardingState(
                 serviceRequest.route(), serviceRequest.routed().possibleExecutions());
+        this.content = new RequestContent(
+                serviceRequest, dispatcher.clock(), dispatcher.quarantine(), dispatcher.brittleReplicas());
         this.arrivedAt = serviceRequest.routed().arrivedAt();
         this.deadline = serviceRequest.routed().deadline();
         this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId(), software);
@@ -89,7 +90,7 @@
     }
 
     private void startNextAttempt() {
-        OptionalLong quarantineMillis = dispatcher.quarantine().remainingMillis(this::fingerprint);
+        OptionalLong quarantineMillis = content.quarantineMillis();
         if (quarantineMillis.isPresent()) {
             rejectQuarantined(quarantineMillis.getAsLong());
             return;
@@ -109,11 +110,13 @@
         if (retryMillis.isPresent()) {
             giveBackQuota();
             finish("REFUSED_FOR_LOAD");
-            dispatcher.rejectNotExecuted(
-                    serviceRequest.callerRequest(),
-                    response,
-                    "the engines are behind: " + target.get(),
-                    retryMillis.getAsLong());
+            dispatcher
+                    .answers()
+                    .rejectNotExecuted(
+                            serviceRequest.callerRequest(),
+                            response,
+                            "the engines are behind: " + target.get(),
+                            retryMillis.getAsLong());
             return;
         }
         scope.recordTried(target.get().replica());
@@ -128,7 +131,7 @@
 
     /** Rejects a quarantined request. It is answered at once, since waiting does not change its effect on replicas. */
     private void rejectQuarantined(long millis) {
-        String reason = "replicas ended under requests with content " + fingerprint();
+        String reason = "replicas ended under requests with content " + content.fingerprint();
         sendFinalAnswer(forwarding.responseWithoutRetry(), reason, Optional.empty(), millis);
     }
 
@@ -139,7 +142,7 @@
     boolean isAwaitingStart(RequestFingerprint quarantined) {
         return attempt != null
                 && !attempt.hasProcessingStarted()
-                && fingerprint().equals(quarantined);
+                && content.fingerprint().equals(quarantined);
     }
 
     /** Cancels the current attempt because the request was quarantined after the attempt began. */
@@ -150,8 +153,7 @@
         attempt.cancel();
         attempt = null;
         dispatcher.metrics().count("hornbeam_requests_taken_back");
-        rejectQuarantined(
-                dispatcher.quarantine().remainingMillis(this::fingerprint).orElse(0));
+        rejectQuarantined(content.quarantineMillis().orElse(0));
     }
 
     private OptionalLong admissionRetryMillis(Target target) {
@@ -194,8 +196,8 @@
         ForwardingState.RetryConditions conditions = new ForwardingState.RetryConditions(
                 timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
                 dispatcher.targetSelector().hasUntried(scope) || canHandOver(),
-                () -> dispatcher.takeRetry(serviceRequest.service().name()));
-        reportLoss(end, replica, sentAt);
+                () -> dispatcher.retryBudgets().take(serviceRequest.service().name()));
+        content.reportLoss(end, replica, sentAt);
         NextStep step = forwarding.nextStep(end, conditions);
         dispatcher.metrics().count("hornbeam_attempts_failed", "end", end.name());
         logger.atInfo()
@@ -262,35 +264,9 @@
                 returnMillis.orElse(RETRY_AFTER_MILLIS));
     }
 
-    private void reportLoss(AttemptOutcome end, LiveReplica replica, long sentAt) {
-        if (dispatcher.brittleReplicas().mayHaveFallenOver(replica)) {
-            return;
-        }
-        if (end == AttemptOutcome.BROKEN) {
-            dispatcher.quarantine().connectionBroken(lostAttempt(sentAt), replica);
-        } else if (end == AttemptOutcome.SILENT) {
-            dispatcher.quarantine().replicaSilent(lostAttempt(sentAt), replica);
-        }
-    }
-
-    private LostAttempt lostAttempt(long sentAt) {
-        return new LostAttempt(fingerprint(), sentAt, dispatcher.clock().monotonicMillis());
-    }
-
     private String logInputs(AttemptOutcome end) {
-        String content = end.mayHaveExecuted() ? " content=" + fingerprint() : "";
-        return "millisLeft=" + timeLeftMillis() + " tried=" + scope.triedCount() + content;
-    }
-
-    /** Returns the fingerprint of the request content, computed at first use since few requests need it. */
-    private RequestFingerprint fingerprint() {
-        if (fingerprint.isEmpty()) {
-            fingerprint = Optional.of(RequestFingerprint.of(
-                    serviceRequest.callerRequest().message().head().target(),
-                    serviceRequest.owner().map(KeyOwner::customer).orElse(""),
-                    serviceRequest.callerRequest().message().body()));
-        }
-        return fingerprint.get();
+        String suspect = end.mayHaveExecuted() ? " content=" + content.fingerprint() : "";
+        return "millisLeft=" + timeLeftMillis() + " tried=" + scope.triedCount() + suspect;
     }
 
     private void sendFinalAnswer(
@@ -306,12 +282,14 @@
         } else if (finalAnswer == FinalResponse.NOT_RUN) {
             if (serviceRequest.routed().origin().isPresent()
                     && dispatcher.paths().isLost(serviceRequest.service().name())) {
-                dispatcher.decline(serviceRequest.callerRequest(), response, "no path to the service");
+                dispatcher.answers().decline(serviceRequest.callerRequest(), response, "no path to the service");
                 return;
             }
-            dispatcher.rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryAfterMillis);
+            dispatcher.answers().rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryAfterMillis);
         } else {
-            dispatcher.respond(serviceRequest.callerRequest(), response, statusOf(finalAnswer), reason, Headers.NONE);
+            dispatcher
+                    .answers()
+                    .respond(serviceRequest.callerRequest(), response, statusOf(finalAnswer), reason, Headers.NONE);
         }
     }
 
@@ -355,10 +333,7 @@
         Attempt stopped = attempt;
         attempt = null;
         if (stopped.isSilent()) {
-            dispatcher
-                    .quarantine()
-                    .replicaSilent(
-                            lostAttempt(stopped.sentAt()), stopped.target().replica());
+            content.reportSilence(stopped.target().replica(), stopped.sentAt());
         }
         stopped.cancel();
     }
@@ -399,12 +374,8 @@
         timings.recordEvents(dispatcher.clock().monotonicMillis());
     }
 
-    /**
-     * Records that a replica ran the request to its end. An error response of the replica would not prove that, since
-     * it may fail before it starts.
-     */
-    void recordCompletion() {
-        dispatcher.quarantine().requestCompleted(this::fingerprint);
+    RequestContent content() {
+        return content;
     }
 
     void responseDelivered(String outcome) {
@@ -485,8 +456,10 @@
     boolean canRetryNow() {
         return canRetry()
                 && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
-                && dispatcher.quarantine().remainingMillis(this::fingerprint).isEmpty()
-                && dispatcher.canRetry(serviceRequest.service().name())
+                && content.quarantineMillis().isEmpty()
+                && dispatcher
+                        .retryBudgets()
+                        .isAvailable(serviceRequest.service().name())
                 && (canHandOver()
                         || dispatcher
                                 .targetSelector()
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OwnAnswers.java
@@ -0,0 +1,80 @@
+package org.hornbeamhead.gateway.dispatch;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.random.RandomGenerator;
+import org.hornbeamhead.core.forward.FinalResponse;
+import org.hornbeamhead.core.http.Headers;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.caller.CallerResponse;
+import org.hornbeamhead.gateway.path.RelayHeaders;
+import org.hornbeamhead.gateway.state.RoutingState;
+
+/** The answers that the router itself gives to requests, instead of a replica. */
+final class OwnAnswers {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** Upper bound of the random extra delay that spreads the retries of callers that were rejected together. */
+    private static final long MAX_JITTER_MILLIS = 5_000;
+    /**
+     * Retry delay while the configuration may be stale. It is refreshed by the next long-poll read of the store, or by
+     * another router.
+     */
+    static final long STALE_RETRY_MILLIS = 500;
+
+    private final Clock clock;
+    private final RoutingState state;
+    private final Metrics metrics;
+    private final RandomGenerator random;
+
+    OwnAnswers(Clock clock, RoutingState state, Metrics metrics, RandomGenerator random) {
+        this.clock = clock;
+        this.state = state;
+        this.metrics = metrics;
+        this.random = random;
+    }
+
+    /** Declines a request of another router. It has not run, and a third router may take it. */
+    void decline(CallerRequest request, CallerResponse response, String reason) {
+        respond(request, response, FinalResponse.NOT_RUN.status(), reason, RelayHeaders.declined(reason));
+    }
+
+    /**
+     * Rejects a request that the configuration does not allow.
+     *
+     * <p>When this router has had no contact with the store for a while, the configuration may have changed, and a
+     * caller with a new key would be rejected permanently. While the configuration may be stale, the caller is told to
+     * retry instead.
+     */
+    void deny(CallerRequest request, CallerResponse response, int status, String reason) {
+        if (state.isFresh(clock.monotonicMillis())) {
+            respond(request, response, status, reason, Headers.NONE);
+        } else {
+            rejectNotExecuted(request, response, reason + " in a configuration that may be old", STALE_RETRY_MILLIS);
+        }
+    }
+
+    /** Rejects a request that has not run; the caller is told to return after the delay and up to as long again. */
+    void rejectNotExecuted(CallerRequest request, CallerResponse response, String reason, long retryAfterMillis) {
+        long delayMillis = retryAfterMillis + random.nextLong(Math.min(retryAfterMillis, MAX_JITTER_MILLIS) + 1);
+        respond(request, response, FinalResponse.NOT_RUN.status(), reason, retryAfter(delayMillis));
+    }
+
+    static Headers retryAfter(long millis) {
+        return Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", millis / 1000.0));
+    }
+
+    void respond(CallerRequest request, CallerResponse response, int status, String reason, Headers headers) {
+        metrics.count("hornbeam_own_answers", "status", Integer.toString(status));
+        logger.atInfo()
+                .with(Logs.REQUEST, request.id())
+                .with(Logs.DECISION, "own answer " + status)
+                .with(Logs.REASON, reason)
+                .with(Logs.INPUTS, state.inputs(clock.monotonicMillis()))
+                .log("responded with status %d", status);
+        byte[] body = (reason + "\n").getBytes(StandardCharsets.UTF_8);
+        response.respond(status, headers.with("Content-Type", "text/plain"), body);
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -116,7 +116,7 @@
                 new ForwardingState.RetryConditions(
                         timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
                         dispatcher.relayRouters().isAvailable(service, tried),
-                        () -> dispatcher.takeRetry(service)));
+                        () -> dispatcher.retryBudgets().take(service)));
         log("handover " + outcome, reason, peer, "next=" + step);
         if (step instanceof NextStep.GiveUp giveUp) {
             sendOwnAnswer(giveUp.answer(), reason);
@@ -130,13 +130,15 @@
         CallerRequest request = routed.callerRequest();
         switch (answer) {
             case BROKEN_OFF -> response.abort();
-            case NOT_RUN -> dispatcher.rejectNotExecuted(request, response, reason, RETRY_AFTER_MILLIS);
-            default -> dispatcher.respond(
-                    request,
-                    response,
-                    (answer.status() == 0 ? FinalResponse.OUTCOME_UNKNOWN : answer).status(),
-                    reason,
-                    Headers.NONE);
+            case NOT_RUN -> dispatcher.answers().rejectNotExecuted(request, response, reason, RETRY_AFTER_MILLIS);
+            default -> dispatcher
+                    .answers()
+                    .respond(
+                            request,
+                            response,
+                            (answer.status() == 0 ? FinalResponse.OUTCOME_UNKNOWN : answer).status(),
+                            reason,
+                            Headers.NONE);
         }
     }
 
@@ -244,7 +246,9 @@
         }
 
         private void silent() {
-            if (!ended && dispatcher.relayRouters().isAvailable(service, tried) && dispatcher.canRetry(service)) {
+            if (!ended
+                    && dispatcher.relayRouters().isAvailable(service, tried)
+                    && dispatcher.retryBudgets().isAvailable(service)) {
                 closeAndEnd(AttemptOutcome.SILENT, "silent for " + SILENCE_MILLIS + " ms");
             }
         }
