A router that hands a stream over goes on only if the other one names the same software

A router of an earlier version says nothing of software in its answer and may go on at any, so that during a roll-out of the routers a stream that was begun could still be mixed across a hop. Found by reading. The answer that goes on with a begun stream must name the version; otherwise the next router is tried, or the stream ends as broken. Streams that may not be resumed are no longer looked for among the running ones at their end.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -386,7 +386,9 @@
     private void finish(String outcome) {
         finished = true;
         dispatcher.inFlight().remove(this);
-        dispatcher.resumptions().streamEnded(serviceRequest);
+        if (serviceRequest.route().resumable()) {
+            dispatcher.resumptions().streamEnded(serviceRequest);
+        }
         deadlineTimer.cancel();
         dispatcher
                 .metrics()
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -12,6 +12,7 @@
 import org.hornbeamhead.core.forward.NextStep;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.ResponseHead;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.route.RequestKind;
 import org.hornbeamhead.core.stream.CorruptStreamException;
 import org.hornbeamhead.core.stream.EventSplitter;
@@ -259,15 +260,19 @@
             declined = RelayHeaders.isDeclined(head.headers());
             streaming = !declined && head.ok() && routed.route().kind() == RequestKind.STREAM;
             Headers headers = RelayHeaders.forCaller(dispatcher.headerCodec().callerHeaders(head));
-            if (streaming) {
-                RelayHeaders.software(head.headers()).ifPresent(progress::recordSoftware);
-            }
             if (!streaming) {
                 buffered = new BufferedResponse(head.status(), headers);
-            } else if (!forwarding.hasResponseStarted()) {
+                return;
+            }
+            Optional<SoftwareVersion> software = RelayHeaders.software(head.headers());
+            if (!forwarding.hasResponseStarted()) {
                 forwarding.responseStarted();
                 response.begin(head.status(), headers);
+            } else if (software.filter(progress::mayGoOnAt).isEmpty()) {
+                closeAndEnd(AttemptOutcome.BROKEN, "the router goes on at other software than the stream began at");
+                return;
             }
+            software.ifPresent(progress::recordSoftware);
         }
 
         @Override
