Soak: engines of two software versions that are rolled, callers that resume streams, and a promise for each rule

Callers leave streams in the middle and go on at any router, at once or a second later, once or several times in a row, always naming the attempt that brought the first event. Engines of two versions are replaced by the other faults; each event says which version wrote it. Promises: all events that a caller holds of a stream are of one version, within an answer and over all parts; of twelve or more resumed at undisturbed routers, while two undisturbed replicas of their version serve, half as many go on as of new streams begin; each part is the caller's own; a refused part has not run. Bodies of streams are compared without the comment that names the writer; everything else of them as before.

--- a/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
@@ -46,6 +46,7 @@
             IntStream.range(0, 12).mapToObj(i -> "key" + i).toList());
     private final Map<String, OptionalInt> brittle = new ConcurrentHashMap<>();
     private final AtomicInteger nextReplica = new AtomicInteger();
+    private final boolean rolled;
     private long version;
     private long weights = 1;
     private int moves;
@@ -55,6 +56,7 @@
         this.history = history;
         this.clock = clock;
         this.directory = directory;
+        this.rolled = settings.resuming() > 0;
         store.put(StandinDocuments.weightsKey(), StandinDocuments.weightsDocument(weights));
         configure();
         for (int i = 0; i < settings.replicas(); i++) {
@@ -95,9 +97,12 @@
     }
 
     private SoakReplica add(String service, long seed) throws IOException {
-        String id = "replica" + nextReplica.incrementAndGet();
-        SoakReplica r =
-                new SoakReplica(id, service, service.equals(ENGINES) ? weights : 0, history, clock, seed, this::ended);
+        int number = nextReplica.incrementAndGet();
+        String id = "replica" + number;
+        String software = rolled && number % 4 < 2 ? "v2" : "v1";
+        SoakReplica r = new SoakReplica(
+                id, service, software, service.equals(ENGINES) ? weights : 0, history, clock, seed, this::ended);
+        history.add(new History.Listed(id, software, clock.millis()));
         r.setBrittle(brittle.getOrDefault(service, OptionalInt.empty()));
         replicas.add(r);
         list(r, "ready");
@@ -172,7 +177,7 @@
             }
         }
         long from = clock.millis();
-        history.add(new Disturbed("REPLICA_ENDED", crashed.id(), false, from, from + BACK_MILLIS));
+        history.add(new Disturbed(Disturbed.REPLICA_ENDED, crashed.id(), false, from, from + BACK_MILLIS));
         CompletableFuture.delayedExecutor(BACK_MILLIS, TimeUnit.MILLISECONDS).execute(() -> comeBack(crashed));
         close(crashed);
     }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
@@ -33,6 +33,8 @@
             number("lost-paths", "how often a router loses its path to all replicas", 2);
     private final OptionSpec<Integer> brittle =
             number("brittle", "1: the replicas of one service at a time are brittle; 0: none are", 1);
+    private final OptionSpec<Integer> resuming = number(
+            "resuming", "callers that resume streams, while engines of two software versions are rolled; 0: none", 2);
     private final OptionSpec<String> json =
             parser.accepts("json", "file for the results, a JSON line a run").withRequiredArg();
 
@@ -90,7 +92,8 @@
                 options.valueOf(limiting),
                 options.valueOf(announcing),
                 options.valueOf(lostPaths),
-                options.valueOf(brittle) > 0);
+                options.valueOf(brittle) > 0,
+                options.valueOf(resuming));
         Path directory = Files.createTempDirectory("hornbeam-soak-" + runSeed + "-");
         try {
             SoakReport report = new SoakRun(settings, directory).play();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -37,6 +37,7 @@
     private final StandinEngine engine;
     private final StandinLink link;
     private final String service;
+    private final String software;
     private final History history;
     private final Stopwatch clock;
     private final Random random;
@@ -53,6 +54,7 @@
     SoakReplica(
             String id,
             String service,
+            String software,
             long weights,
             History history,
             Stopwatch clock,
@@ -60,6 +62,7 @@
             Consumer<SoakReplica> onEnd)
             throws IOException {
         this.service = service;
+        this.software = software;
         this.history = history;
         this.clock = clock;
         this.random = new Random(seed);
@@ -86,7 +89,7 @@
 
     /** How it is listed. */
     String entry(String state) {
-        return replica.entry(service, state, link.port(), engine.version());
+        return StandinReplica.withSoftware(replica.entry(service, state, link.port(), engine.version()), software);
     }
 
     void grey(boolean now) {
@@ -240,7 +243,7 @@
             throws IOException, InterruptedException {
         to.write(withNotices(r, StandinReplica.streamHead(r)));
         for (int e = r.lastEventId() + 1; e <= RequestKind.events(); e++) {
-            String event = RequestKind.event(r.id(), e);
+            String event = RequestKind.event(r.id(), e, software);
             if (failure == Failure.BREAKS_OFF && e == RequestKind.events() / 2) {
                 to.write(StandinReplica.chunk(event.substring(0, event.length() / 2)))
                         .reset();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -50,6 +50,9 @@
             Callers callers = new Callers(fleet, history, clock);
             IntStream.range(0, settings.callers())
                     .forEach(i -> threads.execute(() -> callers.run(settings.seed() * 1_000 + i)));
+            ResumingCallers resuming = new ResumingCallers(fleet, history, clock);
+            IntStream.range(0, settings.resuming())
+                    .forEach(i -> threads.execute(() -> resuming.run(settings.seed() * 1_000 + i)));
             CrashingCallers crashing = new CrashingCallers(fleet, history, clock);
             IntStream.range(0, settings.crashing())
                     .forEach(i -> threads.execute(() -> crashing.run(i, settings.seed() + i)));
@@ -70,6 +73,7 @@
             brittle.end();
             Thread.sleep(END_MILLIS);
             callers.end();
+            resuming.end();
             threads.shutdownNow();
             threads.awaitTermination(END_MILLIS, TimeUnit.MILLISECONDS);
             Runtime.getRuntime().removeShutdownHook(cutOff);
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
@@ -13,6 +13,7 @@
  * @param announcing replicas at a time that leave by their answers, or ask for pauses
  * @param lostPaths how often a router loses its path to all replicas
  * @param brittle whether the replicas of one service at a time are brittle
+ * @param resuming callers that leave streams and resume them, while engines of two software versions are rolled
  */
 record SoakSettings(
         long seed,
@@ -24,7 +25,8 @@
         int limiting,
         int announcing,
         int lostPaths,
-        boolean brittle) {
+        boolean brittle,
+        int resuming) {
     SoakSettings {
         if (seconds < 1 || routers < 1 || replicas < 6 || callers < 1) {
             throw new IllegalArgumentException("a run needs a second, a router, six replicas and a caller at least");
@@ -35,6 +37,9 @@
         if (announcing < 0 || announcing > replicas) {
             throw new IllegalArgumentException(announcing + " of " + replicas + " replicas cannot announce anything");
         }
+        if (resuming < 0) {
+            throw new IllegalArgumentException("a run cannot have " + resuming + " resuming callers");
+        }
         if (crashing < 0 || lostPaths < 0) {
             throw new IllegalArgumentException(
                     "a run cannot have " + crashing + " requests that end replicas and " + lostPaths + " lost paths");
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -38,6 +38,28 @@
      */
     public record Answered(String id, int status, String body, boolean whole, long at) {}
 
+    /**
+     * A caller took a part of a stream.
+     *
+     * @param id the request
+     * @param first the request that brought the first event; empty if this one is to
+     * @param last the last event that the caller had before, 0 for none
+     * @param status the answer's status, 0 when none came
+     * @param body what came of the body
+     * @param whole whether the stream ended as its head says
+     * @param at when it was asked for
+     */
+    public record Part(String id, String first, int last, int status, String body, boolean whole, long at) {}
+
+    /**
+     * A replica was listed.
+     *
+     * @param replica the replica
+     * @param software the version of its software
+     * @param at when
+     */
+    public record Listed(String replica, String software, long at) {}
+
     /**
      * A request came to a replica.
      *
@@ -156,7 +178,10 @@
      * @param from when it began
      * @param to when it was over
      */
-    public record Disturbed(String kind, String subject, boolean planned, long from, long to) {}
+    public record Disturbed(String kind, String subject, boolean planned, long from, long to) {
+        /** The kind of the end of a replica's process, after which another one starts. */
+        public static final String REPLICA_ENDED = "REPLICA_ENDED";
+    }
 
     /**
      * A router's log tells of an error that nothing caught.
@@ -174,6 +199,8 @@
     private static final List<Class<? extends Record>> KINDS = List.of(
             Asked.class,
             Answered.class,
+            Part.class,
+            Listed.class,
             Arrived.class,
             Ended.class,
             Limited.class,
@@ -240,6 +267,24 @@
         return list(Answered.class);
     }
 
+    /**
+     * Lists the parts of streams.
+     *
+     * @return what callers got that leave streams and resume them
+     */
+    public List<Part> parts() {
+        return list(Part.class);
+    }
+
+    /**
+     * Lists the replicas.
+     *
+     * @return when each was listed, and its software
+     */
+    public List<Listed> listed() {
+        return list(Listed.class);
+    }
+
     /**
      * Lists what came to replicas.
      *
--- a/soak/src/main/java/org/hornbeamhead/soak/history/RequestKind.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/RequestKind.java
@@ -69,6 +69,18 @@
         return "id: " + number + "\ndata: " + id + "-" + number + "\n\n";
     }
 
+    /**
+     * Gives one event of a stream with a comment that tells who wrote it.
+     *
+     * @param id the request
+     * @param number the event's number, from 1
+     * @param writer the version of the replica's software
+     * @return the event
+     */
+    public static String event(String id, int number, String writer) {
+        return event(id, number).replace("\ndata: ", "\n: " + writer + "\ndata: ");
+    }
+
     /**
      * Counts the events of a stream.
      *
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/AnswerChecks.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/AnswerChecks.java
@@ -35,10 +35,8 @@
 
     private static boolean isOwn(Asked asked, Answered a) {
         String right = asked.kind().answer(a.id());
-        if (a.whole()) {
-            return right.equals(a.body());
-        }
-        return right.startsWith(a.body());
+        String got = ResumeChecks.withoutWriters(a.body());
+        return a.whole() ? right.equals(got) : right.startsWith(got);
     }
 
     /** A request that may not be repeated has run once at most. */
@@ -56,7 +54,9 @@
     /** What was refused as not run has not run, neither before nor after. */
     static Stream<Breach> trueRefusals(History h) {
         Set<String> ran = runs(h).keySet();
-        return h.answered().stream()
+        Stream<Answered> parts =
+                h.parts().stream().map(p -> new Answered(p.id(), p.status(), p.body(), p.whole(), p.at()));
+        return Stream.concat(h.answered().stream(), parts)
                 .filter(a -> NOT_RUN.contains(a.status()) && ran.contains(a.id()))
                 .map(a -> new Breach("true refusals", a.id() + " got " + a.status() + " and ran", a.at()));
     }
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -19,6 +19,9 @@
      */
     public Promises(Set<String> isolated) {
         checks.put("own answers", AnswerChecks::ownAnswers);
+        checks.put("own parts", ResumeChecks::ownParts);
+        checks.put("one software a stream", ResumeChecks::oneSoftwareAStream);
+        checks.put("resumed streams go on", ResumeChecks::resumedStreamsGoOn);
         checks.put("at most once", AnswerChecks::atMostOnce);
         checks.put("true refusals", AnswerChecks::trueRefusals);
         checks.put("nothing unasked", AnswerChecks::nothingUnasked);
