Own interface: a stream is continued only at an engine of the software that began it

A load report states it now (software), and once the caller has a token only engines of that version may continue; one that states none equals no other run.

--- a/bench/src/main/java/org/hornbeamhead/bench/MemoryBench.java
+++ b/bench/src/main/java/org/hornbeamhead/bench/MemoryBench.java
@@ -33,7 +33,7 @@
                 .toList());
         table.replicas().forEach(r -> {
             table.applyReport(
-                    r.address(), new LoadReport("incarnation-" + r.address(), "model", "weights", 0, 0, false));
+                    r.address(), new LoadReport("incarnation-" + r.address(), "v1", "model", "weights", 0, 0, false));
             for (int i = 0; i < promptsEach; i++) {
                 long key = ReplicaRing.mix(r.address().hashCode(), i);
                 PrefixChain chain = new PrefixChain(List.of(new PrefixLevel(key, 10)));
--- a/bench/src/main/java/org/hornbeamhead/bench/PlacementBenchmark.java
+++ b/bench/src/main/java/org/hornbeamhead/bench/PlacementBenchmark.java
@@ -66,7 +66,7 @@
                 .toList();
         table.setEndpoints(endpoints);
         IntStream.range(0, size)
-                .forEach(i -> table.applyReport("e" + i, new LoadReport("i" + i, "m", "w", 0, 0, false)));
+                .forEach(i -> table.applyReport("e" + i, new LoadReport("i" + i, "v1", "m", "w", 0, 0, false)));
         addresses = endpoints.stream().map(Endpoint::address).toList();
         entries.updateRouters(addresses);
         placement.setRouterCount(1);
--- a/bench/src/main/java/org/hornbeamhead/bench/PolicyBench.java
+++ b/bench/src/main/java/org/hornbeamhead/bench/PolicyBench.java
@@ -110,7 +110,7 @@
         engines.forEach((address, engine) -> {
             boolean gone = lost && address.equals("e0");
             LoadReport report =
-                    new LoadReport("i-" + address, "m", "w", engine.waitingTokens(), engine.streams(), gone);
+                    new LoadReport("i-" + address, "v1", "m", "w", engine.waitingTokens(), engine.streams(), gone);
             routers.forEach(r -> r.table.applyReport(address, report));
         });
         timers.schedule(REPORT_EVERY_MILLIS, this::report);
--- a/controller/src/test/java/org/hornbeamhead/controller/ControllerDrainsTest.java
+++ b/controller/src/test/java/org/hornbeamhead/controller/ControllerDrainsTest.java
@@ -176,7 +176,7 @@
 
         @Override
         public Promise<LoadReport> load(String address) {
-            return Promise.of(new LoadReport("i", "m", weights, 0, 0, draining));
+            return Promise.of(new LoadReport("i", "v1", "m", weights, 0, 0, draining));
         }
 
         @Override
--- a/core/src/main/java/org/hornbeamhead/core/placement/Replica.java
+++ b/core/src/main/java/org/hornbeamhead/core/placement/Replica.java
@@ -4,6 +4,7 @@
 import org.hornbeamhead.core.endpoint.Endpoint;
 import org.hornbeamhead.core.endpoint.LoadReport;
 import org.hornbeamhead.core.prefix.PrefixChain;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.retry.OutlierDetector;
 
 /**
@@ -25,6 +26,7 @@
     private final long ringKey;
     private Endpoint endpoint;
     private String incarnation = "";
+    private String softwareName = "";
     private String model = "";
     private String weights = "";
     private boolean reported;
@@ -75,6 +77,7 @@
             weights = report.weights();
         }
         reported = true;
+        softwareName = report.software();
         model = report.model();
         draining = report.draining();
         otherRoutersTokens = Math.max(0, report.waitingTokens() - ownTokens);
@@ -236,6 +239,17 @@
         return incarnation;
     }
 
+    /**
+     * Returns the version of the software by the last report.
+     *
+     * @return the version, which is equal to that of no other run if the replica states none
+     */
+    public SoftwareVersion software() {
+        return softwareName.isEmpty()
+                ? SoftwareVersion.unnamed(endpoint.address() + '@' + incarnation)
+                : SoftwareVersion.named(softwareName);
+    }
+
     /**
      * Returns the last reported model.
      *
--- a/core/src/test/java/org/hornbeamhead/core/admission/AdmissionTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/admission/AdmissionTest.java
@@ -31,7 +31,7 @@
     private PlacementChoice choice(long waitingTokens) {
         ReplicaTable table = new ReplicaTable(clock);
         table.setEndpoints(List.of(new Endpoint(EndpointKind.ENGINE, "p", "e", "", "dc", false)));
-        table.applyReport("e", new LoadReport("i", "m", "w", waitingTokens, 0, false));
+        table.applyReport("e", new LoadReport("i", "v1", "m", "w", waitingTokens, 0, false));
         PrefixChain chain = PrefixHasher.plain(new PrefixSeed("c", "m", "w", ""), "x".repeat(4_000));
         return PrefixPlacement.predict(
                 table.find("e").orElseThrow(), chain, clock.monotonicMillis(), PlacementReason.LEAST_RECOMPUTED);
--- a/core/src/test/java/org/hornbeamhead/core/placement/PrefixPlacementTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/placement/PrefixPlacementTest.java
@@ -50,7 +50,7 @@
     }
 
     private static LoadReport report(String incarnation, String weights, long waiting) {
-        return new LoadReport(incarnation, "m", weights, waiting, 0, false);
+        return new LoadReport(incarnation, "v1", "m", weights, waiting, 0, false);
     }
 
     private static PrefixChain chain(PrefixSeed seed, String house, String dossier) {
@@ -157,7 +157,7 @@
     public void leavingDrainingAndEjectedReplicasAreSkipped() {
         PrefixChain chain = chain(SEED, "house", "dossier");
         String first = send(chain).replica().address();
-        table.applyReport(first, new LoadReport("inc-" + first.substring(1), "m", "w1", 0, 0, true));
+        table.applyReport(first, new LoadReport("inc-" + first.substring(1), "v1", "m", "w1", 0, 0, true));
         String second = send(chain).replica().address();
         assertNotEquals(second, first);
         table.setEndpoints(IntStream.range(0, 8)
@@ -261,7 +261,7 @@
     public void coldReplicasAcceptAnyPromptWhenNoWarmReplicaIsAvailable() {
         IntStream.range(0, 2).forEach(i -> table.applyReport("e" + i, report("again-" + i, "w2", 0)));
         IntStream.range(2, 8)
-                .forEach(i -> table.applyReport("e" + i, new LoadReport("inc-" + i, "m", "w1", 0, 0, true)));
+                .forEach(i -> table.applyReport("e" + i, new LoadReport("inc-" + i, "v1", "m", "w1", 0, 0, true)));
         for (int i = 0; i < 100; i++) {
             assertTrue(placement
                     .choose(table, chain(SEED, "house", "d" + i), TARGET, Set.of())
--- a/core/src/test/java/org/hornbeamhead/core/pool/PoolPlanTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/pool/PoolPlanTest.java
@@ -22,7 +22,7 @@
     private static ReplicaObservation replica(String address, String weights, boolean draining, boolean leaving) {
         return new ReplicaObservation(
                 new Endpoint(EndpointKind.ENGINE, "p", address, "", "dc", leaving),
-                Optional.of(new LoadReport("i", "m", weights, 0, 0, draining)));
+                Optional.of(new LoadReport("i", "v1", "m", weights, 0, 0, draining)));
     }
 
     @DataProvider
--- a/examples/src/main/java/org/hornbeamhead/examples/EmbeddedRouters.java
+++ b/examples/src/main/java/org/hornbeamhead/examples/EmbeddedRouters.java
@@ -67,8 +67,8 @@
                 .mapToObj(i -> new Endpoint(EndpointKind.ENGINE, "pool", "10.0.0." + i + ":80", "", "dc", false))
                 .toList());
         table.replicas()
-                .forEach(
-                        r -> table.applyReport(r.address(), new LoadReport("first start", "model", "w1", 0, 0, false)));
+                .forEach(r -> table.applyReport(
+                        r.address(), new LoadReport("first start", "v1", "model", "w1", 0, 0, false)));
         PrefixSeed seed = new PrefixSeed("auction house", "model", "w1", "");
         PrefixChain chain = PrefixHasher.chat(seed, List.of("house rules", "a long dossier", "who painted it?"));
         PlacementChoice choice =
--- a/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
+++ b/router/src/main/java/org/hornbeamhead/router/EngineExchange.java
@@ -15,6 +15,8 @@
 import org.hornbeamhead.core.outcome.Reason;
 import org.hornbeamhead.core.placement.PlacementChoice;
 import org.hornbeamhead.core.placement.PlacementTarget;
+import org.hornbeamhead.core.placement.Replica;
+import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.stream.StreamEvent;
 import org.hornbeamhead.daemon.Json;
 import org.hornbeamhead.daemon.Logs;
@@ -46,6 +48,7 @@
     private final String internalId = UUID.randomUUID().toString();
     private final Set<String> excluded = new HashSet<>();
     private final List<EngineEvent> given = new ArrayList<>();
+    private Optional<SoftwareVersion> software = Optional.empty();
     private final long startedMillis;
     private EngineAttempt attempt;
     private PlacementChoice choice;
@@ -122,6 +125,7 @@
             pool.table().recordFirstToken(choice, elapsed);
         }
         if (givenTokens == 0) {
+            software = Optional.of(choice.replica().software());
             firstTokenMetrics();
         }
         attemptTokens++;
@@ -203,6 +207,7 @@
                 !held && attempts < MAX_ATTEMPTS && (!worked || pool.retries().tryAcquire());
         Set<String> unusable = new HashSet<>(excluded);
         unusable.addAll(context.availability().unavailable());
+        software.ifPresent(begun -> unusable.addAll(runningOtherSoftware(begun)));
         Optional<PlacementChoice> other =
                 allowed ? pool.placement().choose(pool.table(), request.chain(), target, unusable) : Optional.empty();
         if (other.isEmpty()) {
@@ -216,6 +221,14 @@
         return dispatch(other.get());
     }
 
+    /** Returns the engines that may not continue a stream, since what two versions write does not fit together. */
+    private Set<String> runningOtherSoftware(SoftwareVersion begun) {
+        return pool.table().replicas().stream()
+                .filter(r -> !r.software().equals(begun))
+                .map(Replica::address)
+                .collect(Collectors.toSet());
+    }
+
     private void blame(AttemptFailure failure) {
         long now = context.clock().monotonicMillis();
         switch (failure) {
--- a/standin/src/main/java/org/hornbeamhead/standin/StandinMain.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/StandinMain.java
@@ -60,6 +60,9 @@
     private final OptionSpec<String> dataCentre = parser.accepts("data-centre", "name of the data centre")
             .withRequiredArg()
             .defaultsTo("dc-1");
+    private final OptionSpec<String> software = parser.accepts("software", "engine: version of its software")
+            .withRequiredArg()
+            .defaultsTo("v1");
     private final OptionSpec<String> model = parser.accepts("model", "engine: name of the model")
             .withRequiredArg()
             .defaultsTo("model");
@@ -168,6 +171,7 @@
                 options.valueOf(cacheTokens),
                 options.valueOf(cacheMillis));
         return new EngineOptions(
+                options.valueOf(software),
                 options.valueOf(model),
                 options.valueOf(weights),
                 speed,
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineOptions.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineOptions.java
@@ -5,6 +5,7 @@
 /**
  * What a stand-in engine serves, and how.
  *
+ * @param software the name of the version of its software
  * @param model the model's name
  * @param weights the version of the weights at the start
  * @param speed how fast it is
@@ -14,6 +15,7 @@
  * @param resumeGrace how long a request goes on after its reader was cut off
  */
 public record EngineOptions(
+        String software,
         String model,
         String weights,
         EngineSpeed speed,
--- a/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
+++ b/standin/src/main/java/org/hornbeamhead/standin/engine/EngineServer.java
@@ -213,6 +213,7 @@
     private LoadReport report() {
         return new LoadReport(
                 incarnation,
+                options.software(),
                 options.model(),
                 orders.weights(),
                 model.waitingTokens(),
