--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -15,6 +16,7 @@
 import org.hornbeamhead.core.crash.CrashReportCodec;
 import org.hornbeamhead.core.drain.DrainOrders;
 import org.hornbeamhead.core.engine.LoadHint;
+import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.limit.BrittleHint;
 import org.hornbeamhead.core.limit.BrittleLimit;
 import org.hornbeamhead.core.limit.LimitHint;
@@ -24,16 +26,26 @@
 import org.hornbeamhead.core.quota.QuotaContacts;
 import org.hornbeamhead.core.quota.QuotaHint;
 import org.hornbeamhead.core.quota.QuotaLedger;
+import org.hornbeamhead.core.resume.OriginMessage;
+import org.hornbeamhead.core.resume.SoftwareVersion;
+import org.hornbeamhead.core.resume.StreamKey;
+import org.hornbeamhead.core.resume.StreamOrigin;
 import org.hornbeamhead.core.settings.Decimals;
 import org.hornbeamhead.core.settings.Durations;
 import org.hornbeamhead.core.ticket.Ticket;
 import org.hornbeamhead.core.time.ManualClock;
+import org.hornbeamhead.gateway.path.RelayHeaders;
+import org.hornbeamhead.gateway.resume.OriginExchange;
 import org.hornbeamhead.gateway.state.PeerReading;
+import org.hornbeamhead.gateway.state.SoftwareRecordReading;
 import org.hornbeamhead.platform.DocumentReading;
 import org.hornbeamhead.platform.HeaderReading;
 
 /** The readers of bytes that others wrote, and inputs that they take. */
 final class FuzzTargets {
+    private static final StreamOrigin ORIGIN =
+            new StreamOrigin(StreamKey.of("s", "c", "r"), SoftwareVersion.named("v1"));
+
     static final List<FuzzTarget> ALL = List.of(
             // What callers send.
             target(
@@ -80,6 +92,18 @@
                     FuzzTargets::brittleHints,
                     latin(new BrittleHint(1, 2, List.of(new BrittleHint.Entry(3, 4, 1))).encode())),
             target("PATH_HINTS", FuzzTargets::pathHints, latin(new PathHint(1, 2, Set.of(3, 4)).encode())),
+            // What routers tell and ask one another of streams, and keep in the store of software versions.
+            target(
+                    "STREAM_ORIGINS",
+                    FuzzTargets::streamOrigins,
+                    latin(new OriginMessage.Announcement(List.of(ORIGIN)).encode()),
+                    latin(new OriginMessage.Question(ORIGIN.key()).encode()),
+                    latin(new OriginMessage.Answer(ORIGIN.key(), Optional.of(ORIGIN.software())).encode())),
+            target(
+                    "SOFTWARE_RECORD",
+                    texts(SoftwareRecordReading::read),
+                    "{\"sinceMillis\":5,\"services\":{\"lm\":{\"9a\":0,\"ffffffffffffffff\":17}}}"),
+            target("STREAM_SOFTWARE", texts(FuzzTargets::streamSoftware), "ffffffffffffffff", "9a"),
             // The headers of replicas' answers.
             target(
                     "REPLICA_HEADERS",
@@ -196,6 +220,27 @@
         paths.hasAllPaths("peer", 1);
     }
 
+    private static void streamOrigins(byte[] bytes) {
+        OriginMessage.decode(bytes).ifPresent(m -> assertEquals(OriginMessage.decode(m.encode()), Optional.of(m)));
+        List<byte[]> sent = new ArrayList<>();
+        OriginExchange exchange = new OriginExchange(
+                new ManualClock(0),
+                (delay, action) -> {},
+                "a:1",
+                () -> List.of("b:1"),
+                (to, datagram) -> sent.add(datagram));
+        exchange.find(ORIGIN.key(), software -> {});
+        exchange.receive("b:1", bytes);
+    }
+
+    private static void streamSoftware(String text) {
+        Headers headers = Headers.NONE.with("Hornbeam-Stream-Software", text);
+        RelayHeaders.software(headers)
+                .ifPresent(s -> assertEquals(
+                        RelayHeaders.software(RelayHeaders.withSoftware(Headers.NONE, Optional.of(s))),
+                        Optional.of(s)));
+    }
+
     private static void crashNews(byte[] bytes) {
         CrashHistory history = new CrashHistory(new ManualClock(0));
         CrashReportCodec.decode(bytes).ifPresent(news -> {
