What a replica states binds the router that passes its answer on, also if another router got it

Cause: RelayedRequest read nothing in the answers that it passed on. What reads them (weights, limits, brittle replicas, leaves, unknown headers) is one class now, asked for each answer however it came (ReplicaStatements), and the router that got the answer names the replica's run (Hornbeam-Replica), which callers do not see. RouterPathTest.statementOfReplicaBindsTheRouterThatPassesItOn: the leave and the unknown header failed before, the limit, of which hints tell, did not; all three pass. The soak's report counts the streams that were resumed and that began.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -4,7 +4,6 @@
 import io.activej.promise.Promise;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.route.Route;
@@ -227,33 +226,15 @@
     public void onHead(ResponseHead received) {
         recordContact();
         head = received;
-        responseInfo = exchange.dispatcher()
-                .headerCodec()
-                .decodeResponse(received, replica.entry().id());
-        responseInfo.weightsVersion().ifPresent(replica::observeVersion);
-        boolean attributable = responseInfo.fromReplica() || responseInfo.notExecuted() || responseInfo.wrongReplica();
-        if (attributable && !responseInfo.wrongReplica()) {
-            observeLimit(received.status());
-            exchange.dispatcher().brittleReplicas().observe(replica, responseInfo.brittle(), sentAt, request.id());
-            exchange.dispatcher().replicaNotices().observe(replica, responseInfo.availability(), request.id());
-        }
-        exchange.dispatcher().unknownHeaders().observe(received, replica.entry().id(), request.id());
-        if (!attributable || (received.ok() && responseInfo.requestId().isEmpty())) {
+        responseInfo = exchange.dispatcher().statements().observe(replica, received, sentAt, request.id());
+        if (!responseInfo.isAttributable()
+                || (received.ok() && responseInfo.requestId().isEmpty())) {
             closeAndEnd(AttemptOutcome.BROKEN, "the answer bears no proof that it belongs to the request");
             return;
         }
         streaming = exchange.isStreaming() && received.ok();
         if (!streaming) {
-            buffered = new BufferedResponse(
-                    received.status(), exchange.dispatcher().headerCodec().callerHeaders(received));
-        }
-    }
-
-    /** Records what the answer states of the replica's limit. A failure without a limit does not end it. */
-    private void observeLimit(int status) {
-        boolean isStated = !responseInfo.requestLimit().exists(OptionalDouble::isEmpty);
-        if (isStated || status < MIN_SERVER_ERROR) {
-            exchange.dispatcher().replicaLimits().observe(replica, responseInfo.requestLimit(), sentAt);
+            buffered = new BufferedResponse(received.status(), exchange.responseHeaders(received, replica));
         }
     }
 
@@ -296,7 +277,7 @@
             return Promise.complete();
         }
         exchange.recordRelay(replica);
-        exchange.beginResponse(head);
+        exchange.beginResponse(head, replica);
         return exchange.response().write(newEvents);
     }
 
@@ -343,7 +324,7 @@
         exchange.content().recordCompletion();
         replica.connections().release(connection);
         if (streaming) {
-            exchange.beginResponse(head);
+            exchange.beginResponse(head, replica);
             exchange.response().end();
         } else {
             buffered.sendTo(exchange.response());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -77,9 +77,8 @@
     private final Quarantine quarantine;
     private final QuotaGate quotas;
     private final ReplicaLimits replicaLimits;
-    private final ReplicaNotices replicaNotices;
     private final ReplicaAvailability availability;
-    private final UnknownHeaders unknownHeaders;
+    private final ReplicaStatements statements;
     private final BrittleReplicas brittleReplicas;
     private final ReplicaPaths paths;
     private final RelayRouters relayRouters;
@@ -160,9 +159,13 @@
         this.quarantine = dependencies.quarantine();
         this.quotas = dependencies.quotas();
         this.replicaLimits = dependencies.replicaLimits();
-        this.replicaNotices = new ReplicaNotices(clock, metrics);
-        this.unknownHeaders = new UnknownHeaders(headerCodec, metrics);
         this.brittleReplicas = dependencies.brittleReplicas();
+        this.statements = new ReplicaStatements(
+                headerCodec,
+                replicaLimits,
+                brittleReplicas,
+                new ReplicaNotices(clock, metrics),
+                new UnknownHeaders(headerCodec, metrics));
         this.paths = dependencies.paths();
         this.relayRouters = dependencies.relayRouters();
         this.resumptions = new StreamResumptions(dependencies.streamOrigins());
@@ -426,12 +429,13 @@
         return relayRouters;
     }
 
-    UnknownHeaders unknownHeaders() {
-        return unknownHeaders;
+    ReplicaStatements statements() {
+        return statements;
     }
 
-    ReplicaNotices replicaNotices() {
-        return replicaNotices;
+    /** Finds a run of a replica by its name. */
+    Optional<LiveReplica> findReplica(String run) {
+        return registry.byRun(run);
     }
 
     ReplicaLimits replicaLimits() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -339,11 +339,11 @@
     }
 
     /** Sends the response head to the caller, unless it was sent already. */
-    void beginResponse(ResponseHead head) {
+    void beginResponse(ResponseHead head, LiveReplica replica) {
         if (!forwarding.hasResponseStarted()) {
             forwarding.responseStarted();
             timings.recordFirst(elapsed().toMillis());
-            response.begin(head.status(), responseHeaders(head));
+            response.begin(head.status(), responseHeaders(head, replica));
             dispatcher
                     .metrics()
                     .time(
@@ -355,10 +355,10 @@
     }
 
     /** Returns the headers for the caller, or for the router that handed the request over. */
-    private Headers responseHeaders(ResponseHead head) {
+    Headers responseHeaders(ResponseHead head, LiveReplica replica) {
         Headers headers = dispatcher.headerCodec().callerHeaders(head);
         return serviceRequest.routed().origin().isPresent()
-                ? RelayHeaders.withSoftware(headers, progress.software())
+                ? RelayHeaders.withAuthor(headers, replica.entry().run(), progress.software())
                 : headers;
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -195,6 +195,7 @@
         private boolean declined;
         private boolean streaming;
         private boolean sent;
+        private long sentAt;
         private boolean ended;
 
         Hop(RelayRouters.Peer peer) {
@@ -225,6 +226,7 @@
         private void send(ReplicaConnection acquired) {
             connection = acquired;
             sent = true;
+            sentAt = dispatcher.clock().monotonicMillis();
             long timeLeft = Math.max(1, timeLeftMillis());
             log(
                     "handed over",
@@ -257,9 +259,16 @@
         @Override
         public void onHead(ResponseHead head) {
             cancelSilenceTimer();
+            ResponseHead answer =
+                    new ResponseHead(head.status(), RelayHeaders.forCaller(head.headers()), head.keepAlive());
+            RelayHeaders.replica(head.headers())
+                    .flatMap(dispatcher::findReplica)
+                    .ifPresent(r -> dispatcher
+                            .statements()
+                            .observe(r, answer, sentAt, routed.callerRequest().id()));
             declined = RelayHeaders.isDeclined(head.headers());
             streaming = !declined && head.ok() && routed.route().kind() == RequestKind.STREAM;
-            Headers headers = RelayHeaders.forCaller(dispatcher.headerCodec().callerHeaders(head));
+            Headers headers = dispatcher.headerCodec().callerHeaders(answer);
             if (!streaming) {
                 buffered = new BufferedResponse(head.status(), headers);
                 return;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
@@ -28,4 +28,13 @@
         OptionalLong weightsVersion,
         Either<String, OptionalDouble> requestLimit,
         Either<String, OptionalInt> brittle,
-        AvailabilityNotice availability) {}
+        AvailabilityNotice availability) {
+    /**
+     * Returns whether the answer is a replica's beyond doubt.
+     *
+     * @return false if it bears no proof
+     */
+    public boolean isAttributable() {
+        return fromReplica || notExecuted || wrongReplica;
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/path/RelayHeaders.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/path/RelayHeaders.java
@@ -20,6 +20,9 @@
     /** In a request or an answer: which software began the stream, as a hexadecimal number. */
     private static final String SOFTWARE = "Hornbeam-Stream-Software";
 
+    /** In an answer: the run of the replica that gave it. */
+    private static final String REPLICA = "Hornbeam-Replica";
+
     private static final int HEX = 16;
 
     private static final Set<String> REQUEST_HEADERS = Set.of(
@@ -87,6 +90,28 @@
         return software.map(s -> headers.with(SOFTWARE, s.toString())).orElse(headers);
     }
 
+    /**
+     * Adds to a replica's answer for another router who gave it.
+     *
+     * @param headers the headers of the answer; fields of these names are replaced
+     * @param run the run of the replica
+     * @param software the software that began the stream, empty for other answers
+     * @return the extended headers
+     */
+    public static Headers withAuthor(Headers headers, String run, Optional<SoftwareVersion> software) {
+        return withSoftware(forCaller(headers).with(REPLICA, run), software);
+    }
+
+    /**
+     * Reads which replica gave an answer.
+     *
+     * @param headers the headers of an answer of another router
+     * @return the run of the replica; empty if the router answered itself
+     */
+    public static Optional<String> replica(Headers headers) {
+        return headers.first(REPLICA);
+    }
+
     /**
      * Removes from an answer of another router what is not meant for callers.
      *
@@ -94,7 +119,7 @@
      * @return the other headers
      */
     public static Headers forCaller(Headers headers) {
-        return headers.without(SOFTWARE::equalsIgnoreCase);
+        return headers.without(name -> SOFTWARE.equalsIgnoreCase(name) || REPLICA.equalsIgnoreCase(name));
     }
 
     /**
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReport.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReport.java
@@ -11,6 +11,7 @@
 import org.hornbeamhead.soak.history.History;
 import org.hornbeamhead.soak.history.History.Answered;
 import org.hornbeamhead.soak.promise.Breach;
+import org.hornbeamhead.soak.promise.ResumeShares;
 
 /**
  * What a run showed.
@@ -19,17 +20,23 @@
  * @param plan its faults
  * @param requests the requests that callers sent
  * @param byStatus how they ended, by status; 0 without an answer, and by 1,000 more when an answer was cut
+ * @param streams the streams of callers that resume them
  * @param breaches the promises that were not kept, the first one first
  */
 record SoakReport(
-        SoakSettings settings, FaultPlan plan, int requests, Map<Integer, Long> byStatus, List<Breach> breaches) {
+        SoakSettings settings,
+        FaultPlan plan,
+        int requests,
+        Map<Integer, Long> byStatus,
+        ResumeShares streams,
+        List<Breach> breaches) {
     private static final int CUT = 1_000;
     private static final int SHOWN_BREACHES = 10;
 
     static SoakReport of(SoakSettings settings, FaultPlan plan, History history, List<Breach> breaches) {
         Map<Integer, Long> byStatus = history.answered().stream()
                 .collect(Collectors.groupingBy(SoakReport::ending, TreeMap::new, Collectors.counting()));
-        return new SoakReport(settings, plan, history.asked().size(), byStatus, breaches);
+        return new SoakReport(settings, plan, history.asked().size(), byStatus, ResumeShares.of(history), breaches);
     }
 
     private static int ending(Answered a) {
@@ -67,6 +74,7 @@
                 .append(" requests; endings ")
                 .append(byStatus)
                 .append('\n');
+        page.append("  ").append(streams).append('\n');
         plan.faults()
                 .forEach(f -> page.append(
                         String.format("  %6d ms  %s %d for %d ms%n", f.at(), f.kind(), f.index(), f.lasting())));
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/ResumeChecks.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/ResumeChecks.java
@@ -78,6 +78,14 @@
 
     /** Streams that are resumed go on half as often as new ones begin at least, while two replicas can take them. */
     static Stream<Breach> resumedStreamsGoOn(History h) {
+        ResumeShares shares = shares(h);
+        return shares.resumed() >= LEAST_RESUMED && shares.resumedShare() * 2 < shares.begunShare()
+                ? Stream.of(new Breach("resumed streams go on", shares.toString(), 0))
+                : Stream.empty();
+    }
+
+    /** Counts the streams of callers at undisturbed routers. */
+    static ResumeShares shares(History h) {
         Map<String, Asked> asked = h.asked().stream().collect(Collectors.toMap(Asked::id, Function.identity()));
         Set<String> wrongKeys = h.acknowledged().stream()
                 .filter(a -> a.change() == Change.KEY_GONE)
@@ -96,15 +104,11 @@
                 .filter(p -> softwareByStream.containsKey(p.first()))
                 .filter(p -> countServing(h, softwareByStream.get(p.first()), p.at()) >= LEAST_REPLICAS)
                 .toList();
-        double shareBegun = share(begun);
-        double shareResumed = share(resumed);
-        return resumed.size() >= LEAST_RESUMED && shareResumed * 2 < shareBegun
-                ? Stream.of(new Breach(
-                        "resumed streams go on",
-                        "of " + resumed.size() + " resumed streams " + shareResumed + " went on, of new ones "
-                                + shareBegun + " began",
-                        resumed.get(0).at()))
-                : Stream.empty();
+        return new ResumeShares(begun.size(), countGone(begun), resumed.size(), countGone(resumed));
+    }
+
+    private static int countGone(List<Part> parts) {
+        return (int) parts.stream().filter(p -> p.status() == OK).count();
     }
 
     private static Stream<String> writer(String body) {
@@ -112,11 +116,6 @@
         return first.find() ? Stream.of(first.group(1)) : Stream.empty();
     }
 
-    private static double share(List<Part> parts) {
-        long gone = parts.stream().filter(p -> p.status() == OK).count();
-        return (double) gone / Math.max(1, parts.size());
-    }
-
     /** Counts the replicas of a version that served, undisturbed, around a time. */
     private static long countServing(History h, String software, long at) {
         return h.listed().stream()
