--- a/soak/src/main/java/org/hornbeamhead/soak/ResumingCallers.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/ResumingCallers.java
@@ -51,7 +51,7 @@
         int last = 0;
         String key = fleet.key(random.nextInt());
         for (int step = 0; step < MAX_STEPS && last < RequestKind.events() && !over; step++) {
-            String id = String.format("e%015x", nextId.incrementAndGet());
+            String id = String.format("d%015x", nextId.incrementAndGet());
             int until = random.nextInt(2) == 0 ? RequestKind.events() : last + 1 + random.nextInt(2);
             History.Part part = takePart(id, first, last, Math.min(until, RequestKind.events()), key, random);
             history.add(part);
