--- a/core/src/main/java/org/hornbeamhead/core/resume/OriginHolders.java
+++ b/core/src/main/java/org/hornbeamhead/core/resume/OriginHolders.java
@@ -13,6 +13,8 @@
 public final class OriginHolders {
     private OriginHolders() {}
 
+    private record Ranked(long hash, String router) {}
+
     /**
      * Chooses routers.
      *
@@ -25,9 +27,10 @@
         LongHashFunction hash = LongHashFunction.xx3(key.value());
         return routers.stream()
                 .distinct()
-                .sorted(Comparator.comparingLong((String r) -> hash.hashBytes(r.getBytes(StandardCharsets.UTF_8)))
-                        .thenComparing(Comparator.naturalOrder()))
+                .map(r -> new Ranked(hash.hashBytes(r.getBytes(StandardCharsets.UTF_8)), r))
+                .sorted(Comparator.comparingLong(Ranked::hash).thenComparing(Ranked::router))
                 .limit(count)
+                .map(Ranked::router)
                 .toList();
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -16,7 +16,6 @@
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.quota.QuotaContacts;
 import org.hornbeamhead.core.quota.QuotaLedger;
-import org.hornbeamhead.core.resume.SoftwareHistory;
 import org.hornbeamhead.core.route.CallerLimits;
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.route.ServiceSpec;
@@ -44,8 +43,7 @@
 import org.hornbeamhead.gateway.quota.QuotaReports;
 import org.hornbeamhead.gateway.replica.ReplicaGauges;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
-import org.hornbeamhead.gateway.resume.OriginExchange;
-import org.hornbeamhead.gateway.resume.StreamOriginDirectory;
+import org.hornbeamhead.gateway.resume.SoftwareTracking;
 import org.hornbeamhead.gateway.state.FleetSizeRecorder;
 import org.hornbeamhead.gateway.state.HttpMirrorClient;
 import org.hornbeamhead.gateway.state.LoadHints;
@@ -56,7 +54,6 @@
 import org.hornbeamhead.gateway.state.RouterList;
 import org.hornbeamhead.gateway.state.RouterRegistration;
 import org.hornbeamhead.gateway.state.RoutingState;
-import org.hornbeamhead.gateway.state.SoftwareVersionRecorder;
 import org.hornbeamhead.gateway.state.StoreView;
 import org.hornbeamhead.gateway.state.SuspensionDetector;
 import org.hornbeamhead.gateway.state.UsageGossip;
@@ -85,8 +82,7 @@
     private final ActiveRouters activeRouters;
     private final RouterRegistration registration;
     private final FleetSizeRecorder fleetSizeRecorder;
-    private final SoftwareHistory softwareHistory;
-    private final SoftwareVersionRecorder softwareRecorder;
+    private final SoftwareTracking softwareTracking;
     private final SuspensionDetector suspensionDetector;
     private final StoreView storeView;
     private final PeerChangeNotifier notifier;
@@ -140,17 +136,10 @@
         registration = new RouterRegistration(reactor, ports.store(), settings.self());
         fleetSizeRecorder =
                 new FleetSizeRecorder(clock, daemon.timers(), ports.store(), mirror, routers, this::isListCurrent);
-        softwareHistory = new SoftwareHistory(clock.monotonicMillis());
-        softwareRecorder = new SoftwareVersionRecorder(
-                clock,
-                daemon.timers(),
-                ports.store(),
-                mirror,
-                softwareHistory,
-                () -> isListCurrent() && routers.isFirstReader());
         suspensionDetector = new SuspensionDetector(daemon.timers(), clock, this::onSuspension);
         storeView = new StoreView(storeViewDependencies(ports, random));
         datagrams = new PeerDatagrams(reactor);
+        softwareTracking = createSoftwareTracking(ports);
         paths = new ReplicaPaths(new ReplicaPaths.Dependencies(
                 clock, daemon.timers(), random, registry, this::healthPath, routers, datagrams, metrics));
         notifier = new PeerChangeNotifier(reactor, clock, this::activePeerAddresses, weights, registry);
@@ -235,7 +224,7 @@
                 routers,
                 weightsListener,
                 quarantine,
-                softwareRecorder,
+                softwareTracking.recorder(),
                 storeView,
                 leaderTasks,
                 dispatcher::configurationLoaded);
@@ -284,17 +273,21 @@
                 brittleReplicas,
                 paths,
                 new RelayRouters(reactor, clock, routers, paths, settings.self().dataCentre()),
-                createStreamOrigins());
+                softwareTracking.directory());
     }
 
-    private StreamOriginDirectory createStreamOrigins() {
-        OriginExchange exchange = new OriginExchange(
-                clock, daemon.timers(), settings.self().hints(), routers::hintAddresses, datagrams::send);
-        datagrams.addListener(exchange::receive);
-        StreamOriginDirectory directory =
-                new StreamOriginDirectory(clock, softwareHistory, exchange, this::isListCurrent, metrics);
-        directory.follow(registry);
-        return directory;
+    private SoftwareTracking createSoftwareTracking(Ports ports) {
+        return new SoftwareTracking(new SoftwareTracking.Dependencies(
+                clock,
+                daemon.timers(),
+                ports.store(),
+                mirror,
+                registry,
+                settings.self().hints(),
+                routers,
+                datagrams,
+                this::isListCurrent,
+                metrics));
     }
 
     private boolean isListCurrent() {
@@ -388,7 +381,7 @@
         storeView.start();
         registration.start();
         fleetSizeRecorder.start();
-        softwareRecorder.start();
+        softwareTracking.recorder().start();
         suspensionDetector.start();
         leaderTasks.start();
         daemon.onSignal(shutdown::start);
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/SoftwareTracking.java
@@ -0,0 +1,91 @@
+package org.hornbeamhead.gateway.resume;
+
+import java.util.function.BooleanSupplier;
+import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.resume.SoftwareHistory;
+import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.core.time.Timers;
+import org.hornbeamhead.daemon.Metrics;
+import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.PeerDatagrams;
+import org.hornbeamhead.gateway.state.PlatformStore;
+import org.hornbeamhead.gateway.state.RouterList;
+import org.hornbeamhead.gateway.state.SoftwareVersionRecorder;
+
+/** Creates and connects what follows the software versions of replicas and the streams that they began. */
+public final class SoftwareTracking {
+    private final SoftwareVersionRecorder recorder;
+    private final StreamOriginDirectory directory;
+
+    /**
+     * The dependencies.
+     *
+     * @param clock the clock
+     * @param timers the timers of the current thread
+     * @param store the store
+     * @param mirror what is known of the store
+     * @param registry the replicas
+     * @param self the address at which this router receives datagrams
+     * @param routers the routers
+     * @param datagrams the socket for datagrams between routers
+     * @param listCurrent whether the lists of replicas and routers are current
+     * @param metrics the metrics of the process
+     */
+    public record Dependencies(
+            Clock clock,
+            Timers timers,
+            PlatformStore store,
+            StoreMirror mirror,
+            ReplicaRegistry registry,
+            String self,
+            RouterList routers,
+            PeerDatagrams datagrams,
+            BooleanSupplier listCurrent,
+            Metrics metrics) {}
+
+    /**
+     * Starts to follow the list of replicas.
+     *
+     * @param dependencies the dependencies
+     */
+    public SoftwareTracking(Dependencies dependencies) {
+        Clock clock = dependencies.clock();
+        SoftwareHistory history = new SoftwareHistory(clock.monotonicMillis());
+        recorder = new SoftwareVersionRecorder(
+                clock,
+                dependencies.timers(),
+                dependencies.store(),
+                dependencies.mirror(),
+                history,
+                () -> dependencies.listCurrent().getAsBoolean()
+                        && dependencies.routers().isFirstReader());
+        OriginExchange exchange = new OriginExchange(
+                clock,
+                dependencies.timers(),
+                dependencies.self(),
+                dependencies.routers()::hintAddresses,
+                dependencies.datagrams()::send);
+        dependencies.datagrams().addListener(exchange::receive);
+        directory =
+                new StreamOriginDirectory(clock, history, exchange, dependencies.listCurrent(), dependencies.metrics());
+        directory.follow(dependencies.registry());
+    }
+
+    /**
+     * Returns the recorder of software versions, which is not started yet.
+     *
+     * @return the recorder
+     */
+    public SoftwareVersionRecorder recorder() {
+        return recorder;
+    }
+
+    /**
+     * Returns what is known of streams.
+     *
+     * @return the directory
+     */
+    public StreamOriginDirectory directory() {
+        return directory;
+    }
+}
