--- a/core/src/main/java/org/hornbeamhead/core/engine/Prompt.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/Prompt.java
@@ -30,6 +30,15 @@
         return parts.stream().mapToInt(PromptPart::tokens).sum();
     }
 
+    /**
+     * Returns the parts that other requests share.
+     *
+     * @return all parts but the last
+     */
+    public List<PromptPart> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
     /**
      * Returns the length of the prefix that other requests share.
      *
@@ -63,9 +72,6 @@
      * @return the ids of all parts but the last; empty for a prompt without shared parts
      */
     public String sharedKey() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .map(PromptPart::id)
-                .collect(Collectors.joining("/"));
+        return sharedParts().stream().map(PromptPart::id).collect(Collectors.joining("/"));
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -188,6 +188,7 @@
     void attemptEnded(AttemptOutcome end, String reason, Optional<BufferedResponse> failure) {
         LiveReplica replica = attempt.target().replica();
         long sentAt = attempt.sentAt();
+        boolean begun = attempt.hasProcessingStarted();
         attempt = null;
         if (finished) {
             return;
@@ -205,7 +206,7 @@
                 .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.DECISION, "attempt " + end)
                 .with(Logs.REASON, reason)
-                .with(Logs.INPUTS, logInputs(end) + " next=" + step)
+                .with(Logs.INPUTS, logInputs(end) + " begun=" + begun + " next=" + step)
                 .log("attempt ended: %s", end);
         if (step instanceof NextStep.GiveUp giveUp) {
             if (giveUp.answer() == FinalResponse.NOT_RUN && canHandOver()) {
@@ -265,7 +266,7 @@
     }
 
     private String logInputs(AttemptOutcome end) {
-        String suspect = end.mayHaveExecuted() ? " content=" + content.fingerprint() : "";
+        String suspect = end.mayHaveExecuted() ? " " + content.describe() : "";
         return "millisLeft=" + timeLeftMillis() + " tried=" + scope.triedCount() + suspect;
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RequestContent.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RequestContent.java
@@ -1,9 +1,12 @@
 package org.hornbeamhead.gateway.dispatch;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.hornbeamhead.core.crash.LostAttempt;
 import org.hornbeamhead.core.crash.RequestFingerprint;
+import org.hornbeamhead.core.engine.Prompt;
+import org.hornbeamhead.core.engine.PromptPart;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.time.Clock;
@@ -13,6 +16,9 @@
 
 /** The content of a request, by which a request that ends replicas is recognised whoever sends it. */
 final class RequestContent {
+    /** The number of parts of a prompt in a log line. */
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final ServiceRequest request;
     private final Clock clock;
     private final Quarantine quarantine;
@@ -37,6 +43,15 @@
         return fingerprint.get();
     }
 
+    /** Describes the content and the shared parts of the prompt, for the log. */
+    String describe() {
+        List<String> parts = request.callerRequest().prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
+                .limit(MAX_LOGGED_PARTS)
+                .map(PromptPart::id)
+                .toList();
+        return "content=" + fingerprint() + " parts=" + parts;
+    }
+
     /** Returns how long the content is quarantined, in milliseconds; empty if it is not. */
     OptionalLong quarantineMillis() {
         return quarantine.remainingMillis(this::fingerprint);
