--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashGossip.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashGossip.java
@@ -1,7 +1,9 @@
 package org.hornbeamhead.core.crash;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,7 +46,7 @@
     private final Peers peers;
     private final BiConsumer<String, byte[]> send;
     /** How often each changed report was sent; the most recently sent report is last. */
-    private final Map<RequestFingerprint, Integer> sendCounts = new LinkedHashMap<>();
+    private final Map<CrashFeature, Integer> sendCounts = new LinkedHashMap<>();
 
     private int nextReport;
     private long round;
@@ -84,12 +86,12 @@
     }
 
     /**
-     * Schedules the report of a request for sending after the history has changed.
+     * Schedules the report of a feature for sending after the history has changed.
      *
-     * @param request the request
+     * @param feature the feature
      */
-    public void reportChanged(RequestFingerprint request) {
-        sendCounts.put(request, 0);
+    public void reportChanged(CrashFeature feature) {
+        sendCounts.put(feature, 0);
         scheduleRound(Math.max(0, lastRoundMillis + MIN_ROUND_INTERVAL_MILLIS - clock.monotonicMillis()));
     }
 
@@ -117,31 +119,42 @@
         if (sendCounts.isEmpty()) {
             history.removeExpired();
         }
-        sendCounts.keySet().removeIf(r -> !history.contains(r));
+        sendCounts.keySet().removeIf(f -> !history.contains(f));
         if (history.isEmpty()) {
             return;
         }
-        byte[] datagram = CrashReportCodec.encode(sendCounts.isEmpty() ? nextReports() : changedReports());
-        selectPeers().forEach(address -> send.accept(address, datagram));
+        List<byte[]> datagrams = encode(sendCounts.isEmpty() ? nextReports() : changedReports());
+        selectPeers().forEach(address -> datagrams.forEach(d -> send.accept(address, d)));
         scheduleRound(sendCounts.isEmpty() ? ANTI_ENTROPY_INTERVAL_MILLIS : ROUND_INTERVAL_MILLIS);
     }
 
+    private static List<byte[]> encode(List<CrashReport> reports) {
+        return Arrays.stream(CrashFeature.Kind.values())
+                .map(kind ->
+                        reports.stream().filter(r -> r.feature().kind() == kind).toList())
+                .filter(ofKind -> !ofKind.isEmpty())
+                .map(CrashReportCodec::encode)
+                .toList();
+    }
+
+    /** Selects changed reports, first those of features with many crashes: one of them is the likely cause. */
     private List<CrashReport> changedReports() {
         List<CrashReport> reports = CrashReportCodec.limitToSize(
                 sendCounts.keySet().stream()
+                        .sorted(Comparator.comparingInt(history::crashCount).reversed())
                         .limit(CrashReportCodec.MAX_REPORTS_PER_DATAGRAM)
-                        .flatMap(r -> history.report(r).stream())
+                        .flatMap(f -> history.report(f).stream())
                         .toList(),
                 CrashReportCodec.MAX_DATAGRAM_BYTES);
-        reports.stream().map(CrashReport::request).forEach(this::countSend);
+        reports.stream().map(CrashReport::feature).forEach(this::countSend);
         return reports;
     }
 
     /** Counts a send; a report that was sent often enough is no longer a change. */
-    private void countSend(RequestFingerprint request) {
-        int count = sendCounts.remove(request) + 1;
+    private void countSend(CrashFeature feature) {
+        int count = sendCounts.remove(feature) + 1;
         if (count < SENDS_PER_CHANGE) {
-            sendCounts.put(request, count);
+            sendCounts.put(feature, count);
         }
     }
 
--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,56 +11,78 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.hornbeamhead.core.time.Clock;
 
 /**
- * Records which requests were running when replicas crashed, as observed by this router or reported by others, and
- * determines which of these requests are quarantined.
+ * Records which features of requests were present when replicas crashed, as observed by this router or reported by
+ * others, and determines which requests are quarantined.
  *
  * <p>A request that crashes every replica running it can come back with another id and through another router, and
- * crash one replica after the other together with all their other work. Only its content identifies it, so crashes are
- * counted by content fingerprint and the counts are shared among all routers.
+ * crash one replica after the other together with all their other work. What its arrivals have in common may be the
+ * whole content, or only a part of the prompt. Crashes are therefore counted for each feature of a request, and the
+ * counts are shared among all routers.
  *
  * <p>Reports are merged as sets, so the result does not depend on their order or on repetition. Not thread-safe: all
  * calls must come from one thread.
  */
 public final class CrashHistory {
-    /** Maximum number of tracked requests; limits the memory to a few megabytes. */
-    private static final int MAX_REQUESTS = 4_096;
-    /** Maximum number of crashes tracked per request. */
-    private static final int MAX_CRASHES_PER_REQUEST = 32;
-    /** How long a request is quarantined after its last crash; doubled with each crash after the third. */
-    private static final long QUARANTINE_MILLIS = 600_000;
-
-    /** Crashes of one request that are unlikely to be a coincidence. */
+    /** Maximum number of tracked features; limits the memory to a few megabytes. */
+    private static final int MAX_FEATURES = 4_096;
+    /** Maximum number of crashes tracked per feature. */
+    private static final int MAX_CRASHES_PER_FEATURE = 32;
+
+    /** Crashes of one feature that are unlikely to be a coincidence. */
     private static final int MIN_CRASHES_TO_PERSIST = 2;
 
-    private static final int MAX_DOUBLINGS = 5;
     /** How long after a crash reports from other routers about what else was running may still arrive. */
     private static final long PROPAGATION_MILLIS = 1_000;
+    /** How long a survivor counts in favour of a feature; a prompt part may crash replicas from some moment on. */
+    private static final long SURVIVOR_MILLIS = 60_000;
+
+    /** The shortest time between two requests that all routers together let run to tell features apart. */
+    private static final long TEST_INTERVAL_MILLIS = 70;
 
     private final Clock clock;
-    private final Map<RequestFingerprint, Map<Integer, ObservedCrash>> crashesByRequest = new LinkedHashMap<>();
-    private Consumer<RequestFingerprint> listener = r -> {};
-    private Optional<Set<RequestFingerprint>> culprits = Optional.empty();
+    private final double stagger;
+    private final IntSupplier routerCount;
+    private final Map<CrashFeature, Map<Integer, ObservedCrash>> crashesByFeature = new LinkedHashMap<>();
+    private Consumer<CrashFeature> listener = f -> {};
+    private Optional<Set<Culprit>> culprits = Optional.empty();
+    private long culpritsValidUntilMillis;
+    private long lastTestMillis = Long.MIN_VALUE / 2;
 
     /**
-     * Creates an empty history.
+     * Creates an empty history of a single router.
      *
      * @param clock the clock
      */
     public CrashHistory(Clock clock) {
+        this(clock, 0, () -> 1);
+    }
+
+    /**
+     * Creates an empty history.
+     *
+     * @param clock the clock
+     * @param stagger how much longer than necessary this router quarantines prompt parts, as a share of the time.
+     *     Routers with different values do not all let requests pass at the same moment
+     * @param routerCount the number of routers
+     */
+    public CrashHistory(Clock clock, double stagger, IntSupplier routerCount) {
         this.clock = clock;
+        this.stagger = stagger;
+        this.routerCount = routerCount;
     }
 
     /**
-     * Sets the listener that is called with each request whose report has changed.
+     * Sets the listener that is called with each feature whose report has changed.
      *
      * @param onChange the listener
      */
-    public void setListener(Consumer<RequestFingerprint> onChange) {
+    public void setListener(Consumer<CrashFeature> onChange) {
         listener = onChange;
     }
 
@@ -69,55 +92,58 @@
      * @return true if no crash is recorded
      */
     public boolean isEmpty() {
-        return crashesByRequest.isEmpty();
+        return crashesByFeature.isEmpty();
     }
 
     /**
-     * Returns whether a crash is recorded for a request.
+     * Returns whether a crash is recorded for a feature.
      *
-     * @param request the request
+     * @param feature the feature
      * @return true if at least one crash is recorded for it
      */
-    public boolean contains(RequestFingerprint request) {
-        return crashesByRequest.containsKey(request);
+    public boolean contains(CrashFeature feature) {
+        return crashesByFeature.containsKey(feature);
+    }
+
+    /**
+     * Returns for how many crashes a feature was present.
+     *
+     * @param feature the feature
+     * @return the number of crashes, including those that it did not cause
+     */
+    int crashCount(CrashFeature feature) {
+        return crashesByFeature.getOrDefault(feature, Map.of()).size();
     }
 
     /**
-     * Records that a replica crashed while running a request.
+     * Records that a replica crashed while running a request. It did not crash because of a request that it had been
+     * answering for some time.
      *
      * @param attempt the attempt that was lost
      * @param replica a hash that identifies the run of the replica
      */
     public void recordCrash(LostAttempt attempt, int replica) {
-        if (add(
-                attempt.request(),
-                replica,
-                new ObservedCrash(attempt.lostAtMillis(), attempt.durationMillis(), false))) {
-            reportChanged(attempt.request());
-        }
+        ObservedCrash crash =
+                new ObservedCrash(attempt.lostAtMillis(), attempt.durationMillis(), attempt.wasSurvived());
+        attempt.request().features().filter(f -> add(f, replica, crash)).forEach(this::reportChanged);
     }
 
     /**
-     * Records that a request completed, which exonerates it of the crashes recorded so far.
+     * Records that a replica survived a request, which exonerates the features of the request of the crashes before it
+     * began to run.
      *
      * @param request the request
+     * @param startedAtMillis the monotonic time at which the request began to run
      */
-    public void recordCompletion(RequestFingerprint request) {
-        Map<Integer, ObservedCrash> crashes = crashesByRequest.getOrDefault(request, Map.of());
-        if (crashes.values().stream().anyMatch(c -> !c.exonerated())) {
-            crashes.replaceAll((replica, crash) -> crash.exonerate());
-            reportChanged(request);
-        }
+    public void recordSurvival(RequestFingerprint request, long startedAtMillis) {
+        request.features().forEach(f -> exonerate(f, startedAtMillis));
     }
 
-    /**
-     * Records that a request completed. Computes the fingerprint only if a crash is recorded.
-     *
-     * @param request computes the fingerprint of the request
-     */
-    public void recordCompletion(Supplier<RequestFingerprint> request) {
-        if (!isEmpty()) {
-            recordCompletion(request.get());
+    private void exonerate(CrashFeature feature, long startedAtMillis) {
+        Map<Integer, ObservedCrash> crashes = crashesByFeature.getOrDefault(feature, Map.of());
+        if (crashes.values().stream().anyMatch(c -> c.isRefutedBySurvivorSince(startedAtMillis))) {
+            crashes.replaceAll((replica, c) -> c.isRefutedBySurvivorSince(startedAtMillis) ? c.exonerate() : c);
+            reportChanged(feature);
         }
     }
 
@@ -128,72 +154,79 @@
      */
     public void merge(CrashReport report) {
         long now = clock.monotonicMillis();
-        long retention = retentionMillis(report.crashes().size());
+        long retention = QuarantineTime.retentionMillis(report.crashes().size());
         long added = report.crashes().stream()
                 .filter(c -> c.ageMillis() < retention)
-                .filter(c -> add(report.request(), c.replica(), ObservedCrash.of(c, now)))
+                .filter(c -> add(report.feature(), c.replica(), ObservedCrash.of(c, now)))
                 .count();
         if (added > 0) {
-            reportChanged(report.request());
+            reportChanged(report.feature());
         }
     }
 
-    private boolean add(RequestFingerprint request, int replica, ObservedCrash crash) {
-        Map<Integer, ObservedCrash> known = crashesByRequest.computeIfAbsent(request, r -> new HashMap<>());
+    private boolean add(CrashFeature feature, int replica, ObservedCrash crash) {
+        Map<Integer, ObservedCrash> known = crashesByFeature.computeIfAbsent(feature, f -> new HashMap<>());
         ObservedCrash previous = known.get(replica);
-        if (previous == null ? known.size() >= MAX_CRASHES_PER_REQUEST : previous.exonerated() || !crash.exonerated()) {
+        if (previous != null && (previous.exonerated() || !crash.exonerated())) {
+            return false;
+        }
+        if (previous == null && known.size() >= MAX_CRASHES_PER_FEATURE && !removeExoneratedBefore(known, crash)) {
             return false;
         }
         known.put(replica, previous == null ? crash : previous.exonerate());
         return true;
     }
 
-    /** Moves the request to the end of the map, so that the least recently changed request is evicted first. */
-    private void reportChanged(RequestFingerprint request) {
+    /**
+     * Makes room for a crash by removing the oldest one that the feature did not cause, if that is older. A feature
+     * that was present at many crashes of others can cause later ones.
+     */
+    private static boolean removeExoneratedBefore(Map<Integer, ObservedCrash> known, ObservedCrash crash) {
+        Optional<Map.Entry<Integer, ObservedCrash>> oldest = known.entrySet().stream()
+                .filter(e -> e.getValue().exonerated())
+                .min(Comparator.comparingLong(e -> e.getValue().observedAtMillis()))
+                .filter(e -> e.getValue().observedAtMillis() < crash.observedAtMillis());
+        oldest.ifPresent(e -> known.remove(e.getKey()));
+        return oldest.isPresent();
+    }
+
+    /** Moves the feature to the end of the map, so that the least recently changed feature is evicted first. */
+    private void reportChanged(CrashFeature feature) {
         culprits = Optional.empty();
-        crashesByRequest.put(request, crashesByRequest.remove(request));
-        if (crashesByRequest.size() > MAX_REQUESTS) {
+        crashesByFeature.put(feature, crashesByFeature.remove(feature));
+        if (crashesByFeature.size() > MAX_FEATURES) {
             evictOne();
         }
-        listener.accept(request);
+        listener.accept(feature);
     }
 
     /**
-     * Evicts the least recently changed request with fewer than three crashes, which cannot be quarantined, or the
+     * Evicts the least recently changed feature with fewer than three crashes, which cannot be quarantined, or the
      * least recently changed of all if there is none.
      */
     private void evictOne() {
-        crashesByRequest.keySet().stream()
-                .filter(r -> crashesByRequest.get(r).size() < CrashAttribution.MIN_CRASHES)
+        crashesByFeature.keySet().stream()
+                .filter(f -> crashCount(f) < CrashAttribution.MIN_CRASHES)
                 .findFirst()
-                .or(() -> crashesByRequest.keySet().stream().findFirst())
-                .ifPresent(crashesByRequest::remove);
+                .or(() -> crashesByFeature.keySet().stream().findFirst())
+                .ifPresent(crashesByFeature::remove);
     }
 
-    /** Removes requests whose retention time has passed since their last crash. */
+    /** Removes features whose retention time has passed since their last crash. */
     public void removeExpired() {
         long now = clock.monotonicMillis();
-        boolean removed = crashesByRequest
+        boolean removed = crashesByFeature
                 .values()
                 .removeIf(crashes -> crashes.values().stream()
                                 .mapToLong(ObservedCrash::observedAtMillis)
                                 .max()
                                 .orElse(0)
-                        < now - retentionMillis(crashes.size()));
+                        < now - QuarantineTime.retentionMillis(crashes.size()));
         if (removed) {
             culprits = Optional.empty();
         }
     }
 
-    private static long quarantineDurationMillis(int crashes) {
-        return QUARANTINE_MILLIS << Math.min(MAX_DOUBLINGS, Math.max(0, crashes - CrashAttribution.MIN_CRASHES));
-    }
-
-    /** Twice the quarantine, so that a request that crashes a replica soon after its quarantine is still known. */
-    private static long retentionMillis(int crashes) {
-        return 2 * quarantineDurationMillis(crashes);
-    }
-
     /**
      * Returns how long a request stays quarantined.
      *
@@ -202,21 +235,61 @@
      *     short, since reports from other routers may still show that another request was the cause
      */
     public OptionalLong quarantineMillis(RequestFingerprint request) {
-        if (!culprits().contains(request)) {
-            return OptionalLong.empty();
+        return culprits().stream()
+                .filter(c -> c.includes(request))
+                .mapToLong(this::remainingMillis)
+                .filter(millis -> millis > 0)
+                .max();
+    }
+
+    /**
+     * Returns whether the end of a quarantined request shows which of several features crashes replicas.
+     *
+     * @param request the request
+     * @return true if the request does not have all features that are suspected together
+     */
+    public boolean isTest(RequestFingerprint request) {
+        return culprits().stream().filter(c -> c.includes(request)).allMatch(c -> c.isTestedBy(request));
+    }
+
+    /**
+     * Lets a quarantined request run if its end shows which of several features crashes replicas. Few requests are let
+     * through, since any of them may crash one more replica.
+     *
+     * @param request the request
+     * @return true if the request may run once
+     */
+    public boolean admitAsTest(RequestFingerprint request) {
+        long now = clock.monotonicMillis();
+        if (now - lastTestMillis < TEST_INTERVAL_MILLIS * routerCount.getAsInt() || !isTest(request)) {
+            return false;
         }
-        Map<Integer, ObservedCrash> crashes = crashesByRequest.get(request);
-        long last = crashes.values().stream()
-                .filter(c -> !c.exonerated())
-                .mapToLong(ObservedCrash::observedAtMillis)
+        lastTestMillis = now;
+        return true;
+    }
+
+    private long remainingMillis(Culprit culprit) {
+        return culprit.features().stream()
+                .mapToLong(f -> remainingMillis(f, culprit.certain()))
                 .max()
                 .orElse(0);
+    }
+
+    private long remainingMillis(CrashFeature feature, boolean certain) {
+        Map<Integer, ObservedCrash> crashes = crashesByFeature.getOrDefault(feature, Map.of());
+        List<ObservedCrash> caused =
+                crashes.values().stream().filter(c -> !c.exonerated()).toList();
+        long last =
+                caused.stream().mapToLong(ObservedCrash::observedAtMillis).max().orElse(0);
         long age = clock.monotonicMillis() - last;
-        long remaining = quarantineDurationMillis(crashes.size()) - age;
-        if (remaining <= 0) {
-            return OptionalLong.empty();
-        }
-        return OptionalLong.of(age < PROPAGATION_MILLIS ? PROPAGATION_MILLIS : remaining);
+        long remaining = durationMillis(feature.kind(), crashes.size(), certain ? caused.size() : 0) - age;
+        return remaining > 0 && age < PROPAGATION_MILLIS ? PROPAGATION_MILLIS : remaining;
+    }
+
+    private long durationMillis(CrashFeature.Kind kind, int crashes, int caused) {
+        return kind == CrashFeature.Kind.CONTENT
+                ? QuarantineTime.contentMillis(crashes)
+                : Math.round(QuarantineTime.promptPartMillis(caused) * (1 + stagger));
     }
 
     /**
@@ -229,18 +302,40 @@
         return isEmpty() ? OptionalLong.empty() : quarantineMillis(request.get());
     }
 
-    private Set<RequestFingerprint> culprits() {
-        if (culprits.isEmpty()) {
-            culprits = Optional.of(CrashAttribution.findCulprits(candidates()));
+    private Set<Culprit> culprits() {
+        long now = clock.monotonicMillis();
+        if (culprits.isEmpty() || now >= culpritsValidUntilMillis) {
+            Map<Integer, Long> unsettled = unsettledCrashes(now);
+            culprits = Optional.of(CrashAttribution.findCulprits(candidates(), unsettled.keySet()));
+            culpritsValidUntilMillis = unsettled.values().stream()
+                    .mapToLong(observedAt -> observedAt + PROPAGATION_MILLIS)
+                    .min()
+                    .orElse(Long.MAX_VALUE);
         }
         return culprits.get();
     }
 
-    private Map<RequestFingerprint, Set<Integer>> candidates() {
-        return crashesByRequest.entrySet().stream()
+    /** Returns the replicas whose crash some routers may not have reported yet, and when each was observed. */
+    private Map<Integer, Long> unsettledCrashes(long now) {
+        return crashesByFeature.values().stream()
+                .flatMap(crashes -> crashes.entrySet().stream())
+                .filter(c -> c.getValue().observedAtMillis() > now - PROPAGATION_MILLIS)
+                .collect(Collectors.toMap(Map.Entry::getKey, c -> c.getValue().observedAtMillis(), Math::min));
+    }
+
+    private Map<CrashFeature, CrashAttribution.Evidence> candidates() {
+        return crashesByFeature.entrySet().stream()
                 .filter(e -> e.getValue().size() >= CrashAttribution.MIN_CRASHES)
                 .filter(e -> ObservedCrash.countIndependent(e.getValue().values()) >= CrashAttribution.MIN_CRASHES)
-                .collect(Collectors.toMap(Map.Entry::getKey, e -> unexoneratedReplicas(e.getValue())));
+                .collect(Collectors.toMap(
+                        Map.Entry::getKey,
+                        e -> new CrashAttribution.Evidence(
+                                unexoneratedReplicas(e.getValue()), hasSurvivors(e.getValue()))));
+    }
+
+    private boolean hasSurvivors(Map<Integer, ObservedCrash> crashes) {
+        long since = clock.monotonicMillis() - SURVIVOR_MILLIS;
+        return crashes.values().stream().anyMatch(c -> c.exonerated() && c.observedAtMillis() >= since);
     }
 
     private static Set<Integer> unexoneratedReplicas(Map<Integer, ObservedCrash> crashes) {
@@ -251,52 +346,65 @@
     }
 
     /**
-     * Returns the number of quarantined requests.
+     * Returns the number of culprits whose requests are quarantined.
      *
-     * @return the number of quarantined requests
+     * @return the number of contents and of prompt parts, or groups of these, that are quarantined
      */
     public int quarantinedCount() {
-        return (int)
-                culprits().stream().filter(r -> quarantineMillis(r).isPresent()).count();
+        return (int) culprits().stream().filter(c -> remainingMillis(c) > 0).count();
     }
 
     /**
      * Returns all reports, for other routers.
      *
-     * @return one report per request, most recently changed first
+     * @return one report per feature, most recently changed first
      */
     public List<CrashReport> reports() {
-        List<CrashReport> all = new ArrayList<>(crashesByRequest.size());
-        crashesByRequest.forEach((request, crashes) -> all.add(report(request, crashes)));
+        List<CrashReport> all = new ArrayList<>(crashesByFeature.size());
+        crashesByFeature.forEach((feature, crashes) -> all.add(report(feature, crashes)));
         Collections.reverse(all);
         return all;
     }
 
     /**
-     * Returns the reports with enough crashes to be persisted across a restart of all routers.
+     * Returns the reports with enough crashes to be persisted across a restart of all routers. Of prompt parts only
+     * culprits are persisted: popular parts were present at many crashes of others, and what exonerates them follows
+     * after the write.
      *
-     * @return the reports, most recently changed first
+     * @param kind the kind of features
+     * @return the reports on features of this kind, those with the most crashes first
      */
-    public List<CrashReport> reportsToPersist() {
+    public List<CrashReport> reportsToPersist(CrashFeature.Kind kind) {
         return reports().stream()
-                .filter(r -> r.crashes().size() >= MIN_CRASHES_TO_PERSIST)
+                .filter(r -> r.feature().kind() == kind)
+                .filter(r -> causedCount(r) >= MIN_CRASHES_TO_PERSIST)
+                .filter(r -> kind == CrashFeature.Kind.CONTENT || isCulprit(r.feature()))
+                .sorted(Comparator.comparingLong(CrashHistory::causedCount).reversed())
                 .toList();
     }
 
+    private boolean isCulprit(CrashFeature feature) {
+        return culprits().stream().anyMatch(c -> c.features().contains(feature));
+    }
+
+    private static long causedCount(CrashReport report) {
+        return report.crashes().stream().filter(c -> !c.exonerated()).count();
+    }
+
     /**
-     * Returns the report of a request.
+     * Returns the report of a feature.
      *
-     * @param request the request
-     * @return the report, empty if no crash is recorded for the request
+     * @param feature the feature
+     * @return the report, empty if no crash is recorded for the feature
      */
-    public Optional<CrashReport> report(RequestFingerprint request) {
-        return Optional.ofNullable(crashesByRequest.get(request)).map(crashes -> report(request, crashes));
+    public Optional<CrashReport> report(CrashFeature feature) {
+        return Optional.ofNullable(crashesByFeature.get(feature)).map(crashes -> report(feature, crashes));
     }
 
-    private CrashReport report(RequestFingerprint request, Map<Integer, ObservedCrash> crashes) {
+    private CrashReport report(CrashFeature feature, Map<Integer, ObservedCrash> crashes) {
         long now = clock.monotonicMillis();
         return new CrashReport(
-                request,
+                feature,
                 crashes.entrySet().stream()
                         .map(c -> c.getValue().toReport(c.getKey(), now))
                         .toList());
--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistoryPersister.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistoryPersister.java
@@ -11,17 +11,20 @@
 import org.hornbeamhead.core.time.Timers;
 
 /**
- * Persists the crash history in the platform's store, so that it survives a restart of all routers.
+ * Persists the crash history of one kind of features in the platform's store, so that it survives a restart of all
+ * routers.
  *
- * <p>One key holds the reports of all requests that were running when two or more replicas crashed. A router that
+ * <p>One key holds the reports of all features that were present when two or more replicas crashed. A router that
  * observes such a crash merges its reports with the stored ones and writes the key, unless another router has already
  * stored the same crashes.
  *
  * <p>Not thread-safe: all calls must come from one thread.
  */
 public final class CrashHistoryPersister {
-    /** The store key that holds the crash reports. */
-    public static final String KEY = "hornbeam/crashes";
+    /** The store key that holds the crash reports on contents. */
+    public static final String CONTENT_KEY = "hornbeam/crashes";
+    /** The store key that holds the crash reports on prompt parts. */
+    public static final String PROMPT_PART_KEY = "hornbeam/crashing-prompt-parts";
 
     /** Upper bound of the random write delay. The first router to write usually spares the others their write. */
     private static final int MAX_WRITE_DELAY_MILLIS = 200;
@@ -35,7 +38,8 @@
     private final RandomGenerator random;
     private final Store store;
     private final CrashHistory history;
-    private Map<RequestFingerprint, Set<Integer>> storedReplicas = Map.of();
+    private final CrashFeature.Kind kind;
+    private Map<CrashFeature, Set<Integer>> storedReplicas = Map.of();
     private long readRevision;
     private long expectedRevision;
     private boolean unsaved;
@@ -83,14 +87,31 @@
      * @param random randomizes the write delays of the routers
      * @param store the store
      * @param history the crash history
+     * @param kind the kind of features that this persister saves
      */
     public CrashHistoryPersister(
-            Clock clock, Timers timers, RandomGenerator random, Store store, CrashHistory history) {
+            Clock clock,
+            Timers timers,
+            RandomGenerator random,
+            Store store,
+            CrashHistory history,
+            CrashFeature.Kind kind) {
         this.clock = clock;
         this.timers = timers;
         this.random = random;
         this.store = store;
         this.history = history;
+        this.kind = kind;
+    }
+
+    /**
+     * Returns the store key for one kind of features.
+     *
+     * @param kind the kind
+     * @return the key
+     */
+    public static String key(CrashFeature.Kind kind) {
+        return kind == CrashFeature.Kind.CONTENT ? CONTENT_KEY : PROMPT_PART_KEY;
     }
 
     /**
@@ -110,7 +131,7 @@
                 value.isEmpty() ? Optional.of(List.of()) : CrashReportText.decode(value, clock.wallMillis());
         storedReplicas = reports.stream()
                 .flatMap(List::stream)
-                .collect(Collectors.toMap(CrashReport::request, CrashHistoryPersister::replicas, (a, b) -> a));
+                .collect(Collectors.toMap(CrashReport::feature, CrashHistoryPersister::replicas, (a, b) -> a));
         reports.ifPresent(all -> all.forEach(history::merge));
         return reports.isPresent();
     }
@@ -133,7 +154,7 @@
     }
 
     private void write() {
-        List<CrashReport> reports = CrashReportCodec.limitToSize(history.reportsToPersist(), MAX_VALUE_BYTES);
+        List<CrashReport> reports = CrashReportCodec.limitToSize(history.reportsToPersist(kind), MAX_VALUE_BYTES);
         if (reports.stream().allMatch(this::isStored)) {
             unsaved = false;
             writePending = false;
@@ -146,7 +167,7 @@
     }
 
     private boolean isStored(CrashReport report) {
-        return storedReplicas.getOrDefault(report.request(), Set.of()).containsAll(replicas(report));
+        return storedReplicas.getOrDefault(report.feature(), Set.of()).containsAll(replicas(report));
     }
 
     private void writeCompleted(String value, Reply reply) {
--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashReport.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashReport.java
@@ -3,19 +3,19 @@
 import java.util.List;
 
 /**
- * The replicas that crashed while running one request.
+ * The replicas that crashed while running requests with one feature.
  *
- * @param request the request
+ * @param feature the feature
  * @param crashes the crashes, one per run of a replica
  */
-public record CrashReport(RequestFingerprint request, List<Crash> crashes) {
+public record CrashReport(CrashFeature feature, List<Crash> crashes) {
     /**
      * A crash of a replica.
      *
      * @param replica a hash that identifies the run of the replica
      * @param ageMillis the time since the crash, in milliseconds
-     * @param runMillis how long the request had been at the replica, in milliseconds
-     * @param exonerated whether the request has since completed elsewhere and so was not the cause
+     * @param runMillis how long such a request had been at the replica, in milliseconds
+     * @param exonerated whether a replica has since survived such a request, so that the feature was not the cause
      */
     public record Crash(int replica, long ageMillis, int runMillis, boolean exonerated) {
         Crash aged(long millis) {
@@ -36,6 +36,6 @@
      */
     public CrashReport aged(long millis) {
         return new CrashReport(
-                request, crashes.stream().map(c -> c.aged(millis)).toList());
+                feature, crashes.stream().map(c -> c.aged(millis)).toList());
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashReportCodec.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashReportCodec.java
@@ -6,10 +6,14 @@
 import java.util.List;
 import java.util.Optional;
 
-/** The binary encoding of crash reports, used in datagrams between routers and in the platform's store. */
+/**
+ * The binary encoding of crash reports, used in datagrams between routers and in the platform's store. The first byte
+ * tells the kind of features, and no other datagram between routers starts with it. Routers that know contents only
+ * ignore reports on prompt parts.
+ */
 public final class CrashReportCodec {
-    /** The first byte; no other datagram between routers starts with it. */
-    private static final byte FORMAT_MARKER = (byte) 0xC5;
+    private static final byte CONTENT_MARKER = (byte) 0xC5;
+    private static final byte PROMPT_PART_MARKER = (byte) 0xC6;
     /** Maximum datagram size that fits on any network path, in bytes. */
     public static final int MAX_DATAGRAM_BYTES = 1_200;
 
@@ -30,10 +34,22 @@
      * Returns whether a datagram starts like encoded crash reports.
      *
      * @param datagram the bytes
-     * @return true if the first byte is the format marker
+     * @return true if the first byte is a format marker
      */
     public static boolean hasFormatMarker(byte[] datagram) {
-        return datagram.length > 0 && datagram[0] == FORMAT_MARKER;
+        return datagram.length > 0 && kind(datagram[0]).isPresent();
+    }
+
+    private static Optional<CrashFeature.Kind> kind(byte marker) {
+        return switch (marker) {
+            case CONTENT_MARKER -> Optional.of(CrashFeature.Kind.CONTENT);
+            case PROMPT_PART_MARKER -> Optional.of(CrashFeature.Kind.PROMPT_PART);
+            default -> Optional.empty();
+        };
+    }
+
+    private static byte marker(CrashFeature.Kind kind) {
+        return kind == CrashFeature.Kind.CONTENT ? CONTENT_MARKER : PROMPT_PART_MARKER;
     }
 
     /**
@@ -57,18 +73,20 @@
     }
 
     /**
-     * Encodes reports.
+     * Encodes reports on features of one kind.
      *
      * @param reports the reports, at most 65,535 with at most 255 crashes each
      * @return the encoded reports
      */
     public static byte[] encode(List<CrashReport> reports) {
+        CrashFeature.Kind kind =
+                reports.stream().map(r -> r.feature().kind()).findFirst().orElse(CrashFeature.Kind.CONTENT);
         int crashes = reports.stream().mapToInt(r -> r.crashes().size()).sum();
         ByteBuffer out =
                 ByteBuffer.allocate(HEADER_BYTES + reports.size() * REPORT_HEADER_BYTES + crashes * CRASH_BYTES);
-        out.put(FORMAT_MARKER).putShort((short) reports.size());
+        out.put(marker(kind)).putShort((short) reports.size());
         reports.forEach(r -> {
-            out.putLong(r.request().value()).put((byte) r.crashes().size());
+            out.putLong(r.feature().value()).put((byte) r.crashes().size());
             r.crashes()
                     .forEach(c -> out.putInt(c.replica()).putInt(encodeAge(c)).putShort(encodeRunMillis(c)));
         });
@@ -92,14 +110,18 @@
      */
     public static Optional<List<CrashReport>> decode(byte[] bytes) {
         ByteBuffer in = ByteBuffer.wrap(bytes);
-        if (in.remaining() < HEADER_BYTES || in.get() != FORMAT_MARKER) {
+        if (in.remaining() < HEADER_BYTES) {
             return Optional.empty();
         }
+        return kind(in.get()).flatMap(kind -> decode(kind, in));
+    }
+
+    private static Optional<List<CrashReport>> decode(CrashFeature.Kind kind, ByteBuffer in) {
         try {
             int count = in.getShort() & 0xffff;
             List<CrashReport> reports = new ArrayList<>();
             for (int i = 0; i < count; i++) {
-                reports.add(decodeReport(in));
+                reports.add(decodeReport(kind, in));
             }
             return in.hasRemaining() ? Optional.empty() : Optional.of(reports);
         } catch (BufferUnderflowException e) {
@@ -107,8 +129,8 @@
         }
     }
 
-    private static CrashReport decodeReport(ByteBuffer in) {
-        RequestFingerprint request = new RequestFingerprint(in.getLong());
+    private static CrashReport decodeReport(CrashFeature.Kind kind, ByteBuffer in) {
+        CrashFeature feature = new CrashFeature(kind, in.getLong());
         int count = in.get() & 0xff;
         List<CrashReport.Crash> crashes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
@@ -117,6 +139,6 @@
             int runMillis = in.getShort() & MAX_RUN_MILLIS;
             crashes.add(new CrashReport.Crash(replica, age & ~EXONERATED_BIT, runMillis, (age & EXONERATED_BIT) != 0));
         }
-        return new CrashReport(request, crashes);
+        return new CrashReport(feature, crashes);
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/crash/ObservedCrash.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/ObservedCrash.java
@@ -5,11 +5,11 @@
 import java.util.List;
 
 /**
- * A crash of a replica that was running a request, as known to this router.
+ * A crash of a replica that was running requests with one feature, as known to this router.
  *
  * @param observedAtMillis the monotonic time at which the crash was detected, in milliseconds
- * @param runMillis how long the request had been at the replica, in milliseconds
- * @param exonerated whether the request has since completed elsewhere and so was not the cause
+ * @param runMillis how long such a request had been at the replica, in milliseconds
+ * @param exonerated whether a replica has since survived such a request, so that the feature was not the cause
  */
 record ObservedCrash(long observedAtMillis, long runMillis, boolean exonerated) {
     /** Crashes with a common cause are detected within this time of one another. */
@@ -29,6 +29,15 @@
         return new CrashReport.Crash(replica, Math.max(0, now - observedAtMillis), (int) runMillisCapped, exonerated);
     }
 
+    /**
+     * Returns whether a request that began to run at the given time, and that its replica survived, shows that its
+     * features did not cause this crash. One that began before says nothing: a feature may crash replicas from some
+     * moment on.
+     */
+    boolean isRefutedBySurvivorSince(long startedAtMillis) {
+        return !exonerated && observedAtMillis < startedAtMillis;
+    }
+
     ObservedCrash exonerate() {
         return new ObservedCrash(observedAtMillis, runMillis, true);
     }
--- a/core/src/test/java/org/hornbeamhead/core/crash/CrashGossipTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/CrashGossipTest.java
@@ -9,7 +9,7 @@
 
 /** Tests how quickly crash reports reach all routers, in virtual time. */
 public class CrashGossipTest {
-    private static final RequestFingerprint REQUEST = new RequestFingerprint(1);
+    private static final RequestFingerprint REQUEST = Fingerprints.content(1);
     private static final long CRASH_INTERVAL_MILLIS = 150;
     /** The time within which all routers must quarantine a request after its third crash. */
     private static final long MAX_PROPAGATION_MILLIS = 1_000;
--- a/core/src/test/java/org/hornbeamhead/core/crash/CrashHistoryTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/CrashHistoryTest.java
@@ -16,9 +16,9 @@
 /** Tests which requests are quarantined for the replicas that crashed while running them. */
 public class CrashHistoryTest {
     private static final long MINUTE = 60_000;
-    private static final RequestFingerprint A = new RequestFingerprint(1);
-    private static final RequestFingerprint B = new RequestFingerprint(2);
-    private static final RequestFingerprint C = new RequestFingerprint(3);
+    private static final RequestFingerprint A = Fingerprints.content(1);
+    private static final RequestFingerprint B = Fingerprints.content(2);
+    private static final RequestFingerprint C = Fingerprints.content(3);
 
     private final ManualClock clock = new ManualClock(1_000_000_000_000L);
     private CrashHistory history;
@@ -120,7 +120,8 @@
     @Test
     public void completedRequestIsExonerated() {
         recordCrashes(A, 1, 2);
-        history.recordCompletion(A);
+        clock.advance(1);
+        history.recordSurvival(A, clock.monotonicMillis());
         recordCrashes(A, 3, 4);
         assertFalse(history.quarantineMillis(A).isPresent());
         recordCrashes(A, 5);
@@ -158,7 +159,7 @@
     @Test
     public void historyIsBoundedAndExpires() {
         recordCrashes(A, 1, 2, 3);
-        LongStream.range(100, 20_000).forEach(i -> history.recordCrash(lostAttempt(new RequestFingerprint(i), 0), 4));
+        LongStream.range(100, 20_000).forEach(i -> history.recordCrash(lostAttempt(Fingerprints.content(i), 0), 4));
         assertTrue(history.reports().size() <= 4_096);
         IntStream.range(1_000, 2_000).forEach(i -> history.recordCrash(lostAttempt(B, 0), i));
         assertTrue(history.reports().stream().allMatch(r -> r.crashes().size() <= 32));
@@ -177,7 +178,8 @@
         clock.advance(150);
         other.recordCrash(lostAttempt(A, 0), 3);
         other.recordCrash(lostAttempt(B, 0), 3);
-        other.recordCompletion(B);
+        clock.advance(1);
+        other.recordSurvival(B, clock.monotonicMillis());
         for (int i = 0; i < 2; i++) {
             List<CrashReport> reports = history.reports();
             other.reports().forEach(history::merge);
@@ -234,7 +236,7 @@
     public void reportedCrashesOfConsecutiveAttemptsCountSeparately() {
         IntStream.of(68, 52, 64).forEach(delay -> {
             clock.advance(delay);
-            history.merge(new CrashReport(A, List.of(new CrashReport.Crash(delay, 0, 60, false))));
+            history.merge(new CrashReport(A.content(), List.of(new CrashReport.Crash(delay, 0, 60, false))));
         });
         assertTrue(history.quarantineMillis(A).isPresent());
     }
--- a/core/src/test/java/org/hornbeamhead/core/crash/CrashReportCodecTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/CrashReportCodecTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.core.crash;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.Arrays;
@@ -12,15 +13,26 @@
 /** Tests the binary encoding of crash reports. */
 public class CrashReportCodecTest {
     private static final CrashReport REPORT = new CrashReport(
-            new RequestFingerprint(-7),
+            Fingerprints.content(-7).content(),
             List.of(new CrashReport.Crash(-1, 0, 65_535, false), new CrashReport.Crash(5, 7_200_000, 3, true)));
 
     @Test
     public void encodedReportsAreDecodedUnchanged() {
-        List<CrashReport> all = List.of(REPORT, new CrashReport(new RequestFingerprint(8), List.of()));
+        List<CrashReport> all =
+                List.of(REPORT, new CrashReport(Fingerprints.content(8).content(), List.of()));
         assertEquals(CrashReportCodec.decode(CrashReportCodec.encode(all)).orElseThrow(), all);
     }
 
+    /** Routers that know contents only must not take a prompt part for a content. */
+    @Test
+    public void kindsOfFeaturesAreToldApartByTheFirstByte() {
+        CrashReport part = new CrashReport(CrashFeature.promptPart("ab"), REPORT.crashes());
+        byte[] encoded = CrashReportCodec.encode(List.of(part));
+        assertEquals(CrashReportCodec.decode(encoded).orElseThrow(), List.of(part));
+        assertNotEquals(encoded[0], CrashReportCodec.encode(List.of(REPORT))[0]);
+        assertTrue(CrashReportCodec.hasFormatMarker(encoded));
+    }
+
     /** Truncated, damaged and foreign datagrams must be rejected without an exception. */
     @Test
     public void malformedBytesAreRejected() {
--- a/core/src/test/java/org/hornbeamhead/core/crash/GossipingRouters.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/GossipingRouters.java
@@ -30,7 +30,7 @@
     }
 
     void start(String name, int activeCount) {
-        CrashHistory history = new CrashHistory(clock);
+        CrashHistory history = new CrashHistory(clock, 0, names::size);
         CrashGossip gossip = new CrashGossip(
                 history,
                 clock,
--- a/gateway/src/main/java/org/hornbeamhead/gateway/StoreChanges.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/StoreChanges.java
@@ -2,6 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Try;
+import java.util.Arrays;
+import java.util.Optional;
+import org.hornbeamhead.core.crash.CrashFeature;
 import org.hornbeamhead.core.crash.CrashHistoryPersister;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.mirror.StoreMirror;
@@ -91,8 +94,11 @@
             dependencies.softwareRecorder().apply(item);
             return true;
         }
-        if (item.key().equals(CrashHistoryPersister.KEY)) {
-            dependencies.quarantine().mergeStoredHistory(item);
+        Optional<CrashFeature.Kind> crashes = Arrays.stream(CrashFeature.Kind.values())
+                .filter(kind -> item.key().equals(CrashHistoryPersister.key(kind)))
+                .findFirst();
+        if (crashes.isPresent()) {
+            dependencies.quarantine().mergeStoredHistory(item, crashes.get());
             return true;
         }
         switch (dependencies.documents().kind(item.key())) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -4,6 +4,7 @@
 import io.activej.promise.Promise;
 import java.util.List;
 import java.util.Optional;
+import org.hornbeamhead.core.crash.LostAttempt;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.route.Route;
@@ -49,13 +50,13 @@
     private final EventSplitter streamParser = new EventSplitter();
     private final AttemptTimers timers;
     private final AttemptRequest request;
+    private final AnswerSurvival survival;
     private ReplicaConnection connection;
     private ResponseHead head;
     private ReplicaResponseInfo responseInfo;
     private BufferedResponse buffered;
     private boolean streaming;
     private boolean sent;
-    private boolean processingStarted;
     private long sentAt;
     private boolean ended;
     private long lastHeardAt;
@@ -66,6 +67,8 @@
         this.replica = target.replica();
         this.request = new AttemptRequest(exchange, target);
         this.timers = new AttemptTimers(exchange.dispatcher().reactor());
+        this.survival = new AnswerSurvival(
+                exchange.dispatcher().reactor(), exchange.dispatcher().clock(), exchange.content());
     }
 
     Target target() {
@@ -79,7 +82,7 @@
 
     /** Returns whether the replica has started to process the request, as far as is known. */
     boolean hasProcessingStarted() {
-        return processingStarted;
+        return survival.startedAt().isPresent();
     }
 
     /** Returns when the request was sent, in milliseconds of the monotonic clock; meaningful only if it was sent. */
@@ -87,6 +90,11 @@
         return sentAt;
     }
 
+    /** Describes the loss of this attempt at its replica, which may have ended. */
+    LostAttempt lost() {
+        return new LostAttempt(exchange.content().fingerprint(), sentAt, survival.startedAt(), now());
+    }
+
     /** Returns whether the request was sent and nothing has been received for longer than the silence threshold. */
     boolean isSilent() {
         return sent && !ended && now() - lastHeardAt > SILENCE_THRESHOLD_MILLIS;
@@ -249,7 +257,7 @@
         if (ended || bytes.length == 0) {
             return Promise.complete();
         }
-        processingStarted = true;
+        survival.bytesReceived();
         timers.stopWeightsWatch();
         if (!streaming) {
             buffered.append(bytes);
@@ -337,7 +345,7 @@
         stop();
         replica.guard().recordSuccess();
         replica.brittleLimit().recordCompletion();
-        exchange.content().recordCompletion();
+        survival.completed(replica, connection);
         replica.connections().release(connection);
         if (streaming) {
             exchange.beginResponse(head, replica);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -274,11 +274,11 @@
                     OwnAnswers.STALE_RETRY_MILLIS);
             return;
         }
-        if (paths.isLost(name) && leaveToOtherRouter(routed, name, response)) {
+        ServiceRequest request = new ServiceRequest(routed, service.get());
+        if (paths.isLost(name) && !isQuarantined(request) && leaveToOtherRouter(routed, name, response)) {
             return;
         }
         routers.recordRequest(clock.monotonicMillis());
-        ServiceRequest request = new ServiceRequest(routed, service.get());
         if (routed.resumesStream()) {
             metrics.count("hornbeam_streams_resumed", "route", routed.route().name());
             resumptions.find(routed, name, response, software -> resume(request, response, software));
@@ -287,6 +287,12 @@
         }
     }
 
+    private boolean isQuarantined(ServiceRequest request) {
+        return new RequestContent(request, quarantine, brittleReplicas)
+                .quarantineMillis()
+                .isPresent();
+    }
+
     private void resume(ServiceRequest request, CallerResponse response, Optional<SoftwareVersion> software) {
         if (software.isPresent()) {
             admit(request, response, software);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -7,7 +7,6 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.FinalResponse;
@@ -70,8 +69,7 @@
         this.response = response;
         this.forwarding = new ForwardingState(
                 serviceRequest.route(), serviceRequest.routed().possibleExecutions());
-        this.content = new RequestContent(
-                serviceRequest, dispatcher.clock(), dispatcher.quarantine(), dispatcher.brittleReplicas());
+        this.content = new RequestContent(serviceRequest, dispatcher.quarantine(), dispatcher.brittleReplicas());
         this.arrivedAt = serviceRequest.routed().arrivedAt();
         this.deadline = serviceRequest.routed().deadline();
         this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId(), software);
@@ -90,7 +88,7 @@
     }
 
     private void startNextAttempt() {
-        OptionalLong quarantineMillis = content.quarantineMillis();
+        OptionalLong quarantineMillis = content.admitAttempt();
         if (quarantineMillis.isPresent()) {
             rejectQuarantined(quarantineMillis.getAsLong());
             return;
@@ -131,7 +129,7 @@
 
     /** Rejects a quarantined request. It is answered at once, since waiting does not change its effect on replicas. */
     private void rejectQuarantined(long millis) {
-        String reason = "replicas ended under requests with content " + content.fingerprint();
+        String reason = "replicas ended under requests with " + content.describe();
         sendFinalAnswer(forwarding.responseWithoutRetry(), reason, Optional.empty(), millis);
     }
 
@@ -139,10 +137,8 @@
      * Returns whether an attempt is at a replica, or about to be sent, and no response bytes have shown that it has
      * started.
      */
-    boolean isAwaitingStart(RequestFingerprint quarantined) {
-        return attempt != null
-                && !attempt.hasProcessingStarted()
-                && content.fingerprint().equals(quarantined);
+    boolean isAwaitingStart() {
+        return attempt != null && !attempt.hasProcessingStarted();
     }
 
     /** Cancels the current attempt because the request was quarantined after the attempt began. */
@@ -187,8 +183,7 @@
      */
     void attemptEnded(AttemptOutcome end, String reason, Optional<BufferedResponse> failure) {
         LiveReplica replica = attempt.target().replica();
-        long sentAt = attempt.sentAt();
-        boolean begun = attempt.hasProcessingStarted();
+        Attempt lost = attempt;
         attempt = null;
         if (finished) {
             return;
@@ -198,7 +193,7 @@
                 timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
                 dispatcher.targetSelector().hasUntried(scope) || canHandOver(),
                 () -> dispatcher.retryBudgets().take(serviceRequest.service().name()));
-        content.reportLoss(end, replica, sentAt);
+        content.reportLoss(end, lost);
         NextStep step = forwarding.nextStep(end, conditions);
         dispatcher.metrics().count("hornbeam_attempts_failed", "end", end.name());
         logger.atInfo()
@@ -206,7 +201,7 @@
                 .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.DECISION, "attempt " + end)
                 .with(Logs.REASON, reason)
-                .with(Logs.INPUTS, logInputs(end) + " begun=" + begun + " next=" + step)
+                .with(Logs.INPUTS, logInputs(end) + " begun=" + lost.hasProcessingStarted() + " next=" + step)
                 .log("attempt ended: %s", end);
         if (step instanceof NextStep.GiveUp giveUp) {
             if (giveUp.answer() == FinalResponse.NOT_RUN && canHandOver()) {
@@ -334,7 +329,7 @@
         Attempt stopped = attempt;
         attempt = null;
         if (stopped.isSilent()) {
-            content.reportSilence(stopped.target().replica(), stopped.sentAt());
+            content.reportSilence(stopped);
         }
         stopped.cancel();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/InFlightRequests.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/InFlightRequests.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashSet;
 import java.util.Set;
-import org.hornbeamhead.core.crash.RequestFingerprint;
 
 /**
  * The requests in flight on this router.
@@ -24,8 +23,12 @@
         exchanges.remove(exchange);
     }
 
-    /** Cancels all attempts with quarantined content that a replica has not started to process. */
-    void cancelQuarantined(RequestFingerprint fingerprint) {
-        exchanges.stream().filter(e -> e.isAwaitingStart(fingerprint)).toList().forEach(Exchange::cancelQuarantined);
+    /** Cancels all attempts of quarantined requests that a replica has not started to process. */
+    void cancelQuarantined() {
+        exchanges.stream()
+                .filter(Exchange::isAwaitingStart)
+                .filter(e -> e.content().mustBeWithdrawn())
+                .toList()
+                .forEach(Exchange::cancelQuarantined);
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
@@ -1,12 +1,15 @@
 package org.hornbeamhead.gateway.quarantine;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.hornbeamhead.core.crash.CrashFeature;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.crash.CrashHistory;
 import org.hornbeamhead.core.crash.CrashHistoryPersister;
@@ -23,18 +26,21 @@
 import org.hornbeamhead.gateway.state.PlatformStore;
 
 /**
- * Quarantines requests that crash replicas, identified by their content. Request content is not fingerprinted while no
- * replica has crashed recently.
+ * Quarantines requests that crash replicas, identified by their content or by a part of their prompts. Requests are not
+ * fingerprinted while no replica has crashed recently.
  */
 public final class Quarantine {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    /** The largest share by which a router extends a quarantine, so that routers do not end it together. */
+    private static final double MAX_STAGGER = 0.5;
 
     private final CrashHistory history;
     private final CrashGossip gossip;
-    private final CrashHistoryPersister persister;
+    private final Map<CrashFeature.Kind, CrashHistoryPersister> persisters = new EnumMap<>(CrashFeature.Kind.class);
     private final CrashDetector detector;
     private final Dependencies dependencies;
-    private Consumer<RequestFingerprint> onQuarantined = fingerprint -> {};
+    private Runnable onQuarantined = () -> {};
+    private boolean reviewScheduled;
 
     /**
      * The dependencies of a quarantine.
@@ -67,7 +73,10 @@
      */
     public Quarantine(Dependencies dependencies) {
         this.dependencies = dependencies;
-        history = new CrashHistory(dependencies.clock());
+        history = new CrashHistory(
+                dependencies.clock(),
+                MAX_STAGGER * dependencies.random().nextDouble(),
+                () -> 1 + dependencies.peers().all().get().size());
         gossip = new CrashGossip(
                 history,
                 dependencies.clock(),
@@ -75,12 +84,21 @@
                 dependencies.random(),
                 dependencies.peers(),
                 dependencies.datagrams()::send);
-        persister = new CrashHistoryPersister(
-                dependencies.clock(), dependencies.timers(), dependencies.random(), this::writeHistory, history);
+        Arrays.stream(CrashFeature.Kind.values()).forEach(kind -> persisters.put(kind, createPersister(kind)));
         detector = new CrashDetector(
                 dependencies.clock(), dependencies.timers(), dependencies.confirmation()::confirm, this::recordCrash);
     }
 
+    private CrashHistoryPersister createPersister(CrashFeature.Kind kind) {
+        return new CrashHistoryPersister(
+                dependencies.clock(),
+                dependencies.timers(),
+                dependencies.random(),
+                (revision, value) -> writeHistory(CrashHistoryPersister.key(kind), revision, value),
+                history,
+                kind);
+    }
+
     /** Starts to follow the removal of replicas and the crash reports of other routers. */
     public void start() {
         history.setListener(this::historyChanged);
@@ -90,45 +108,54 @@
     }
 
     /**
-     * Registers a listener for quarantined requests. It is called for each newly quarantined request, and again
-     * whenever more is known about it.
+     * Registers a listener for quarantines.
      *
-     * @param listener receives the fingerprint of the request
+     * @param listener called when requests in progress may have been quarantined
      */
-    public void onQuarantined(Consumer<RequestFingerprint> listener) {
+    public void onQuarantined(Runnable listener) {
         onQuarantined = listener;
     }
 
-    private void historyChanged(RequestFingerprint fingerprint) {
-        gossip.reportChanged(fingerprint);
-        if (history.quarantineMillis(fingerprint).isPresent()) {
-            onQuarantined.accept(fingerprint);
+    /** Reviews the requests in progress once after all changes that a crash brings. */
+    private void historyChanged(CrashFeature feature) {
+        gossip.reportChanged(feature);
+        if (!reviewScheduled) {
+            reviewScheduled = true;
+            dependencies.timers().schedule(0, this::review);
+        }
+    }
+
+    private void review() {
+        reviewScheduled = false;
+        if (history.quarantinedCount() > 0) {
+            onQuarantined.run();
         }
     }
 
     private void recordCrash(LostAttempt attempt, LiveReplica replica) {
         dependencies.metrics().count("hornbeam_requests_at_crash");
         history.recordCrash(attempt, replica.runHash());
-        persister.crashRecorded();
+        persisters.values().forEach(CrashHistoryPersister::crashRecorded);
     }
 
     /**
      * Merges the crash reports that routers have saved in the store.
      *
-     * @param item the item under {@link CrashHistoryPersister#KEY}
+     * @param item the item
+     * @param kind the kind of features that the key of the item is for
      */
-    public void mergeStoredHistory(StoreItem item) {
-        if (!persister.mergeStored(item.revision(), item.value())) {
+    public void mergeStoredHistory(StoreItem item, CrashFeature.Kind kind) {
+        if (!persisters.get(kind).mergeStored(item.revision(), item.value())) {
             logger.atWarning()
                     .with(Logs.INPUTS, "revision=" + item.revision())
                     .log("key %s cannot be decoded and is ignored", item.key());
         }
     }
 
-    private CompletionStage<CrashHistoryPersister.Reply> writeHistory(long expectedRevision, String value) {
+    private CompletionStage<CrashHistoryPersister.Reply> writeHistory(String key, long expectedRevision, String value) {
         return dependencies
                 .store()
-                .write(CrashHistoryPersister.KEY, OptionalLong.of(expectedRevision), value, Optional.empty())
+                .write(key, OptionalLong.of(expectedRevision), value, Optional.empty())
                 .map(Quarantine::toPersisterReply)
                 .toCompletableFuture();
     }
@@ -156,12 +183,44 @@
     }
 
     /**
-     * Records that a request ran to its end.
+     * Lets a quarantined request run once if its end shows which of several features crashes replicas.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @return true if it may run
+     */
+    public boolean admitAsTest(RequestFingerprint fingerprint) {
+        return history.admitAsTest(fingerprint);
+    }
+
+    /**
+     * Returns whether the end of a quarantined request shows which of several features crashes replicas.
+     *
+     * @param fingerprint the fingerprint of the request
+     * @return true if it should not be withdrawn from its replica
+     */
+    public boolean isTest(RequestFingerprint fingerprint) {
+        return history.isTest(fingerprint);
+    }
+
+    /**
+     * Records that a replica survived a request.
      *
      * @param fingerprint computes the fingerprint of the request
+     * @param startedAtMillis the monotonic time at which the request began to run
+     */
+    public void replicaSurvived(Supplier<RequestFingerprint> fingerprint, long startedAtMillis) {
+        if (!history.isEmpty()) {
+            history.recordSurvival(fingerprint.get(), startedAtMillis);
+        }
+    }
+
+    /**
+     * Returns whether anything is to be learned from requests that replicas survive.
+     *
+     * @return false while no crash is recorded
      */
-    public void requestCompleted(Supplier<RequestFingerprint> fingerprint) {
-        history.recordCompletion(fingerprint);
+    public boolean isWatching() {
+        return !history.isEmpty();
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnection.java
@@ -271,7 +271,12 @@
         return !closed && idle < idleTimeoutMillis * REUSABLE_IDLE_FRACTION && idle < atMostIdle;
     }
 
-    boolean isClosed() {
+    /**
+     * Returns whether the connection is closed, by this router or by the replica.
+     *
+     * @return false as long as the replica keeps it open
+     */
+    public boolean isClosed() {
         return closed;
     }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.hornbeamhead.core.crash.CrashFeature;
 import org.hornbeamhead.core.crash.LostAttempt;
 import org.hornbeamhead.core.crash.RequestFingerprint;
 import org.hornbeamhead.core.replica.ReplicaEntry;
@@ -23,7 +24,8 @@
 
 /** Tests which lost requests are reported as running at a crashed replica. */
 public class CrashDetectorTest {
-    private static final LostAttempt RUN = new LostAttempt(new RequestFingerprint(1), 0, 60);
+    private static final LostAttempt RUN =
+            new LostAttempt(new RequestFingerprint(new CrashFeature(CrashFeature.Kind.CONTENT, 1), List.of()), 0, 60);
     private static final String REPLICA = "r";
     private static final int CHECK_ROUNDS = 6;
 
@@ -122,7 +124,10 @@
         server.close();
         reactor.execute(() -> detector.connectionBroken(RUN, replica));
         runChecks();
-        detector.connectionBroken(new LostAttempt(new RequestFingerprint(2), 0, 60), replica);
+        detector.connectionBroken(
+                new LostAttempt(
+                        new RequestFingerprint(new CrashFeature(CrashFeature.Kind.CONTENT, 2), List.of()), 0, 60),
+                replica);
         assertEquals(reported.size(), 2);
     }
 
--- a/router/src/main/java/org/hornbeamhead/router/Quarantine.java
+++ b/router/src/main/java/org/hornbeamhead/router/Quarantine.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import org.hornbeamhead.core.crash.CrashFeature;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.crash.CrashHistory;
 import org.hornbeamhead.core.crash.CrashHistoryPersister;
@@ -53,7 +54,7 @@
         history = new CrashHistory(clock);
         CrashGossip.Peers audience = new CrashGossip.Peers(otherRouters, otherRouters);
         gossip = new CrashGossip(history, clock, timers, random, audience, send);
-        archive = new CrashHistoryPersister(clock, timers, random, this::write, history);
+        archive = new CrashHistoryPersister(clock, timers, random, this::write, history, CrashFeature.Kind.CONTENT);
     }
 
     /** Starts to tell, and reads what former routers have kept. */
@@ -75,7 +76,9 @@
 
     /** A replica ran the request to its end. */
     void completed(Supplier<RequestFingerprint> request) {
-        history.recordCompletion(request);
+        if (!history.isEmpty()) {
+            history.recordSurvival(request.get(), clock.monotonicMillis());
+        }
     }
 
     /** A replica ended while a request was under way there. */
@@ -91,7 +94,7 @@
     }
 
     private void readKept() {
-        store.read(CrashHistoryPersister.KEY).thenAccept(reply -> {
+        store.read(CrashHistoryPersister.CONTENT_KEY).thenAccept(reply -> {
             if (reply instanceof StoreReply.Found found) {
                 kept(found.entry().version(), found.entry().value());
             } else if (!(reply instanceof StoreReply.Missing)) {
@@ -104,12 +107,12 @@
         if (!archive.mergeStored(version, value)) {
             logger.atWarning()
                     .with(Logs.INPUTS, "version=" + version)
-                    .log("key %s cannot be read and is passed over", CrashHistoryPersister.KEY);
+                    .log("key %s cannot be read and is passed over", CrashHistoryPersister.CONTENT_KEY);
         }
     }
 
     private CompletionStage<CrashHistoryPersister.Reply> write(long expectedVersion, String value) {
-        return store.compareAndSwap(CrashHistoryPersister.KEY, expectedVersion, value, Optional.empty())
+        return store.compareAndSwap(CrashHistoryPersister.CONTENT_KEY, expectedVersion, value, Optional.empty())
                 .thenApply(Quarantine::reply);
     }
 
