The crash of a replica is counted when all others of its service have crashed, too

Cause: a router that reaches no other replica of the service takes a refused connection for a lost path. Replicas that had crashed before, and are listed for some seconds more, served as the others. Lost requests were also forgotten after five seconds, before some entries go.

Fix: a replica that any router saw crash proves nothing any more; once all others of a service have crashed, replicas of other services show whether this host has a path. A run whose address is listed for another run has ended, whether its entry is still there or not (CrashDetectorTest.successorAtTheSameAddressShowsTheCrash). Losses are remembered for ten seconds.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashConfirmation.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashConfirmation.java
@@ -131,23 +131,24 @@
                         : Promise.of(result));
     }
 
-    /** Returns whether another replica accepts a connection; true if there is no other. */
+    /**
+     * Returns whether another replica accepts a connection; true if there is no other. Replicas that are known to have
+     * crashed prove nothing: when all others of a service have, replicas of other services are tried.
+     */
     private Promise<Boolean> reachesOthers(LiveReplica replica) {
         String service = replica.entry().service();
-        if (paths.isLost(service)) {
-            return Promise.of(false);
-        }
         List<LiveReplica> controls = controls(replica, r -> r.entry().service().equals(service));
-        if (controls.isEmpty()) {
-            controls = controls(replica, r -> true);
+        if (!controls.isEmpty()) {
+            return paths.isLost(service) ? Promise.of(false) : anyOpens(controls.iterator());
         }
-        return controls.isEmpty() ? Promise.of(true) : anyOpens(controls.iterator());
+        List<LiveReplica> others = controls(replica, r -> true);
+        return others.isEmpty() ? Promise.of(true) : anyOpens(others.iterator());
     }
 
     private List<LiveReplica> controls(LiveReplica replica, Predicate<LiveReplica> condition) {
         long now = clock.monotonicMillis();
         List<LiveReplica> others = registry.all().stream()
-                .filter(r -> r != replica && r.isInService())
+                .filter(r -> r != replica && r.isInService() && !r.hasCrashed())
                 .filter(condition)
                 .toList();
         return shuffled(others, others.size()).stream()
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashDetector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/CrashDetector.java
@@ -19,9 +19,9 @@
  *
  * <p>A connection can break although the replica keeps running, because its response was invalid or something on the
  * network path reset the connection. The process has ended if its host refuses a new connection and nothing indicates
- * that this host has lost its path, or if its registry entry is removed soon afterwards. Losses at a replica that
- * announced its shutdown are not counted against requests, and neither are losses at a replica whose whole host is
- * silent: the failure of a host is not caused by its requests.
+ * that this host has lost its path, or if soon afterwards its registry entry is removed or its address is listed for
+ * another run. Losses at a replica that announced its shutdown are not counted against requests, and neither are losses
+ * at a replica whose whole host is silent: the failure of a host is not caused by its requests.
  *
  * <p>Not thread-safe.
  */
@@ -29,8 +29,8 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** Delay before the second check; a dying process may close its connections a moment before its listener. */
     static final long SECOND_CHECK_DELAY_MILLIS = 50;
-    /** How long lost requests are remembered; the registry removes a silent replica after three heartbeats. */
-    private static final long RETENTION_MILLIS = 5_000;
+    /** How long lost requests are remembered; the registry may take some seconds to remove a silent replica. */
+    private static final long RETENTION_MILLIS = 10_000;
     /** The shortest time between two checks of a silent replica; each check opens one new connection. */
     private static final long SILENT_CHECK_INTERVAL_MILLIS = 1_000;
     /** The number of replicas for which lost requests are remembered; bounds the memory. */
@@ -166,9 +166,22 @@
      * @param replica the replica
      */
     public void entryRemoved(LiveReplica replica) {
+        replicaGone(replica, "the registry entry was removed");
+    }
+
+    /**
+     * Records that the address of a replica is listed for another run.
+     *
+     * @param replica the replica that had the address before
+     */
+    public void addressReused(LiveReplica replica) {
+        replicaGone(replica, "another run has its address");
+    }
+
+    private void replicaGone(LiveReplica replica, String reason) {
         LostRequests lost = lostByReplica.get(replica.entry().run());
         if (lost != null && clock.monotonicMillis() - lost.lastLossAt <= RETENTION_MILLIS) {
-            reportCrash(replica, lost, "the registry entry was removed");
+            reportCrash(replica, lost, reason);
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
@@ -103,6 +103,7 @@
     public void start() {
         history.setListener(this::historyChanged);
         dependencies.registry().onRemoved(detector::entryRemoved);
+        dependencies.registry().onSuperseded(detector::addressReused);
         dependencies.datagrams().addListener((from, bytes) -> gossip.receive(bytes));
         dependencies.metrics().gauge("hornbeam_requests_held_back", history::quarantinedCount);
     }
@@ -119,6 +120,10 @@
     /** Reviews the requests in progress once after all changes that a crash brings. */
     private void historyChanged(CrashFeature feature) {
         gossip.reportChanged(feature);
+        history.report(feature).stream()
+                .flatMap(report -> report.crashes().stream())
+                .flatMap(crash -> dependencies.registry().byRunHash(crash.replica()).stream())
+                .forEach(LiveReplica::markCrashed);
         if (!reviewScheduled) {
             reviewScheduled = true;
             dependencies.timers().schedule(0, this::review);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -18,6 +18,7 @@
     private ReplicaEntry entry;
     private long observedVersion;
     private boolean entryInvalid;
+    private boolean crashed;
 
     LiveReplica(ReplicaEntry entry, ReplicaConnectionPool connections, RunStatements statements) {
         this.entry = entry;
@@ -168,6 +169,20 @@
         return entry.draining() || notices().isLeaving();
     }
 
+    /** Records that the process of this run has crashed, by what any router saw. */
+    public void markCrashed() {
+        crashed = true;
+    }
+
+    /**
+     * Returns whether the process of this run is known to have crashed; its entry may still be listed.
+     *
+     * @return true if a router saw it
+     */
+    public boolean hasCrashed() {
+        return crashed;
+    }
+
     /**
      * Returns whether the replica stays in service.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaRegistry.java
@@ -33,9 +33,11 @@
     private final Map<String, LiveReplica> byId = new HashMap<>();
     private final Map<String, LiveReplica> byRun = new HashMap<>();
     private final Map<Integer, LiveReplica> byRunHash = new HashMap<>();
+    private final Map<String, LiveReplica> byAddress = new HashMap<>();
     private final RunStatements.Archive removedRuns = new RunStatements.Archive();
     private final List<Consumer<LiveReplica>> addedListeners = new ArrayList<>();
     private final List<Consumer<LiveReplica>> removedListeners = new ArrayList<>();
+    private final List<Consumer<LiveReplica>> supersededListeners = new ArrayList<>();
 
     /**
      * Creates an empty registry.
@@ -67,6 +69,16 @@
         removedListeners.add(listener);
     }
 
+    /**
+     * Adds a listener for replicas whose address is listed for another run, so that their process has ended, though
+     * their entries are still there.
+     *
+     * @param listener called with each such run of a replica from now on
+     */
+    public void onSuperseded(Consumer<LiveReplica> listener) {
+        supersededListeners.add(listener);
+    }
+
     private void sweep() {
         byId.values().forEach(replica -> replica.connections().closeExpired());
         reactor.delayBackground(SWEEP_INTERVAL_MILLIS, this::sweep);
@@ -112,6 +124,8 @@
                     byRun.put(entry.run(), replica);
                     byRunHash.put(replica.runHash(), replica);
                     log("replica listed", entry, revision);
+                    Optional.ofNullable(byAddress.put(entry.address(), replica))
+                            .ifPresent(former -> supersededListeners.forEach(l -> l.accept(former)));
                     addedListeners.forEach(l -> l.accept(replica));
                 });
     }
@@ -127,6 +141,7 @@
         if (removed != null) {
             byRun.remove(removed.entry().run());
             byRunHash.remove(removed.runHash());
+            byAddress.remove(removed.entry().address(), removed);
             removed.connections().close();
             removedRuns.add(removed.entry().run(), removed.statements(), clock.monotonicMillis());
             log("replica gone", removed.entry(), revision);
--- a/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/quarantine/CrashDetectorTest.java
@@ -50,6 +50,7 @@
         reported = new ArrayList<>();
         detector = new CrashDetector(clock, this::schedule, r -> Promise.of(true), (run, replica) -> reported.add(run));
         registry.onRemoved(detector::entryRemoved);
+        registry.onSuperseded(detector::addressReused);
         register(false);
     }
 
@@ -137,6 +138,18 @@
         reactor.run();
     }
 
+    /** Guards against not seeing the crash of a replica whose successor listens before any check is made. */
+    @Test
+    public void successorAtTheSameAddressShowsTheCrash() {
+        LiveReplica replica = replica();
+        reactor.execute(() -> lose(Lost.BROKEN, replica));
+        runChecks();
+        assertEquals(reported, List.of());
+        registry.put(
+                new ReplicaEntry("successor", 2, "s", replica.entry().address(), "z", "v1", false, 8, Map.of()), 2);
+        assertEquals(reported, List.of(RUN));
+    }
+
     /** Guards against taking the announced end of a replica for a crash under the requests that it ran. */
     @Test
     public void endOfReplicaThatAnnouncedItsLeaveIsNoCrash() throws IOException {
