A whole answer exonerates its content at once, its prompt parts only once the replica has lived on

A content is held back for ten minutes after three crashes, so that three within that time held a popular one back.

CrashHistoryTest has a case for each way in which evidence counts for and against a part.

--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -139,6 +139,16 @@
         request.features().forEach(f -> exonerate(f, startedAtMillis));
     }
 
+    /**
+     * Records that a request completed, which exonerates its content of the crashes recorded so far. Its prompt parts
+     * are exonerated only once the replica has survived for some time.
+     *
+     * @param request the request
+     */
+    public void recordCompletion(RequestFingerprint request) {
+        exonerate(request.content(), Long.MAX_VALUE);
+    }
+
     private void exonerate(CrashFeature feature, long startedAtMillis) {
         Map<Integer, ObservedCrash> crashes = crashesByFeature.getOrDefault(feature, Map.of());
         if (crashes.values().stream().anyMatch(c -> c.isRefutedBySurvivorSince(startedAtMillis))) {
--- a/core/src/test/java/org/hornbeamhead/core/crash/CrashHistoryTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/crash/CrashHistoryTest.java
@@ -2,12 +2,15 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.time.ManualClock;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -120,14 +123,75 @@
     @Test
     public void completedRequestIsExonerated() {
         recordCrashes(A, 1, 2);
-        clock.advance(1);
-        history.recordSurvival(A, clock.monotonicMillis());
+        history.recordCompletion(A);
         recordCrashes(A, 3, 4);
         assertFalse(history.quarantineMillis(A).isPresent());
         recordCrashes(A, 5);
         assertTrue(history.quarantineMillis(A).isPresent());
     }
 
+    /** A short answer may be whole before its replica ends, so it must not exonerate the parts of its prompt. */
+    @Test
+    public void completionExoneratesOnlyTheContent() {
+        RequestFingerprint first = Fingerprints.prompt(4, "a", "bad");
+        RequestFingerprint second = Fingerprints.prompt(5, "c", "bad");
+        recordCrashes(first, 1, 2);
+        history.recordCompletion(first);
+        recordCrashes(second, 3);
+        assertTrue(history.quarantineMillis(Fingerprints.prompt(6, "d", "bad")).isPresent());
+        assertFalse(history.quarantineMillis(Fingerprints.prompt(7, "a", "c")).isPresent());
+    }
+
+    /** A replica that runs on exonerates the parts of the prompt, but only of crashes before it began. */
+    @Test
+    public void survivorExoneratesPartsOfEarlierCrashes() {
+        IntStream.rangeClosed(1, 2).forEach(i -> recordCrashes(Fingerprints.prompt(10 + i, "a"), i));
+        long startedAt = clock.monotonicMillis() + 1;
+        IntStream.rangeClosed(3, 4).forEach(i -> recordCrashes(Fingerprints.prompt(10 + i, "a"), i));
+        history.recordSurvival(Fingerprints.prompt(20, "a"), startedAt);
+        assertFalse(history.quarantineMillis(Fingerprints.prompt(21, "a")).isPresent());
+        recordCrashes(Fingerprints.prompt(15, "a"), 5);
+        assertTrue(history.quarantineMillis(Fingerprints.prompt(21, "a")).isPresent());
+    }
+
+    /** An attempt that had been answered for a while when its replica crashed must not count against its features. */
+    @Test
+    public void attemptThatItsReplicaHadSurvivedDoesNotCount() {
+        RequestFingerprint popular = Fingerprints.prompt(4, "a");
+        IntStream.range(0, 6).forEach(replica -> {
+            clock.advance(1_000);
+            long now = clock.monotonicMillis();
+            history.recordCrash(new LostAttempt(popular, now - 900, OptionalLong.of(now - 600), now), replica);
+        });
+        assertFalse(history.quarantineMillis(popular).isPresent());
+    }
+
+    /** Parts that were always present together must be told apart by few requests, not by refusing all. */
+    @Test
+    public void partsThatCannotBeToldApartAreTested() {
+        IntStream.rangeClosed(1, 5).forEach(i -> recordCrashes(Fingerprints.prompt(i, "a", "bad"), i));
+        clock.advance(1_000);
+        RequestFingerprint sound = Fingerprints.prompt(10, "a", "c");
+        assertFalse(history.admitAsTest(Fingerprints.prompt(11, "a", "bad")));
+        assertTrue(history.quarantineMillis(sound).isPresent());
+        assertTrue(history.admitAsTest(sound));
+        history.recordSurvival(sound, clock.monotonicMillis());
+        assertFalse(history.quarantineMillis(sound).isPresent());
+        assertTrue(history.quarantineMillis(Fingerprints.prompt(12, "bad")).orElse(0) > MINUTE);
+    }
+
+    /** A part has the same name in all spellings of its id. */
+    @Test
+    public void spellingsOfAPartAreOneFeature() {
+        assertEquals(
+                Stream.of("bad", "BAD", "0bad", "00Bad")
+                        .map(CrashFeature::promptPart)
+                        .distinct()
+                        .count(),
+                1);
+        assertNotEquals(CrashFeature.promptPart("0"), CrashFeature.promptPart("1"));
+    }
+
     /** A long quarantine must not be announced to callers before the reports of all routers have arrived. */
     @Test
     public void quarantineIsShortWhileReportsPropagate() {
@@ -178,8 +242,7 @@
         clock.advance(150);
         other.recordCrash(lostAttempt(A, 0), 3);
         other.recordCrash(lostAttempt(B, 0), 3);
-        clock.advance(1);
-        other.recordSurvival(B, clock.monotonicMillis());
+        other.recordCompletion(B);
         for (int i = 0; i < 2; i++) {
             List<CrashReport> reports = history.reports();
             other.reports().forEach(history::merge);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -345,6 +345,7 @@
         stop();
         replica.guard().recordSuccess();
         replica.brittleLimit().recordCompletion();
+        exchange.content().recordCompletion();
         survival.completed(replica, connection);
         replica.connections().release(connection);
         if (streaming) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RequestContent.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RequestContent.java
@@ -97,6 +97,14 @@
         quarantine.replicaSilent(attempt.lost(), attempt.target().replica());
     }
 
+    /**
+     * Records that a replica ran the request to its end. An error response of the replica would not prove that, since
+     * it may fail before it starts.
+     */
+    void recordCompletion() {
+        quarantine.requestCompleted(this::fingerprint);
+    }
+
     /** Records that a replica survived the request, which began to run at the given monotonic time. */
     void recordSurvival(long startedAt) {
         quarantine.replicaSurvived(this::fingerprint, startedAt);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quarantine/Quarantine.java
@@ -207,6 +207,17 @@
         return history.isTest(fingerprint);
     }
 
+    /**
+     * Records that a request completed.
+     *
+     * @param fingerprint computes the fingerprint of the request
+     */
+    public void requestCompleted(Supplier<RequestFingerprint> fingerprint) {
+        if (!history.isEmpty()) {
+            history.recordCompletion(fingerprint.get());
+        }
+    }
+
     /**
      * Records that a replica survived a request.
      *
--- a/router/src/main/java/org/hornbeamhead/router/Quarantine.java
+++ b/router/src/main/java/org/hornbeamhead/router/Quarantine.java
@@ -77,7 +77,7 @@
     /** A replica ran the request to its end. */
     void completed(Supplier<RequestFingerprint> request) {
         if (!history.isEmpty()) {
-            history.recordSurvival(request.get(), clock.monotonicMillis());
+            history.recordCompletion(request.get());
         }
     }
 
