Soak: callers whose requests share a part of their prompts that ends replicas, and a promise for sound ones beside them

From the third caller on, requests differ in all but one part; replicas end in half of the cases after the first event of an answer that states no length. Promises: three sends at most from three seconds after the fifth end on, and from six seconds after the last end on at most half of the sound streams refused for it, each red on a history that breaks it.

--- a/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
@@ -25,7 +25,10 @@
     private final OptionSpec<Integer> routers = number("routers", "router processes", 4);
     private final OptionSpec<Integer> replicas = number("replicas", "replicas", 12);
     private final OptionSpec<Integer> callers = number("callers", "callers", 16);
-    private final OptionSpec<Integer> crashing = number("crashing", "requests that end each replica that runs them", 1);
+    private final OptionSpec<Integer> crashing = number(
+            "crashing",
+            "callers whose requests end each replica that runs them; from the third on by a part of their prompts",
+            1);
     private final OptionSpec<Integer> limiting = number("limiting", "replicas that state a request limit", 2);
     private final OptionSpec<Integer> announcing =
             number("announcing", "replicas at a time that leave by their answers or ask for pauses", 1);
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -196,8 +196,8 @@
             turnAway(r, to, pause);
             return;
         }
-        if (runs && CrashingCallers.content(r.head()).isPresent()) {
-            end(r);
+        if (runs && CrashingCallers.cause(r.head()).isPresent()) {
+            end(r, to);
             return;
         }
         Thread.sleep(random.nextInt(MAX_WORK_MILLIS));
@@ -212,10 +212,16 @@
         }
     }
 
-    private void end(StandinReplica.ReceivedRequest r) throws InterruptedException {
+    /** Ends at a request, in some cases after the first event of an answer that states no length. */
+    private void end(StandinReplica.ReceivedRequest r, StandinReplica.Connection to)
+            throws IOException, InterruptedException {
+        if (!r.cacheSalt().isEmpty() && random.nextBoolean()) {
+            to.write(StandinReplica.streamHead(r).replace("Transfer-Encoding: chunked\r\n", ""));
+            to.write(RequestKind.event(r.id(), r.lastEventId() + 1, software));
+        }
         Thread.sleep(END_MILLIS);
-        String content = CrashingCallers.content(r.head()).orElseThrow();
-        history.add(new History.Ended(content, r.id(), id(), clock.millis()));
+        String cause = CrashingCallers.cause(r.head()).orElseThrow();
+        history.add(new History.Ended(cause, r.id(), id(), clock.millis()));
         onEnd.accept(this);
     }
 
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -85,12 +85,12 @@
     /**
      * A replica ended while it ran a request that ends each replica.
      *
-     * @param content what all arrivals of that request have in common
+     * @param cause what all such requests of a caller have in common, the path of a content or a part of the prompt
      * @param id the arrival
      * @param replica the replica
      * @param at when
      */
-    public record Ended(String content, String id, String replica, long at) {}
+    public record Ended(String cause, String id, String replica, long at) {}
 
     /**
      * A replica stated a request limit in its answers.
@@ -191,6 +191,8 @@
      */
     public record Uncaught(String router, String line) {}
 
+    /** What the ids of requests that end replicas begin with; those of sound requests do not. */
+    public static final String ENDING_ID_PREFIX = "e";
     /** The subject of disturbances of the platform's store. */
     public static final String STORE = "store";
     /** The subject of disturbances of all routers together. */
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/CrashChecks.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/CrashChecks.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -12,10 +13,18 @@
 import org.hornbeamhead.soak.history.History.Disturbed;
 import org.hornbeamhead.soak.history.History.Ended;
 
-/** The promise about requests that end each replica that runs them. */
+/** The promises about requests that end each replica that runs them. */
 final class CrashChecks {
-    /** Ends after which such a request must be known. */
-    private static final int KNOWN_FROM = 3;
+    /** Ends after which a request must be known by its content. */
+    private static final int CONTENT_KNOWN_FROM = 3;
+    /** Ends after which requests must be known by a part of their prompts, which sound ones could share. */
+    private static final int PART_KNOWN_FROM = 5;
+    /** Time after which sound requests are told from those that end replicas. */
+    private static final long TOLD_APART_MILLIS = 6_000;
+
+    private static final int FEWEST_SOUND = 20;
+    /** The reason of refusals, at the beginning of their bodies. */
+    private static final String REASON = "replicas ended under";
 
     private static final int MOST_LATE = 3;
     /** Routers have told one another by this time. */
@@ -29,21 +38,22 @@
 
     private CrashChecks() {}
 
-    /** A request that has ended three replicas is sent three more times at most, once the routers know. */
+    /** Requests that have ended three or five replicas are sent three more times at most, once the routers know. */
     static Stream<Breach> sentFewTimes(History h) {
         Map<String, Asked> asked =
                 h.asked().stream().collect(Collectors.toMap(Asked::id, Function.identity(), (a, b) -> a));
-        return h.ended().stream().collect(Collectors.groupingBy(Ended::content)).values().stream()
+        return h.ended().stream().collect(Collectors.groupingBy(Ended::cause)).values().stream()
                 .flatMap(ends -> sentTooOften(h, asked, ends));
     }
 
     private static Stream<Breach> sentTooOften(History h, Map<String, Asked> asked, List<Ended> ends) {
         List<Ended> inOrder =
                 ends.stream().sorted(Comparator.comparingLong(Ended::at)).toList();
-        if (ends.size() < KNOWN_FROM) {
+        int knownFrom = isPromptPart(ends.get(0).cause()) ? PART_KNOWN_FROM : CONTENT_KNOWN_FROM;
+        if (ends.size() < knownFrom) {
             return Stream.empty();
         }
-        long known = inOrder.get(KNOWN_FROM - 1).at();
+        long known = inOrder.get(knownFrom - 1).at();
         List<Ended> late = inOrder.stream()
                 .filter(e -> asked.get(e.id()).at() > known + TOLD_MILLIS)
                 .filter(e -> !isForgotten(h, known, e.at()))
@@ -52,10 +62,39 @@
                 ? Stream.empty()
                 : Stream.of(new Breach(
                         "requests that end replicas",
-                        late.get(0).content() + " was sent " + late.size() + " times too late",
+                        late.get(0).cause() + " was sent " + late.size() + " times too late",
                         late.get(0).at()));
     }
 
+    /** Streams that share all other parts with requests that end replicas are not refused for these. */
+    static Stream<Breach> soundAreServed(History h) {
+        OptionalLong last = h.ended().stream()
+                .filter(e -> isPromptPart(e.cause()))
+                .mapToLong(Ended::at)
+                .max();
+        if (last.isEmpty()) {
+            return Stream.empty();
+        }
+        Set<String> sound = h.asked().stream()
+                .filter(a -> a.kind().streams() && !a.id().startsWith(History.ENDING_ID_PREFIX))
+                .filter(a -> a.at() > last.getAsLong() + TOLD_APART_MILLIS)
+                .map(Asked::id)
+                .collect(Collectors.toSet());
+        long refused = h.answered().stream()
+                .filter(a -> sound.contains(a.id()) && a.body().startsWith(REASON))
+                .count();
+        return sound.size() < FEWEST_SOUND || 2 * refused <= sound.size()
+                ? Stream.empty()
+                : Stream.of(new Breach(
+                        "sound requests beside those that end replicas",
+                        refused + " of " + sound.size() + " sound streams were refused",
+                        last.getAsLong() + TOLD_APART_MILLIS));
+    }
+
+    private static boolean isPromptPart(String cause) {
+        return !cause.startsWith("/");
+    }
+
     /** Whether no router is left that could know it, and the store could not keep it. */
     private static boolean isForgotten(History h, long known, long at) {
         List<Disturbed> meanwhile = h.disturbed().stream()
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -37,6 +37,7 @@
         checks.put("announced leaves", AvailabilityChecks::announcedLeaves);
         checks.put("pauses", AvailabilityChecks::pauses);
         checks.put("requests that end replicas", CrashChecks::sentFewTimes);
+        checks.put("sound requests beside those that end replicas", CrashChecks::soundAreServed);
         checks.put("served without a path", PathChecks::servedWithoutPath);
         checks.put("brittle replicas", BrittleChecks::brittleReplicas);
         checks.put("service back", LoadChecks::serviceBack);
--- a/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/SoakRunTest.java
@@ -50,6 +50,10 @@
                 new SoakSettings(12, 8, 3, 12, 8, 2, 0, 0, 0, false, 0),
                 "requests that end each replica that runs them, beside other faults"
             },
+            {
+                new SoakSettings(18, 10, 3, 14, 12, 3, 0, 0, 0, false, 0),
+                "a part of prompts that ends each replica which begins to answer, beside other faults"
+            },
         };
     }
 
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -117,6 +117,30 @@
         return h;
     }
 
+    /** Requests with a part of a prompt end six replicas, and are sent more often after all routers know it. */
+    private static History partEnds(int late) {
+        History h = new History();
+        IntStream.range(0, 6 + late).forEach(i -> {
+            long at = i < 6 ? 1_000 + i : 6_000 + i;
+            h.add(asked("e" + i, RequestKind.RESUME, at)).add(new Ended("bad2", "e" + i, "replica" + i, at + 60));
+        });
+        return h;
+    }
+
+    /**
+     * After a part of a prompt has ended six replicas, streams without it are sent, of which some are refused for it.
+     */
+    private static History soundBesidePart(int served, int refused) {
+        History h = partEnds(0);
+        IntStream.range(0, served + refused).forEach(i -> h.add(asked("i" + i, RequestKind.RESUME, 9_000))
+                .add(answered(
+                        "i" + i,
+                        i < served ? 200 : 503,
+                        i < served ? RequestKind.RESUME.answer("i" + i) : "replicas ended under requests",
+                        9_010)));
+        return h;
+    }
+
     /** The promise, a history that breaks it, and one like it that does not. */
     @DataProvider
     public Object[][] histories() {
@@ -310,6 +334,8 @@
                 limited(10_000, 100, 200).add(new Disturbed("ROUTER_FROZEN", "router0", false, 9_000, 40_000))
             },
             {"requests that end replicas", ends(4), ends(3)},
+            {"requests that end replicas", partEnds(4), partEnds(3)},
+            {"sound requests beside those that end replicas", soundBesidePart(10, 20), soundBesidePart(20, 10)},
             {
                 "requests that end replicas",
                 ends(4).add(new Disturbed("ALL_KILLED", History.ALL_ROUTERS, false, 4_000, 5_000)),
