Soak: the links of routers refuse connections to a replica whose process has ended

Cause: where routers lose paths, each reaches replicas through links of its own, which went on to accept connections after the replica's end, so that its host never refused one; no crash was confirmed there but by the entry's removal either. A host refuses connections to a process that has ended, and so do the links now.

--- a/soak/src/main/java/org/hornbeamhead/soak/ReplicaLinks.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/ReplicaLinks.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -15,6 +16,7 @@
     private static final Pattern ADDRESS = Pattern.compile("(\"service\":.*\"address\":\"127\\.0\\.0\\.1:)(\\d+)");
 
     private final Map<Integer, StandinLink> byPort = new ConcurrentHashMap<>();
+    private final Set<Integer> endedPorts = ConcurrentHashMap.newKeySet();
     private volatile StandinLink.Mode mode = StandinLink.Mode.HEALTHY;
 
     /** Replaces the address of a replica in its entry by that of a link to it; other documents stay as they are. */
@@ -41,17 +43,29 @@
     /** Cuts or restores all links, those to replicas that are listed later among them. */
     void setMode(StandinLink.Mode next) {
         mode = next;
-        byPort.values().forEach(l -> l.setMode(next));
+        byPort.forEach((port, link) -> {
+            if (!endedPorts.contains(port)) {
+                link.setMode(next);
+            }
+        });
+    }
+
+    /** Refuses connections to a replica whose process has ended, as its host does. */
+    void replicaEnded(int port) {
+        endedPorts.add(port);
+        close(linkTo(port));
     }
 
     @Override
     public void close() {
-        byPort.values().forEach(l -> {
-            try {
-                l.close();
-            } catch (IOException e) {
-                logger.atWarning().withCause(e).log("a link could not be closed");
-            }
-        });
+        byPort.values().forEach(ReplicaLinks::close);
+    }
+
+    private static void close(StandinLink link) {
+        try {
+            link.close();
+        } catch (IOException e) {
+            logger.atWarning().withCause(e).log("a link could not be closed");
+        }
     }
 }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
@@ -179,6 +179,7 @@
         long from = clock.millis();
         history.add(new Disturbed(Disturbed.REPLICA_ENDED, crashed.id(), false, from, from + BACK_MILLIS));
         CompletableFuture.delayedExecutor(BACK_MILLIS, TimeUnit.MILLISECONDS).execute(() -> comeBack(crashed));
+        replicaLinks.forEach(links -> links.replicaEnded(crashed.link().port()));
         close(crashed);
     }
 
