--- a/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
+++ b/core/src/main/java/org/hornbeamhead/core/crash/CrashHistory.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,8 +30,6 @@
 public final class CrashHistory {
     /** Maximum number of tracked features; limits the memory to a few megabytes. */
     private static final int MAX_FEATURES = 4_096;
-    /** Maximum number of crashes tracked per feature. */
-    private static final int MAX_CRASHES_PER_FEATURE = 32;
 
     /** Crashes of one feature that are unlikely to be a coincidence. */
     private static final int MIN_CRASHES_TO_PERSIST = 2;
@@ -48,7 +45,7 @@
     private final Clock clock;
     private final double stagger;
     private final IntSupplier routerCount;
-    private final Map<CrashFeature, Map<Integer, ObservedCrash>> crashesByFeature = new LinkedHashMap<>();
+    private final Map<CrashFeature, FeatureCrashes> crashesByFeature = new LinkedHashMap<>();
     private Consumer<CrashFeature> listener = f -> {};
     private Optional<Set<Culprit>> culprits = Optional.empty();
     private long culpritsValidUntilMillis;
@@ -112,7 +109,7 @@
      * @return the number of crashes, including those that it did not cause
      */
     int crashCount(CrashFeature feature) {
-        return crashesByFeature.getOrDefault(feature, Map.of()).size();
+        return crashesOf(feature).map(FeatureCrashes::count).orElse(0);
     }
 
     /**
@@ -150,13 +147,15 @@
     }
 
     private void exonerate(CrashFeature feature, long startedAtMillis) {
-        Map<Integer, ObservedCrash> crashes = crashesByFeature.getOrDefault(feature, Map.of());
-        if (crashes.values().stream().anyMatch(c -> c.isRefutedBySurvivorSince(startedAtMillis))) {
-            crashes.replaceAll((replica, c) -> c.isRefutedBySurvivorSince(startedAtMillis) ? c.exonerate() : c);
+        if (crashesOf(feature).filter(c -> c.exonerate(startedAtMillis)).isPresent()) {
             reportChanged(feature);
         }
     }
 
+    private Optional<FeatureCrashes> crashesOf(CrashFeature feature) {
+        return Optional.ofNullable(crashesByFeature.get(feature));
+    }
+
     /**
      * Merges a report from another router.
      *
@@ -175,29 +174,9 @@
     }
 
     private boolean add(CrashFeature feature, int replica, ObservedCrash crash) {
-        Map<Integer, ObservedCrash> known = crashesByFeature.computeIfAbsent(feature, f -> new HashMap<>());
-        ObservedCrash previous = known.get(replica);
-        if (previous != null && (previous.exonerated() || !crash.exonerated())) {
-            return false;
-        }
-        if (previous == null && known.size() >= MAX_CRASHES_PER_FEATURE && !removeExoneratedBefore(known, crash)) {
-            return false;
-        }
-        known.put(replica, previous == null ? crash : previous.exonerate());
-        return true;
-    }
-
-    /**
-     * Makes room for a crash by removing the oldest one that the feature did not cause, if that is older. A feature
-     * that was present at many crashes of others can cause later ones.
-     */
-    private static boolean removeExoneratedBefore(Map<Integer, ObservedCrash> known, ObservedCrash crash) {
-        Optional<Map.Entry<Integer, ObservedCrash>> oldest = known.entrySet().stream()
-                .filter(e -> e.getValue().exonerated())
-                .min(Comparator.comparingLong(e -> e.getValue().observedAtMillis()))
-                .filter(e -> e.getValue().observedAtMillis() < crash.observedAtMillis());
-        oldest.ifPresent(e -> known.remove(e.getKey()));
-        return oldest.isPresent();
+        return crashesByFeature
+                .computeIfAbsent(feature, f -> new FeatureCrashes())
+                .add(replica, crash);
     }
 
     /** Moves the feature to the end of the map, so that the least recently changed feature is evicted first. */
@@ -227,11 +206,7 @@
         long now = clock.monotonicMillis();
         boolean removed = crashesByFeature
                 .values()
-                .removeIf(crashes -> crashes.values().stream()
-                                .mapToLong(ObservedCrash::observedAtMillis)
-                                .max()
-                                .orElse(0)
-                        < now - QuarantineTime.retentionMillis(crashes.size()));
+                .removeIf(c -> c.lastMillis() < now - QuarantineTime.retentionMillis(c.count()));
         if (removed) {
             culprits = Optional.empty();
         }
@@ -286,13 +261,12 @@
     }
 
     private long remainingMillis(CrashFeature feature, boolean certain) {
-        Map<Integer, ObservedCrash> crashes = crashesByFeature.getOrDefault(feature, Map.of());
         List<ObservedCrash> caused =
-                crashes.values().stream().filter(c -> !c.exonerated()).toList();
+                crashesOf(feature).map(FeatureCrashes::caused).orElse(List.of());
         long last =
                 caused.stream().mapToLong(ObservedCrash::observedAtMillis).max().orElse(0);
         long age = clock.monotonicMillis() - last;
-        long remaining = durationMillis(feature.kind(), crashes.size(), certain ? caused.size() : 0) - age;
+        long remaining = durationMillis(feature.kind(), crashCount(feature), certain ? caused.size() : 0) - age;
         return remaining > 0 && age < PROPAGATION_MILLIS ? PROPAGATION_MILLIS : remaining;
     }
 
@@ -328,31 +302,15 @@
     /** Returns the replicas whose crash some routers may not have reported yet, and when each was observed. */
     private Map<Integer, Long> unsettledCrashes(long now) {
         return crashesByFeature.values().stream()
-                .flatMap(crashes -> crashes.entrySet().stream())
-                .filter(c -> c.getValue().observedAtMillis() > now - PROPAGATION_MILLIS)
-                .collect(Collectors.toMap(Map.Entry::getKey, c -> c.getValue().observedAtMillis(), Math::min));
+                .flatMap(c -> c.observedAfter(now - PROPAGATION_MILLIS).entrySet().stream())
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue, Math::min));
     }
 
     private Map<CrashFeature, CrashAttribution.Evidence> candidates() {
+        long survivorsSince = clock.monotonicMillis() - SURVIVOR_MILLIS;
         return crashesByFeature.entrySet().stream()
-                .filter(e -> e.getValue().size() >= CrashAttribution.MIN_CRASHES)
-                .filter(e -> ObservedCrash.countIndependent(e.getValue().values()) >= CrashAttribution.MIN_CRASHES)
-                .collect(Collectors.toMap(
-                        Map.Entry::getKey,
-                        e -> new CrashAttribution.Evidence(
-                                unexoneratedReplicas(e.getValue()), hasSurvivors(e.getValue()))));
-    }
-
-    private boolean hasSurvivors(Map<Integer, ObservedCrash> crashes) {
-        long since = clock.monotonicMillis() - SURVIVOR_MILLIS;
-        return crashes.values().stream().anyMatch(c -> c.exonerated() && c.observedAtMillis() >= since);
-    }
-
-    private static Set<Integer> unexoneratedReplicas(Map<Integer, ObservedCrash> crashes) {
-        return crashes.entrySet().stream()
-                .filter(c -> !c.getValue().exonerated())
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toSet());
+                .filter(e -> e.getValue().isCandidate())
+                .collect(Collectors.toMap(Map.Entry::getKey, e -> e.getValue().evidence(survivorsSince)));
     }
 
     /**
@@ -371,7 +329,8 @@
      */
     public List<CrashReport> reports() {
         List<CrashReport> all = new ArrayList<>(crashesByFeature.size());
-        crashesByFeature.forEach((feature, crashes) -> all.add(report(feature, crashes)));
+        long now = clock.monotonicMillis();
+        crashesByFeature.forEach((feature, crashes) -> all.add(crashes.report(feature, now)));
         Collections.reverse(all);
         return all;
     }
@@ -408,15 +367,6 @@
      * @return the report, empty if no crash is recorded for the feature
      */
     public Optional<CrashReport> report(CrashFeature feature) {
-        return Optional.ofNullable(crashesByFeature.get(feature)).map(crashes -> report(feature, crashes));
-    }
-
-    private CrashReport report(CrashFeature feature, Map<Integer, ObservedCrash> crashes) {
-        long now = clock.monotonicMillis();
-        return new CrashReport(
-                feature,
-                crashes.entrySet().stream()
-                        .map(c -> c.getValue().toReport(c.getKey(), now))
-                        .toList());
+        return crashesOf(feature).map(crashes -> crashes.report(feature, clock.monotonicMillis()));
     }
 }
--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -112,6 +112,10 @@
                     "X-Not-Executed: 1\nRetry-After:2.5\nServer-Leaving:1"),
             // What routers tell one another of crashes.
             target("CRASH_NEWS", FuzzTargets::crashNews, "\u00c5\0\1\0\0\0\0\0\0\0\7\1\0\0\0\5\0\0\0\u0009\0\u0008"),
+            target(
+                    "CRASH_NEWS_OF_PROMPT_PARTS",
+                    FuzzTargets::crashNews,
+                    "\u00c6\0\1\0\0\0\0\0\0\0\7\1\0\0\0\5\0\0\0\u0009\0\u0008"),
             // What routers keep in the store of crashes.
             target("CRASH_ARCHIVE", texts(ArchiveReading::read), "5 xQABAAAAAAAAAAcBAAAABQAAAAkACA=="),
             // What routers answer one another, and how they list themselves.
