--- a/core/src/main/java/org/hornbeamhead/core/retry/SharedRetryBudget.java
+++ b/core/src/main/java/org/hornbeamhead/core/retry/SharedRetryBudget.java
@@ -77,11 +77,21 @@
      * @return true if {@link #tryAcquire} would succeed now
      */
     public boolean canAcquire(long nowMillis, double share) {
+        return available(nowMillis, share) >= 1;
+    }
+
+    /**
+     * Returns how many retries are available.
+     *
+     * @param nowMillis the monotonic time
+     * @param share this router's part of the fixed number, at most 1
+     * @return the number, with a fraction; negative if the budget has shrunk since retries were taken
+     */
+    public double available(long nowMillis, double share) {
         currentBucket(nowMillis);
         int requests = buckets.stream().mapToInt(b -> b.requests).sum();
         int retries = buckets.stream().mapToInt(b -> b.retries).sum();
-        double allowed = USABLE_SHARE * (ratio * requests + slack * share);
-        return retries + 1 <= allowed;
+        return USABLE_SHARE * (ratio * requests + slack * share) - retries;
     }
 
     private Bucket currentBucket(long nowMillis) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -49,6 +49,7 @@
     private ScheduledRunnable deadlineTimer;
     private Attempt attempt;
     private int notConnected;
+    private Optional<AttemptOutcome> firstLoss = Optional.empty();
     private boolean finished;
 
     /**
@@ -189,6 +190,7 @@
             return;
         }
         notConnected += end == AttemptOutcome.NOT_CONNECTED ? 1 : 0;
+        firstLoss = firstLoss.or(() -> Optional.of(end));
         ForwardingState.RetryConditions conditions = new ForwardingState.RetryConditions(
                 timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
                 dispatcher.targetSelector().hasUntried(scope) || canHandOver(),
@@ -262,7 +264,8 @@
 
     private String logInputs(AttemptOutcome end) {
         String suspect = end.mayHaveExecuted() ? " " + content.describe() : "";
-        return "millisLeft=" + timeLeftMillis() + " tried=" + scope.triedCount() + suspect;
+        return "millisLeft=" + timeLeftMillis() + " tried=" + scope.triedCount() + " "
+                + dispatcher.retryBudgets().describe(serviceRequest.service().name()) + suspect;
     }
 
     private void sendFinalAnswer(
@@ -272,6 +275,12 @@
         }
         finish(finalAnswer.name());
         if (finalAnswer == FinalResponse.BROKEN_OFF) {
+            dispatcher
+                    .metrics()
+                    .count(
+                            "hornbeam_answers_cut",
+                            "cause",
+                            firstLoss.map(AttemptOutcome::name).orElse("DEADLINE"));
             response.abort();
         } else if (finalAnswer == FinalResponse.REPLICA_FAILURE && failure.isPresent()) {
             failure.get().sendTo(response);
