--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/dispatch/RetryBudgetsTest.java
@@ -0,0 +1,219 @@
+package org.hornbeamhead.gateway.dispatch;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.hornbeamhead.core.entry.ActiveRouters;
+import org.hornbeamhead.core.time.ManualClock;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests the retries of all routers together against the shared budget, in virtual time. */
+public class RetryBudgetsTest {
+    private static final String SERVICE = "lm";
+    private static final double RATIO = 0.2;
+    private static final long WINDOW_MILLIS = 10_000;
+    private static final long STEP_MILLIS = 10;
+    private static final long HINT_INTERVAL_MILLIS = 500;
+    private static final long DOWN_MILLIS = 600;
+    private static final long END_MILLIS = 60_000;
+    private static final long FAILING_SINCE_MILLIS = 19_000;
+    private static final long FIRST_FAULT_MILLIS = 20_000;
+
+    /** A router, or none while its process is down. */
+    private static final class Router {
+        private ActiveRouters active;
+        private RetryBudgets budgets;
+        private long downUntil;
+        private int group;
+    }
+
+    /**
+     * Routers whose callers' requests all fail from some moment on, so that each retry that a budget allows is made.
+     */
+    private static final class Fleet {
+        private final Random random = new Random(1);
+        private final ManualClock clock = new ManualClock(0);
+        private final List<Router> routers = new ArrayList<>();
+        private final List<Long> requests = new ArrayList<>();
+        private final List<Long> retries = new ArrayList<>();
+        private final double slack;
+        private double hintLoss;
+        private int firstUsed;
+        private int used;
+
+        Fleet(int size, int used, double slack) {
+            this.slack = slack;
+            this.used = used;
+            IntStream.range(0, size).forEach(i -> routers.add(new Router()));
+            routers.forEach(this::start);
+        }
+
+        private void start(Router router) {
+            router.active = new ActiveRouters(routers::size);
+            router.budgets = new RetryBudgets(
+                    clock,
+                    new Dispatcher.RetryBudgetLimits(RATIO, slack, Duration.ofMillis(WINDOW_MILLIS)),
+                    router.active);
+        }
+
+        long now() {
+            return clock.monotonicMillis();
+        }
+
+        void killIf(boolean due, int index) {
+            if (due) {
+                routers.get(index).downUntil = now() + DOWN_MILLIS;
+            }
+        }
+
+        void killAllIf(boolean due) {
+            IntStream.range(0, routers.size()).forEach(i -> killIf(due, i));
+        }
+
+        /** Splits the routers into groups of a size that hear only one another. */
+        void split(int size) {
+            IntStream.range(0, routers.size()).forEach(i -> routers.get(i).group = i / size);
+        }
+
+        private void step(double requestsPerStep) {
+            clock.advance(STEP_MILLIS);
+            routers.stream().filter(r -> r.downUntil == now()).forEach(this::start);
+            tell();
+            int count = (int) requestsPerStep + (random.nextDouble() < requestsPerStep % 1 ? 1 : 0);
+            IntStream.range(0, count).forEach(i -> request());
+        }
+
+        private void tell() {
+            for (int from = 0; from < routers.size(); from++) {
+                Router sender = routers.get(from);
+                boolean due = now() % HINT_INTERVAL_MILLIS == from * STEP_MILLIS % HINT_INTERVAL_MILLIS;
+                if (!due || now() < sender.downUntil || sender.active.ownRate(now()) == 0) {
+                    continue;
+                }
+                String name = "n" + from;
+                double rate = sender.active.ownRate(now());
+                routers.stream()
+                        .filter(to -> to != sender && to.group == sender.group && now() >= to.downUntil)
+                        .filter(to -> random.nextDouble() >= hintLoss)
+                        .forEach(to -> to.active.recordPeer(name, rate, now()));
+            }
+        }
+
+        private void request() {
+            Router router = routers.get((firstUsed + random.nextInt(used)) % routers.size());
+            if (now() < router.downUntil) {
+                return;
+            }
+            router.active.recordRequest(now());
+            router.budgets.recordRequest(SERVICE);
+            requests.add(now());
+            while (now() >= FAILING_SINCE_MILLIS && router.budgets.take(SERVICE)) {
+                retries.add(now());
+            }
+        }
+
+        private void assertWithinBudget() {
+            long[] sent = requests.stream().mapToLong(Long::longValue).toArray();
+            long[] repeated = retries.stream().mapToLong(Long::longValue).toArray();
+            assertTrue(repeated.length > 0, "no retries at all");
+            Arrays.stream(repeated).distinct().forEach(end -> {
+                double allowed = RATIO * mostRequests(sent, end) + slack;
+                long count = countWithin(repeated, end);
+                assertTrue(count <= allowed, count + " retries up to " + end + " ms, allowed " + allowed);
+            });
+        }
+
+        /** Counts the requests of the window, the one before it or the one between, whichever has most. */
+        private static long mostRequests(long[] times, long end) {
+            return Math.max(
+                    countWithin(times, end),
+                    Math.max(countWithin(times, end - WINDOW_MILLIS / 2), countWithin(times, end - WINDOW_MILLIS)));
+        }
+
+        private static long countWithin(long[] times, long end) {
+            return Arrays.stream(times)
+                    .filter(at -> at > end - WINDOW_MILLIS && at <= end)
+                    .count();
+        }
+    }
+
+    /** What happens to the routers while their requests fail. */
+    private enum Fault {
+        NONE,
+        KILLED_IN_SERIES,
+        KILLED_TWICE,
+        ONE_KILLED_AGAIN_AND_AGAIN,
+        RESTARTED_IN_TURN_BESIDE_KILLS,
+        CUT_INTO_HALVES,
+        CUT_INTO_PAIRS,
+        CUT_INTO_SINGLES,
+        HINTS_LOST,
+        CALLERS_MOVE;
+
+        /** Does what is due a number of milliseconds after the first fault. */
+        void step(Fleet fleet, long millis) {
+            int size = fleet.routers.size();
+            switch (this) {
+                case KILLED_IN_SERIES -> fleet.killAllIf(millis % 3_000 == 0);
+                case KILLED_TWICE -> fleet.killAllIf(millis == 0 || millis == 9_000);
+                case ONE_KILLED_AGAIN_AND_AGAIN -> fleet.killIf(millis % 1_000 == 0, 0);
+                case RESTARTED_IN_TURN_BESIDE_KILLS -> {
+                    long period = WINDOW_MILLIS / size / STEP_MILLIS * STEP_MILLIS;
+                    fleet.killIf(millis % period == 0, (int) (millis / period % size));
+                    fleet.killAllIf(millis == WINDOW_MILLIS / 2);
+                }
+                case CUT_INTO_HALVES -> cut(fleet, millis, (size + 1) / 2);
+                case CUT_INTO_PAIRS -> cut(fleet, millis, 2);
+                case CUT_INTO_SINGLES -> cut(fleet, millis, 1);
+                case HINTS_LOST -> {
+                    fleet.hintLoss = 0.5;
+                    fleet.killAllIf(millis % 4_000 == 0);
+                }
+                case CALLERS_MOVE -> fleet.firstUsed += millis % 2_000 == 0 ? fleet.used : 0;
+                default -> {}
+            }
+        }
+
+        private static void cut(Fleet fleet, long millis, int groupSize) {
+            if (millis == 0) {
+                fleet.split(groupSize);
+            }
+            fleet.killAllIf(millis % 5_000 == 1_000);
+        }
+    }
+
+    /** Returns fleets of users' sizes (routers, those that callers use, the fixed number, requests a second). */
+    @DataProvider
+    public Object[][] fleetsAndFaults() {
+        return Arrays.stream(Fault.values())
+                .flatMap(f -> IntStream.range(0, 5).mapToObj(i -> switch (i) {
+                    case 0 -> new Object[] {f, 7, 7, 54.0, 37.0};
+                    case 1 -> new Object[] {f, 8, 8, 56.0, 50.0};
+                    case 2 -> new Object[] {f, 68, 68, 176.0, 350.0};
+                    case 3 -> new Object[] {f, 68, 8, 176.0, 350.0};
+                    default -> new Object[] {f, 95, 95, 230.0, 500.0};
+                }))
+                .toArray(Object[][]::new);
+    }
+
+    /**
+     * Guards against replicas that get more retries than allowed since each life, or group, of routers has a budget.
+     */
+    @Test(dataProvider = "fleetsAndFaults", groups = "known-red")
+    public void allLivesOfAllRoutersKeepTheBudget(Fault fault, int size, int used, double slack, double perSecond) {
+        Fleet fleet = new Fleet(size, used, slack);
+        while (fleet.now() < END_MILLIS) {
+            if (fleet.now() >= FIRST_FAULT_MILLIS) {
+                fault.step(fleet, fleet.now() - FIRST_FAULT_MILLIS);
+            }
+            fleet.step(perSecond * STEP_MILLIS / 1_000);
+        }
+        fleet.assertWithinBudget();
+    }
+}
