An attempt whose replica is silent stays open until another replica answers

What callers saw: a stream that was cut in the middle, or a failure, although its replica was sound and went on after a pause of a second.

Cause: an attempt that was silent for long was closed first, and only then was another one sent. If the other replica refused, was misdirected, broke off or was not reached, or the budget had been spent meanwhile, nothing was left; for a stream that had begun, the caller's connection was closed without the end of the answer. Class: something certain is given up for something hoped for.

Ruled out: the budget alone, which was asked before (pausedStreamContinuesWhenNoRetryIsAllowed); that only streams are concerned: a plain idempotent request got 502 for the answer that came after a second.

Change: OpenAttempts keeps the silent attempt beside the latest one. The first that answers wins and the other is cancelled; if the latest one fails and none may follow, the request goes on with the silent one. Of a stream both hold for 250 ms at most, counted from the send to the second. A stream waits for 1.5 s, as long as a sound replica may be silent (0.75 s and 1 s before, at the users' targets), and is not handed to another router because of a silence once it has begun. Exchange is split: ExchangeLog, FinalAnswer, SilenceWatch.

Before: 20 of 20 rows of SilentReplicaTest red, after: green (16 streams that pause for 1 to 2 s before the head, after it, between events, inside one; four plain requests). SilenceTimeoutsTest: the two rows of streams that may be retried say 1,500 ms instead of 1,200 and 1,000, the new bound. Also green: RouterStreamsTest, RouterPathTest, ReplicaFaultsTest, CrashingRequestTest.

--- a/core/src/main/java/org/hornbeamhead/core/forward/ForwardingState.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/ForwardingState.java
@@ -105,6 +105,11 @@
         possibleExecutions++;
     }
 
+    /** Records that an attempt which was recorded as silent goes on; its end will be recorded again. */
+    public void attemptGoesOn() {
+        possibleExecutions--;
+    }
+
     private boolean mayRetry(AttemptOutcome outcome) {
         if (outcome.mayHaveExecuted()) {
             return route.repeatable() && possibleExecutions < route.limits().maxAttempts();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -1,6 +1,5 @@
 package org.hornbeamhead.gateway.dispatch;
 
-import com.google.common.flogger.FluentLogger;
 import io.activej.promise.Promise;
 import java.util.List;
 import java.util.Optional;
@@ -10,7 +9,6 @@
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.stream.CorruptStreamException;
 import org.hornbeamhead.core.stream.EventSplitter;
-import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.path.ReplicaPaths;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.NoConnectionException;
@@ -20,7 +18,6 @@
 
 /** One attempt to run a request at one replica. */
 final class Attempt implements ResponseListener {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /**
      * The longest idle time of a reused connection; the replica may close one that was idle for longer just as the
      * request is written.
@@ -34,11 +31,6 @@
      * one whose connection has just become silent.
      */
     private static final int MIN_CONNECTIONS = 2;
-    /**
-     * How long a replica may send nothing before it counts as silent; busy engines send an event every tenth of a
-     * second.
-     */
-    private static final long SILENCE_THRESHOLD_MILLIS = 500;
     /** The lowest status that reports a failure of the replica itself (5xx). */
     private static final int MIN_SERVER_ERROR = 500;
     /** The status with which a replica turns a request away that it has no room for. */
@@ -51,6 +43,7 @@
     private final AttemptTimers timers;
     private final AttemptRequest request;
     private final AnswerSurvival survival;
+    private final SilenceWatch silence;
     private ReplicaConnection connection;
     private ResponseHead head;
     private ReplicaResponseInfo responseInfo;
@@ -59,7 +52,6 @@
     private boolean sent;
     private long sentAt;
     private boolean ended;
-    private long lastHeardAt;
 
     Attempt(Exchange exchange, Target target) {
         this.exchange = exchange;
@@ -69,6 +61,7 @@
         this.timers = new AttemptTimers(exchange.dispatcher().reactor());
         this.survival = new AnswerSurvival(
                 exchange.dispatcher().reactor(), exchange.dispatcher().clock(), exchange.content());
+        this.silence = new SilenceWatch(exchange, this, timers);
     }
 
     Target target() {
@@ -97,7 +90,12 @@
 
     /** Returns whether the request was sent and nothing has been received for longer than the silence threshold. */
     boolean isSilent() {
-        return sent && !ended && now() - lastHeardAt > SILENCE_THRESHOLD_MILLIS;
+        return sent && !ended && silence.isSilent();
+    }
+
+    /** Waits on for the replica after it was silent. */
+    void goOn() {
+        silence.goOn("no other replica has taken over");
     }
 
     void start() {
@@ -164,33 +162,15 @@
         sent = true;
         sentAt = now();
         exchange.dispatcher().replicaLimits().recordSend(replica);
-        lastHeardAt = sentAt;
         ForwardingOptions options = exchange.forwardingOptions(target);
         request.logSent(options);
-        armSilenceTimer(request.silenceTimeouts().firstByteMillis());
+        silence.start(request.silenceTimeouts());
         request.modelVersion()
                 .ifPresent(v -> timers.setWeightsWatch(
                         exchange.dispatcher().weightsExpiry().watch(v, this::cancelExpired)));
-        timers.startProbeTimer(request.silenceTimeouts().probeDelayMillis(), this::probeReplica);
-        timers.startPathTimer(request.silenceTimeouts().pathDelayMillis(), this::recordSilence);
         acquired.send(request.message(options), request.method(), request::matchesResponse, this);
-    }
-
-    /**
-     * Probes the replica when no response has arrived within the predicted time; it may have failed without any sign.
-     */
-    private void probeReplica() {
-        if (!ended && head == null) {
-            replica.connections().probe(() -> {
-                replica.guard().recordConnectFailure(now());
-                exchange.dispatcher().paths().recordFailure(replica, ReplicaPaths.Failure.NOT_CONNECTED);
-            });
-        }
-    }
-
-    private void recordSilence() {
-        if (!ended && head == null) {
-            exchange.dispatcher().paths().recordFailure(replica, ReplicaPaths.Failure.SILENT);
+        if (exchange.isStreaming()) {
+            exchange.attempts().limitOverlap();
         }
     }
 
@@ -203,37 +183,9 @@
         end(AttemptOutcome.SILENT, "not begun when the weights went out of use", Optional.empty());
     }
 
-    /**
-     * Starts the silence timer. When it expires, the attempt is abandoned if another replica can take over; otherwise
-     * the timer is restarted.
-     *
-     * <p>An engine may pause for longer than its stream should after the retry budget is used up. Abandoning the
-     * attempt would then cut off a response that the engine would still have completed, so silence alone never ends an
-     * attempt.
-     */
-    private void armSilenceTimer(long millis) {
-        timers.restartSilenceTimer(millis, () -> {
-            if (exchange.canRetryNow()) {
-                endAsSilent(millis);
-            } else {
-                logger.atInfo()
-                        .with(Logs.REQUEST, request.id())
-                        .with(Logs.DECISION, "waits on")
-                        .with(Logs.REASON, "silent for " + millis + " ms, and no other replica can take over")
-                        .log("attempt continues without a response");
-                armSilenceTimer(millis);
-            }
-        });
-    }
-
-    private void endAsSilent(long millis) {
-        replica.connections().closeIdle();
-        closeAndEnd(AttemptOutcome.SILENT, "silent for " + millis + " ms");
-    }
-
     @Override
     public void onHead(ResponseHead received) {
-        recordContact();
+        silence.recordContact();
         head = received;
         responseInfo = exchange.dispatcher().statements().observe(replica, received, sentAt, request.id());
         if (!responseInfo.isAttributable()
@@ -253,7 +205,7 @@
      */
     @Override
     public Promise<Void> onBody(byte[] bytes) {
-        recordContact();
+        silence.recordContact();
         if (ended || bytes.length == 0) {
             return Promise.complete();
         }
@@ -273,18 +225,14 @@
         return events.isEmpty() ? Promise.complete() : relay(events);
     }
 
-    private void recordContact() {
-        lastHeardAt = now();
-        exchange.dispatcher().paths().recordContact(replica);
-    }
-
     private Promise<Void> relay(List<EventSplitter.Event> events) {
         replica.load().recordFirstEvent(request.id(), now());
-        armSilenceTimer(request.silenceTimeouts().pauseMillis());
+        silence.restart(request.silenceTimeouts().pauseMillis());
         byte[] newEvents = exchange.progress().newEvents(events);
         if (newEvents.length == 0) {
             return Promise.complete();
         }
+        exchange.attempts().answered(this);
         exchange.recordRelay(replica);
         exchange.beginResponse(head, replica);
         return exchange.response().write(newEvents);
@@ -343,6 +291,7 @@
 
     private void deliver() {
         stop();
+        exchange.attempts().answered(this);
         replica.guard().recordSuccess();
         replica.brittleLimit().recordCompletion();
         exchange.content().recordCompletion();
@@ -387,7 +336,7 @@
             target.engineChoice()
                     .ifPresent(c -> exchange.dispatcher().targetSelector().recordRefused(replica, c));
         }
-        exchange.attemptEnded(outcome, reason, failure);
+        exchange.attemptEnded(this, outcome, reason, failure);
     }
 
     /** Cancels the attempt by closing its connection, which makes the replica stop. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -1,8 +1,8 @@
 package org.hornbeamhead.gateway.dispatch;
 
-import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -17,14 +17,12 @@
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RequestKind;
-import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.caller.CallerResponse;
 import org.hornbeamhead.gateway.path.RelayHeaders;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 
 /** The handling of one request from its arrival to the final response, over one or more attempts. */
 final class Exchange {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /**
      * The least remaining time for a new attempt. A later one could hardly complete, and would only occupy a slot at a
      * replica.
@@ -46,10 +44,11 @@
     private final long deadline;
     private final StreamProgress progress;
     private final StreamTimings timings = new StreamTimings();
+    private final OpenAttempts attempts;
+    private final ExchangeLog log;
+    private final FinalAnswer answer;
     private ScheduledRunnable deadlineTimer;
-    private Attempt attempt;
     private int notConnected;
-    private Optional<AttemptOutcome> firstLoss = Optional.empty();
     private boolean finished;
 
     /**
@@ -75,6 +74,9 @@
         this.deadline = serviceRequest.routed().deadline();
         this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId(), software);
         this.scope = new ReplicaScope(serviceRequest.service().name(), progress);
+        this.attempts = new OpenAttempts(dispatcher.reactor(), forwarding);
+        this.log = new ExchangeLog(dispatcher, serviceRequest, scope, content);
+        this.answer = new FinalAnswer(dispatcher, serviceRequest, response, forwarding);
     }
 
     void start() {
@@ -91,18 +93,16 @@
     private void startNextAttempt() {
         OptionalLong quarantineMillis = content.admitAttempt();
         if (quarantineMillis.isPresent()) {
-            rejectQuarantined(quarantineMillis.getAsLong());
+            if (!attempts.goOnWithSilent()) {
+                rejectQuarantined(quarantineMillis.getAsLong());
+            }
             return;
         }
         Optional<Target> target = timeLeftMillis() < MIN_TIME_LEFT_MILLIS
                 ? Optional.empty()
                 : dispatcher.targetSelector().select(serviceRequest, scope);
         if (target.isEmpty()) {
-            if (canHandOver()) {
-                handOver();
-            } else {
-                giveUp(forwarding.responseAtDeadline(false), "no replica can take it", Optional.empty());
-            }
+            giveUpHere();
             return;
         }
         OptionalLong retryMillis = isNew() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
@@ -119,10 +119,23 @@
             return;
         }
         scope.recordTried(target.get().replica());
-        attempt = new Attempt(this, target.get());
+        Attempt attempt = new Attempt(this, target.get());
+        attempts.add(attempt);
         attempt.start();
     }
 
+    /** Ends a request that no replica can take: a stream that has begun goes on where it was, if it still can. */
+    private void giveUpHere() {
+        if (forwarding.hasResponseStarted() && attempts.goOnWithSilent()) {
+            return;
+        }
+        if (canHandOver()) {
+            handOver();
+        } else {
+            giveUp(forwarding.responseAtDeadline(false), "no replica can take it", Optional.empty());
+        }
+    }
+
     /** Returns whether nothing of the request was sent yet, and its caller has no part of the response. */
     private boolean isNew() {
         return scope.triedCount() == 0 && progress.software().isEmpty();
@@ -139,18 +152,40 @@
      * started.
      */
     boolean isAwaitingStart() {
-        return attempt != null && !attempt.hasProcessingStarted();
+        return attempts.anyAwaitingStart();
     }
 
-    /** Cancels the current attempt because the request was quarantined after the attempt began. */
+    /** Cancels the attempts that have not started because the request was quarantined after they began. */
     void cancelQuarantined() {
-        if (attempt.wasSent()) {
-            forwarding.attemptWithdrawn();
-        }
-        attempt.cancel();
-        attempt = null;
+        attempts.cancelAwaitingStart();
         dispatcher.metrics().count("hornbeam_requests_taken_back");
-        rejectQuarantined(content.quarantineMillis().orElse(0));
+        if (attempts.isEmpty()) {
+            rejectQuarantined(content.quarantineMillis().orElse(0));
+        } else {
+            attempts.goOnWithSilent();
+        }
+    }
+
+    /**
+     * Tries another replica beside one that has sent nothing for long.
+     *
+     * @param silent the attempt there, which stays open
+     * @param reason how long it was silent, for the log
+     */
+    void attemptSilent(Attempt silent, String reason) {
+        content.reportLoss(AttemptOutcome.SILENT, silent);
+        if (finished || !attempts.isLatest(silent)) {
+            return;
+        }
+        answer.recordLoss(AttemptOutcome.SILENT);
+        NextStep step = forwarding.nextStep(AttemptOutcome.SILENT, retryConditions());
+        log.attemptEnded(silent, AttemptOutcome.SILENT, reason, step);
+        attempts.keepLatestAsSilent();
+        if (step instanceof NextStep.GiveUp) {
+            attempts.goOnWithSilent();
+        } else {
+            startNextAttempt();
+        }
     }
 
     private OptionalLong admissionRetryMillis(Target target) {
@@ -178,33 +213,25 @@
     /**
      * Handles the end of an attempt that did not produce a complete response.
      *
-     * @param end how the attempt ended
+     * @param lost the attempt
+     * @param end how it ended
      * @param reason why it ended, for the log and the response to the caller
      * @param failure the replica's error response, if it sent one
      */
-    void attemptEnded(AttemptOutcome end, String reason, Optional<BufferedResponse> failure) {
-        LiveReplica replica = attempt.target().replica();
-        Attempt lost = attempt;
-        attempt = null;
+    void attemptEnded(Attempt lost, AttemptOutcome end, String reason, Optional<BufferedResponse> failure) {
+        boolean recorded = attempts.isSilent(lost);
+        attempts.remove(lost);
         if (finished) {
             return;
         }
         notConnected += end == AttemptOutcome.NOT_CONNECTED ? 1 : 0;
-        firstLoss = firstLoss.or(() -> Optional.of(end));
-        ForwardingState.RetryConditions conditions = new ForwardingState.RetryConditions(
-                timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
-                dispatcher.targetSelector().hasUntried(scope) || canHandOver(),
-                () -> dispatcher.retryBudgets().take(serviceRequest.service().name()));
+        answer.recordLoss(end);
         content.reportLoss(end, lost);
-        NextStep step = forwarding.nextStep(end, conditions);
-        dispatcher.metrics().count("hornbeam_attempts_failed", "end", end.name());
-        logger.atInfo()
-                .with(Logs.REQUEST, serviceRequest.callerRequest().id())
-                .with(Logs.REPLICA, replica.entry().id())
-                .with(Logs.DECISION, "attempt " + end)
-                .with(Logs.REASON, reason)
-                .with(Logs.INPUTS, logInputs(end) + " begun=" + lost.hasProcessingStarted() + " next=" + step)
-                .log("attempt ended: %s", end);
+        if (finished || recorded) {
+            return;
+        }
+        NextStep step = forwarding.nextStep(end, retryConditions());
+        log.attemptEnded(lost, end, reason, step);
         if (step instanceof NextStep.GiveUp giveUp) {
             if (giveUp.answer() == FinalResponse.NOT_RUN && !forwarding.wasSent() && canHandOver()) {
                 handOver();
@@ -216,6 +243,13 @@
         }
     }
 
+    private ForwardingState.RetryConditions retryConditions() {
+        return new ForwardingState.RetryConditions(
+                timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
+                dispatcher.targetSelector().hasUntried(scope) || canHandOver(),
+                () -> dispatcher.retryBudgets().take(serviceRequest.service().name()));
+    }
+
     /**
      * Returns whether another router may take the request: this host has no path to the service, or could not connect
      * to any replica that it tried. A request is handed over once; a stream that has begun goes on there.
@@ -252,75 +286,46 @@
                 .start();
     }
 
-    private void giveUp(FinalResponse answer, String reason, Optional<BufferedResponse> failure) {
-        OptionalLong returnMillis = answer == FinalResponse.NOT_RUN
+    private void giveUp(FinalResponse finalAnswer, String reason, Optional<BufferedResponse> failure) {
+        if (attempts.goOnWithSilent()) {
+            return;
+        }
+        OptionalLong returnMillis = finalAnswer == FinalResponse.NOT_RUN
                 ? dispatcher
                         .targetSelector()
                         .bookReturnMillis(scope, serviceRequest.callerRequest().id())
                 : OptionalLong.empty();
         sendFinalAnswer(
-                answer,
+                finalAnswer,
                 returnMillis.isPresent() ? "no replica takes requests now" : reason,
                 failure,
                 returnMillis.orElse(RETRY_AFTER_MILLIS));
     }
 
-    private String logInputs(AttemptOutcome end) {
-        String suspect = end.mayHaveExecuted() ? " " + content.describe() : "";
-        return "millisLeft=" + timeLeftMillis() + " tried=" + scope.triedCount() + " "
-                + dispatcher.retryBudgets().describe(serviceRequest.service().name()) + suspect;
-    }
-
     private void sendFinalAnswer(
             FinalResponse finalAnswer, String reason, Optional<BufferedResponse> failure, long retryAfterMillis) {
         if (finalAnswer == FinalResponse.NOT_RUN) {
             giveBackQuota();
         }
         finish(finalAnswer.name());
-        if (finalAnswer == FinalResponse.BROKEN_OFF) {
-            dispatcher
-                    .metrics()
-                    .count(
-                            "hornbeam_answers_cut",
-                            "cause",
-                            firstLoss.map(AttemptOutcome::name).orElse("DEADLINE"));
-            response.abort();
-        } else if (finalAnswer == FinalResponse.REPLICA_FAILURE && failure.isPresent()) {
-            failure.get().sendTo(response);
-        } else if (finalAnswer == FinalResponse.NOT_RUN) {
-            if (serviceRequest.routed().origin().isPresent()
-                    && !forwarding.wasSent()
-                    && dispatcher.paths().isLost(serviceRequest.service().name())) {
-                dispatcher.answers().decline(serviceRequest.callerRequest(), response, "no path to the service");
-                return;
-            }
-            dispatcher.answers().rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryAfterMillis);
-        } else {
-            dispatcher
-                    .answers()
-                    .respond(serviceRequest.callerRequest(), response, statusOf(finalAnswer), reason, Headers.NONE);
-        }
-    }
-
-    private static int statusOf(FinalResponse finalAnswer) {
-        return finalAnswer.status() == 0 ? FinalResponse.OUTCOME_UNKNOWN.status() : finalAnswer.status();
+        answer.send(finalAnswer, reason, failure, retryAfterMillis);
     }
 
     private void deadlineExpired() {
         if (finished) {
             return;
         }
-        FinalResponse finalAnswer = forwarding.responseAtDeadline(attempt != null && attempt.wasSent());
-        stopAttempt();
+        FinalResponse finalAnswer = forwarding.responseAtDeadline(attempts.anySent());
+        stopAttempts();
         sendFinalAnswer(finalAnswer, "its time is over", Optional.empty(), RETRY_AFTER_MILLIS);
     }
 
     private void callerDisconnected() {
         if (!finished) {
-            if (forwarding.responseAtDeadline(attempt != null && attempt.wasSent()) == FinalResponse.NOT_RUN) {
+            if (forwarding.responseAtDeadline(attempts.anySent()) == FinalResponse.NOT_RUN) {
                 giveBackQuota();
             }
-            stopAttempt();
+            stopAttempts();
             finish("CALLER_GONE");
         }
     }
@@ -334,17 +339,11 @@
                         serviceRequest.callerRequest().tokenCount());
     }
 
-    private void stopAttempt() {
-        if (attempt == null) {
-            return;
-        }
-        // The report of a silent replica may quarantine this request, which cancels the attempt in progress.
-        Attempt stopped = attempt;
-        attempt = null;
-        if (stopped.isSilent()) {
-            content.reportSilence(stopped);
-        }
-        stopped.cancel();
+    private void stopAttempts() {
+        // The report of a silent replica may quarantine this request, which cancels the attempts in progress.
+        List<Attempt> stopped = attempts.removeAll();
+        stopped.stream().filter(Attempt::isSilent).forEach(content::reportSilence);
+        stopped.forEach(Attempt::cancel);
     }
 
     /** Sends the response head to the caller, unless it was sent already. */
@@ -388,7 +387,7 @@
     }
 
     void responseDelivered(String outcome) {
-        attempt = null;
+        attempts.removeAll();
         finish(outcome);
     }
 
@@ -399,32 +398,8 @@
             dispatcher.resumptions().streamEnded(serviceRequest);
         }
         deadlineTimer.cancel();
-        dispatcher
-                .metrics()
-                .time(
-                        "hornbeam_requests",
-                        elapsed(),
-                        "route",
-                        serviceRequest.route().name(),
-                        "outcome",
-                        outcome);
-        logger.atInfo()
-                .with(Logs.REQUEST, serviceRequest.callerRequest().id())
-                .with(Logs.DECISION, "ended " + outcome)
-                .with(Logs.INPUTS, summary())
-                .log("request ended: %s", outcome);
-    }
-
-    /** Returns a summary of the request and its course, for the log. */
-    private String summary() {
-        String tokens = serviceRequest
-                .callerRequest()
-                .prompt()
-                .map(p -> " tokens=" + p.sharedTokens() + "+" + (p.tokens() - p.sharedTokens()) + ">"
-                        + p.maxOutputTokens())
-                .orElse("");
-        return "route=" + serviceRequest.route().name() + tokens + timings + " millis="
-                + elapsed().toMillis() + " tried=" + scope;
+        log.requestEnded(outcome, timings);
+        stopAttempts();
     }
 
     private Duration elapsed() {
@@ -451,6 +426,10 @@
         return dispatcher;
     }
 
+    OpenAttempts attempts() {
+        return attempts;
+    }
+
     StreamProgress progress() {
         return progress;
     }
@@ -471,7 +450,7 @@
                 && dispatcher
                         .retryBudgets()
                         .isAvailable(serviceRequest.service().name())
-                && (canHandOver()
+                && ((canHandOver() && !forwarding.hasResponseStarted())
                         || dispatcher
                                 .targetSelector()
                                 .select(serviceRequest, scope)
--- /dev/null
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
@@ -0,0 +1,78 @@
+package org.hornbeamhead.gateway.dispatch;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import org.hornbeamhead.core.forward.AttemptOutcome;
+import org.hornbeamhead.core.forward.NextStep;
+import org.hornbeamhead.daemon.Logs;
+
+/** Logs and counts the attempts at one request and its end. */
+final class ExchangeLog {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final Dispatcher dispatcher;
+    private final ServiceRequest serviceRequest;
+    private final ReplicaScope scope;
+    private final RequestContent content;
+
+    ExchangeLog(Dispatcher dispatcher, ServiceRequest serviceRequest, ReplicaScope scope, RequestContent content) {
+        this.dispatcher = dispatcher;
+        this.serviceRequest = serviceRequest;
+        this.scope = scope;
+        this.content = content;
+    }
+
+    /** Logs that an attempt failed or fell silent, and what follows. */
+    void attemptEnded(Attempt attempt, AttemptOutcome end, String reason, NextStep step) {
+        dispatcher.metrics().count("hornbeam_attempts_failed", "end", end.name());
+        logger.atInfo()
+                .with(Logs.REQUEST, serviceRequest.callerRequest().id())
+                .with(Logs.REPLICA, attempt.target().replica().entry().id())
+                .with(Logs.DECISION, "attempt " + end)
+                .with(Logs.REASON, reason)
+                .with(
+                        Logs.INPUTS,
+                        "millisLeft=" + (serviceRequest.routed().deadline() - now()) + " tried=" + scope.triedCount()
+                                + " "
+                                + dispatcher
+                                        .retryBudgets()
+                                        .describe(serviceRequest.service().name())
+                                + (end.mayHaveExecuted() ? " " + content.describe() : "")
+                                + " begun=" + attempt.hasProcessingStarted() + " next=" + step)
+                .log("attempt ended: %s", end);
+    }
+
+    /** Logs that the response is complete or given up. */
+    void requestEnded(String outcome, StreamTimings timings) {
+        Duration elapsed = Duration.ofMillis(now() - serviceRequest.routed().arrivedAt());
+        dispatcher
+                .metrics()
+                .time(
+                        "hornbeam_requests",
+                        elapsed,
+                        "route",
+                        serviceRequest.route().name(),
+                        "outcome",
+                        outcome);
+        logger.atInfo()
+                .with(Logs.REQUEST, serviceRequest.callerRequest().id())
+                .with(Logs.DECISION, "ended " + outcome)
+                .with(Logs.INPUTS, summary(timings, elapsed))
+                .log("request ended: %s", outcome);
+    }
+
+    private String summary(StreamTimings timings, Duration elapsed) {
+        String tokens = serviceRequest
+                .callerRequest()
+                .prompt()
+                .map(p -> " tokens=" + p.sharedTokens() + "+" + (p.tokens() - p.sharedTokens()) + ">"
+                        + p.maxOutputTokens())
+                .orElse("");
+        return "route=" + serviceRequest.route().name() + tokens + timings + " millis=" + elapsed.toMillis() + " tried="
+                + scope;
+    }
+
+    private long now() {
+        return dispatcher.clock().monotonicMillis();
+    }
+}
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/SilenceTimeouts.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/SilenceTimeouts.java
@@ -5,9 +5,9 @@
 /**
  * The timeouts for an attempt whose replica sends nothing.
  *
- * <p>A replica or its connection can fail without any sign, and the caller would then wait until its own deadline. An
- * attempt that can be retried on another replica is abandoned while a response from there would still be useful; one
- * that cannot be retried is never abandoned because of silence.
+ * <p>A replica or its connection can fail without any sign, and the caller would then wait until its own deadline.
+ * Another replica is therefore tried while a response from there would still be useful, unless the request cannot be
+ * retried. A stream waits for as long as a sound replica may be silent, since such a pause makes it late at most.
  *
  * @param limits the limits of the route
  * @param streaming whether the response is a stream
@@ -35,7 +35,7 @@
     private static final double PAUSE_MULTIPLE = 2;
 
     /**
-     * Returns the time after which an attempt without any response is abandoned.
+     * Returns the time after which another replica is tried beside an attempt without any response.
      *
      * @return the time since sending, in milliseconds
      */
@@ -45,7 +45,9 @@
         }
         long target = limits.latencyTargetMillis();
         return streaming
-                ? (long) Math.max(target * STREAM_TARGET_MULTIPLE, predictedMillis * PREDICTION_MULTIPLE)
+                ? (long) Math.max(
+                        SOUND_SILENCE_MILLIS,
+                        Math.max(target * STREAM_TARGET_MULTIPLE, predictedMillis * PREDICTION_MULTIPLE))
                 : (long) (target * TARGET_FRACTION);
     }
 
@@ -68,12 +70,12 @@
     }
 
     /**
-     * Returns the time after which a stream that has begun is abandoned.
+     * Returns the time after which another replica is tried beside a stream that has begun.
      *
      * @return the time since the last event, in milliseconds
      */
     long pauseMillis() {
         long pause = limits.gapTargetMillis();
-        return canRetry && pause > 0 ? (long) (pause * PAUSE_MULTIPLE) : UNLIMITED;
+        return canRetry && pause > 0 ? Math.max(SOUND_SILENCE_MILLIS, (long) (pause * PAUSE_MULTIPLE)) : UNLIMITED;
     }
 }
