The limits for callers follow the configuration on connections that are open

What callers saw: after a change that raised the idle timeout, a request on a connection that had been idle for longer than the old one met a closed connection; after one that raised a size, a request within it got 413 or 431, which callers do not repeat.

Cause: the limits were read once, when a connection was accepted, while callers reuse connections and go by the newest configuration. Class: a value that others may change is read once and kept.

Change: a connection goes by the larger of the limits in force when it became idle and those in force now. The idle timeout is looked up again when its timer expires, sizes and the header timeout when a request begins to arrive; a lowered limit thus binds no request that crosses the change. Connections of other routers do so with the limits for routers.

--- a/core/src/main/java/org/hornbeamhead/core/route/CallerLimits.java
+++ b/core/src/main/java/org/hornbeamhead/core/route/CallerLimits.java
@@ -23,4 +23,18 @@
         return new CallerLimits(
                 maxHeaderBytes + RELAY_HEADER_BYTES, maxBodyBytes, headerTimeoutMillis, ROUTER_IDLE_TIMEOUT_MILLIS);
     }
+
+    /**
+     * Returns limits within which a request is that keeps to either of two limits.
+     *
+     * @param other the other limits
+     * @return the larger value of each limit
+     */
+    public CallerLimits max(CallerLimits other) {
+        return new CallerLimits(
+                Math.max(maxHeaderBytes, other.maxHeaderBytes),
+                Math.max(maxBodyBytes, other.maxBodyBytes),
+                Math.max(headerTimeoutMillis, other.headerTimeoutMillis),
+                Math.max(idleTimeoutMillis, other.idleTimeoutMillis));
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.hornbeamhead.core.http.BadMessageException;
 import org.hornbeamhead.core.http.Bytes;
 import org.hornbeamhead.core.http.Headers;
@@ -33,8 +34,10 @@
     private final ITcpSocket socket;
     private final CallerServer server;
     private final CallerHandler handler;
-    private final RequestReader reader;
-    private final CallerLimits limits;
+    private final Supplier<CallerLimits> currentLimits;
+    private CallerLimits limits;
+    private RequestReader reader;
+    private long idleSince;
     private ScheduledRunnable timer;
     private byte[] pipelined = new byte[0];
     private ResponseWriter response;
@@ -43,17 +46,20 @@
     private boolean readPaused;
 
     CallerConnection(
-            NioReactor reactor, ITcpSocket socket, CallerServer server, CallerHandler handler, CallerLimits limits) {
+            NioReactor reactor,
+            ITcpSocket socket,
+            CallerServer server,
+            CallerHandler handler,
+            Supplier<CallerLimits> currentLimits) {
         this.reactor = reactor;
         this.socket = socket;
         this.server = server;
         this.handler = handler;
-        this.limits = limits;
-        this.reader = new RequestReader(limits.maxHeaderBytes(), limits.maxBodyBytes());
+        this.currentLimits = currentLimits;
     }
 
     void start() {
-        startIdleTimer();
+        becomeIdle();
         read();
     }
 
@@ -96,6 +102,10 @@
     private void parse(byte[] bytes) {
         Bytes input = Bytes.of(bytes);
         boolean startsRequest = !reader.insideRequest();
+        if (startsRequest) {
+            widenLimits();
+            reader = newReader();
+        }
         Optional<WholeRequest> request;
         try {
             request = reader.feed(input);
@@ -148,7 +158,7 @@
             finish();
             return;
         }
-        startIdleTimer();
+        becomeIdle();
         byte[] nextBytes = pipelined;
         pipelined = new byte[0];
         if (nextBytes.length > 0) {
@@ -207,8 +217,30 @@
         }
     }
 
-    private void startIdleTimer() {
-        startTimer(limits.idleTimeoutMillis(), this::closeIdle);
+    private void becomeIdle() {
+        idleSince = reactor.currentTimeMillis();
+        limits = currentLimits.get();
+        reader = newReader();
+        startTimer(limits.idleTimeoutMillis(), this::idleTimerExpired);
+    }
+
+    private void idleTimerExpired() {
+        widenLimits();
+        long remaining = idleSince + limits.idleTimeoutMillis() - reactor.currentTimeMillis();
+        if (remaining > 0) {
+            startTimer(remaining, this::idleTimerExpired);
+        } else {
+            closeIdle();
+        }
+    }
+
+    private RequestReader newReader() {
+        return new RequestReader(limits.maxHeaderBytes(), limits.maxBodyBytes());
+    }
+
+    /** A caller may know the limits in force now, or only those in force when its last request ended. */
+    private void widenLimits() {
+        limits = limits.max(currentLimits.get());
     }
 
     private void startTimer(long millis, Runnable action) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -46,7 +46,7 @@
      * @param reactor the reactor of the current thread
      * @param clock the clock
      * @param handler handles the requests
-     * @param limits the limits for callers, read for each new connection
+     * @param limits the limits for callers by the configuration in force
      * @param metrics the metrics of the process
      */
     public CallerServer(
@@ -65,7 +65,7 @@
      * @throws IOException if the address cannot be bound
      */
     public void listen(InetSocketAddress address) throws IOException {
-        listen(address, s -> accept(s, handler, limits.get()));
+        listen(address, s -> accept(s, handler, limits));
         stallDetector.start();
     }
 
@@ -92,10 +92,8 @@
                 metrics.count("hornbeam_relay_connections_declined");
                 logger.atWarning().log("requests from %s, where no router is listed, are declined", host);
             }
-            accept(
-                    socket,
-                    trusted ? relayHandler : decliningHandler,
-                    limits.get().forRouters());
+            accept(socket, trusted ? relayHandler : decliningHandler, () -> limits.get()
+                    .forRouters());
         });
     }
 
@@ -107,7 +105,7 @@
         servers.add(server);
     }
 
-    private void accept(ITcpSocket socket, CallerHandler requestHandler, CallerLimits connectionLimits) {
+    private void accept(ITcpSocket socket, CallerHandler requestHandler, Supplier<CallerLimits> connectionLimits) {
         CallerConnection connection = new CallerConnection(reactor, socket, this, requestHandler, connectionLimits);
         openConnections.add(connection);
         connection.start();
