Soak: routers state the first start of the system, and no other start

The settings of the soak's routers did not name first-start, which means false: all routers began as if others had sent retries before, with an empty retry budget, also at the start of the system. Now it is true at the first start of each router, which all make together, and absent after a kill or a stop, so that a run checks full budgets and lives that begin with none.

--- a/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
@@ -23,6 +23,8 @@
     private final String name;
     private final Path log;
     private final int[] ports = new int[PORTS];
+    private final Path settings;
+    private final String restartSettings;
     private final ProcessBuilder builder;
     private Process process;
     private int started;
@@ -33,8 +35,8 @@
             ports[i] = StandinPorts.drawFreePort();
         }
         log = directory.resolve(name + ".log");
-        Path settings = directory.resolve(name + ".ini");
-        Files.writeString(settings, StandinDocuments.settings(name, ports, "127.0.0.1:" + storePort, seeds));
+        settings = directory.resolve(name + ".ini");
+        restartSettings = StandinDocuments.settings(name, ports, "127.0.0.1:" + storePort, seeds);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         builder = new ProcessBuilder(
                 java,
@@ -53,11 +55,16 @@
 
     synchronized void start() throws IOException {
         if (process == null || !process.isAlive()) {
+            Files.writeString(settings, started == 0 ? atFirstStart(restartSettings) : restartSettings);
             process = builder.start();
             started++;
         }
     }
 
+    private static String atFirstStart(String settings) {
+        return settings.replace("[router]\n", "[router]\nfirst-start = true\n");
+    }
+
     String name() {
         return name;
     }
