Soak: sound replicas that are silent and go on, and two promises about silences and repeats

Guarded: streams that are cut because their replica, though sound, was silent for up to two seconds; retries of all routers and of all their lives beyond the budget.

A pause excuses nothing in other promises, but for the time at which waiting requests come to the replica, as REPLICA_SILENT.

"silence cuts nothing": no stream ends early at which a pause alone happened. "budget" looks at windows that begin with a repeat, too, not only at those that end with one, and counts requests that an engine turns away with 421, which it did not note.

PromisesTest has histories that break each, and the like that do not (a new row is red only in a window that begins with the repeats).

--- a/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
@@ -38,7 +38,7 @@
                 case STORE -> noted(f, History.STORE, () -> store(f));
                 case STORE_LINK -> noted(f, routerOf(f).name(), () -> link(fleet.storeLink(f.index()), f));
                 case PATH -> noted(f, routerOf(f).name(), () -> path(f));
-                case REPLICA -> replica(f);
+                case REPLICA, FROZEN_REPLICA -> replica(f);
                 case OPERATORS -> operators(f);
             }
         } catch (IOException e) {
@@ -148,6 +148,11 @@
                     Thread.sleep(f.lasting());
                     r.grey(false);
                 }
+                case REPLICA_FROZEN -> {
+                    r.freeze(true);
+                    Thread.sleep(f.lasting());
+                    r.freeze(false);
+                }
                 case REPLICA_LEAVES -> fleet.replace(r, f.lasting() + START_MILLIS);
                 default -> link(r.link(), f);
             }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
@@ -34,6 +34,8 @@
             number("announcing", "replicas at a time that leave by their answers or ask for pauses", 1);
     private final OptionSpec<Integer> lostPaths =
             number("lost-paths", "how often a router loses its path to all replicas", 2);
+    private final OptionSpec<Integer> pausing = number(
+            "pausing", "sound replicas at a time that are silent for up to two seconds and go on, over and over", 1);
     private final OptionSpec<Integer> brittle =
             number("brittle", "1: the replicas of one service at a time are brittle; 0: none are", 1);
     private final OptionSpec<Integer> resuming = number(
@@ -95,6 +97,7 @@
                 options.valueOf(limiting),
                 options.valueOf(announcing),
                 options.valueOf(lostPaths),
+                options.valueOf(pausing),
                 options.valueOf(brittle) > 0,
                 options.valueOf(resuming));
         Path directory = Files.createTempDirectory("hornbeam-soak-" + runSeed + "-");
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -43,6 +43,7 @@
     private final Random random;
     private final Consumer<SoakReplica> onEnd;
     private volatile boolean grey;
+    private volatile boolean frozen;
     private volatile OptionalDouble limit = OptionalDouble.empty();
     private volatile long pauseMillis;
     private volatile long brittleSince;
@@ -71,7 +72,7 @@
                 weights,
                 this::work,
                 o -> history.add(new History.Ordered(id, o.holder(), o.fence(), o.accepted(), clock.millis())));
-        this.replica = new StandinReplica(id, engine);
+        this.replica = new StandinReplica(id, this::receive);
         this.link = new StandinLink(replica::port);
     }
 
@@ -96,6 +97,19 @@
         grey = now;
     }
 
+    /** Stands still like a process that is stopped, or goes on: nothing comes from it, and what comes to it waits. */
+    void freeze(boolean now) {
+        frozen = now;
+        link.setMode(now ? StandinLink.Mode.SILENT : StandinLink.Mode.HEALTHY);
+    }
+
+    private void sleep(long millis) throws InterruptedException {
+        Thread.sleep(millis);
+        while (frozen) {
+            Thread.sleep(EVENT_MILLIS);
+        }
+    }
+
     /** States a request limit in its answers from now on, or none. */
     void limit(OptionalDouble requestsPerSecond) {
         limit = requestsPerSecond;
@@ -156,6 +170,20 @@
         to.write(withHeader(withNotices(r, StandinReplica.notExecuted(503)), "Retry-After: " + millis / 1_000.0));
     }
 
+    /** Notes what the engine turns away, too: it has come to the replica. */
+    private void receive(StandinReplica.ReceivedRequest r, StandinReplica.Connection to)
+            throws IOException, InterruptedException {
+        if (r.expectedWeights() != 0 && r.expectedWeights() != engine.version()) {
+            history.add(arrival(r, false));
+        }
+        engine.answer(r, to);
+    }
+
+    private History.Arrived arrival(StandinReplica.ReceivedRequest r, boolean runs) {
+        return new History.Arrived(
+                r.id(), id(), service, r.customer(), r.cacheSalt(), r.expectedWeights(), runs, clock.millis());
+    }
+
     private void work(StandinReplica.ReceivedRequest r, StandinReplica.Connection to)
             throws IOException, InterruptedException {
         try {
@@ -173,8 +201,7 @@
     }
 
     private void reject(StandinReplica.ReceivedRequest r, StandinReplica.Connection to, int borne) throws IOException {
-        history.add(new History.Arrived(
-                r.id(), id(), service, r.customer(), r.cacheSalt(), r.expectedWeights(), false, clock.millis()));
+        history.add(arrival(r, false));
         to.write(withNotices(r, StandinReplica.notExecuted(503)));
         // For some time after the first statement more are borne, since routers cannot know it yet.
         if (isRejectionTooMany(borne) && clock.millis() - brittleSince > NOTICE_MILLIS) {
@@ -190,8 +217,7 @@
         Failure failure = fails ? Failure.values()[how] : Failure.NONE;
         long pause = pauseMillis;
         boolean runs = failure != Failure.REFUSES && pause == 0;
-        history.add(new History.Arrived(
-                r.id(), id(), service, r.customer(), r.cacheSalt(), r.expectedWeights(), runs, clock.millis()));
+        history.add(arrival(r, runs));
         if (pause > 0) {
             turnAway(r, to, pause);
             return;
@@ -200,7 +226,7 @@
             end(r, to);
             return;
         }
-        Thread.sleep(random.nextInt(MAX_WORK_MILLIS));
+        sleep(random.nextInt(MAX_WORK_MILLIS));
         if (failure == Failure.REFUSES) {
             to.write(withNotices(r, StandinReplica.notExecuted(503)));
         } else if (failure == Failure.LOSES) {
@@ -256,7 +282,7 @@
                 return;
             }
             to.write(StandinReplica.chunk(event));
-            Thread.sleep(EVENT_MILLIS);
+            sleep(EVENT_MILLIS);
         }
         to.write("0\r\n\r\n");
     }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -38,7 +38,8 @@
                 settings.seconds() * 1_000L,
                 settings.routers(),
                 settings.replicas(),
-                settings.lostPaths());
+                settings.lostPaths(),
+                settings.pausing());
         History history = new History();
         Stopwatch clock = new Stopwatch();
         ExecutorService threads = Executors.newCachedThreadPool();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
@@ -1,5 +1,7 @@
 package org.hornbeamhead.soak;
 
+import java.util.stream.IntStream;
+
 /**
  * The size of a run.
  *
@@ -12,6 +14,7 @@
  * @param limiting replicas that state a request limit
  * @param announcing replicas at a time that leave by their answers, or ask for pauses
  * @param lostPaths how often a router loses its path to all replicas
+ * @param pausing sound replicas at a time that stand still for up to two seconds and go on
  * @param brittle whether the replicas of one service at a time are brittle
  * @param resuming callers that leave streams and resume them, while engines of two software versions are rolled
  */
@@ -25,24 +28,20 @@
         int limiting,
         int announcing,
         int lostPaths,
+        int pausing,
         boolean brittle,
         int resuming) {
     SoakSettings {
         if (seconds < 1 || routers < 1 || replicas < 6 || callers < 1) {
             throw new IllegalArgumentException("a run needs a second, a router, six replicas and a caller at least");
         }
-        if (limiting < 0 || limiting > replicas) {
-            throw new IllegalArgumentException(limiting + " of " + replicas + " replicas cannot state a limit");
-        }
-        if (announcing < 0 || announcing > replicas) {
-            throw new IllegalArgumentException(announcing + " of " + replicas + " replicas cannot announce anything");
-        }
-        if (resuming < 0) {
-            throw new IllegalArgumentException("a run cannot have " + resuming + " resuming callers");
+        if (IntStream.of(limiting, announcing, pausing).anyMatch(n -> n < 0 || n > replicas)) {
+            throw new IllegalArgumentException("of " + replicas + " replicas, " + limiting + " cannot state a limit, "
+                    + announcing + " announce anything and " + pausing + " pause");
         }
-        if (crashing < 0 || lostPaths < 0) {
-            throw new IllegalArgumentException(
-                    "a run cannot have " + crashing + " requests that end replicas and " + lostPaths + " lost paths");
+        if (IntStream.of(crashing, lostPaths, resuming).anyMatch(n -> n < 0)) {
+            throw new IllegalArgumentException("a run cannot have " + crashing + " requests that end replicas, "
+                    + lostPaths + " lost paths and " + resuming + " resuming callers");
         }
     }
 }
--- a/soak/src/main/java/org/hornbeamhead/soak/fault/FaultKind.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultKind.java
@@ -40,6 +40,8 @@
     REPLICA_DELAYED(Target.REPLICA, false),
     /** A replica works on requests and loses answers, refuses, breaks off, or answers twice. */
     REPLICA_GREY(Target.REPLICA, false),
+    /** A sound replica stands still for up to two seconds and goes on; nothing may be cut. */
+    REPLICA_FROZEN(Target.FROZEN_REPLICA, true),
     /** A replica leaves, and another comes. */
     REPLICA_LEAVES(Target.REPLICA, true),
     /** A key is taken away. */
@@ -63,6 +65,8 @@
         PATH,
         /** One replica. */
         REPLICA,
+        /** One replica, which is sound. */
+        FROZEN_REPLICA,
         /** Nothing: operators change something. */
         OPERATORS
     }
@@ -85,7 +89,7 @@
     }
 
     /**
-     * Tells whether it is planned work, in which nothing may be cut.
+     * Tells whether it is planned work, or as harmless: nothing may be cut by it.
      *
      * @return whether it is
      */
--- a/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
@@ -28,6 +28,8 @@
     /** Lost paths last longer, since routers have some seconds to notice them. */
     private static final long PATH_MILLIS = 6_000;
 
+    private static final int MAX_FROZEN_MILLIS = 2_000;
+
     /**
      * One fault.
      *
@@ -51,11 +53,14 @@
      * @param routers the routers
      * @param replicas the replicas
      * @param lostPaths how often a router loses its path to all replicas, beside the other faults
+     * @param pausing sound replicas at a time that stand still and go on, beside the other faults
      * @return the plan
      */
-    public static FaultPlan draw(long seed, long untilMillis, int routers, int replicas, int lostPaths) {
+    public static FaultPlan draw(long seed, long untilMillis, int routers, int replicas, int lostPaths, int pausing) {
         List<Fault> faults = new ArrayList<>(drawOthers(seed, untilMillis, routers, replicas));
         faults.addAll(drawLostPaths(new Random(~seed), untilMillis, routers, lostPaths));
+        IntStream.range(0, pausing)
+                .forEach(i -> faults.addAll(drawPauses(new Random(seed * 31 + i), untilMillis, replicas)));
         faults.sort(Comparator.comparingLong(Fault::at));
         return new FaultPlan(faults);
     }
@@ -73,13 +78,25 @@
                 .toList();
     }
 
+    /** Draws pauses of one replica after the other, by themselves as well. */
+    private static List<Fault> drawPauses(Random random, long untilMillis, int replicas) {
+        List<Fault> pauses = new ArrayList<>();
+        long at = QUIET_START_MILLIS;
+        while (at < untilMillis) {
+            long lasting = random.nextLong(MIN_LASTING_MILLIS, MAX_FROZEN_MILLIS);
+            pauses.add(new Fault(FaultKind.REPLICA_FROZEN, random.nextInt(replicas), at, lasting));
+            at += lasting + random.nextInt(MAX_SERIES_GAP_MILLIS);
+        }
+        return pauses;
+    }
+
     private static List<FaultKind> kinds(Predicate<FaultKind> condition) {
         return Arrays.stream(FaultKind.values()).filter(condition).toList();
     }
 
     private static List<Fault> drawOthers(long seed, long untilMillis, int routers, int replicas) {
         Random random = new Random(seed);
-        List<FaultKind> kinds = kinds(k -> k.target() != Target.PATH);
+        List<FaultKind> kinds = kinds(k -> k.target() != Target.PATH && k.target() != Target.FROZEN_REPLICA);
         List<Fault> faults = new ArrayList<>();
         long at = QUIET_START_MILLIS;
         while (at < untilMillis) {
@@ -98,7 +115,7 @@
         int index =
                 switch (kind.target()) {
                     case ROUTER, STORE_LINK, PATH -> random.nextInt(routers);
-                    case REPLICA -> random.nextInt(replicas);
+                    case REPLICA, FROZEN_REPLICA -> random.nextInt(replicas);
                     case ALL_ROUTERS, STORE, OPERATORS -> 0;
                 };
         long lasting = MIN_LASTING_MILLIS + (long) random.nextInt(MAX_LASTING_MILLIS - MIN_LASTING_MILLIS);
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/AvailabilityChecks.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/AvailabilityChecks.java
@@ -23,7 +23,8 @@
     private static final long HELD_UP_MILLIS = 3_000;
 
     private static final Set<String> FREEZES = Set.of("ROUTER_FROZEN");
-    private static final Set<String> LINK_FAULTS = Set.of("REPLICA_DELAYED", "REPLICA_RESET", "REPLICA_SILENT");
+    private static final Set<String> LINK_FAULTS =
+            Set.of("REPLICA_DELAYED", "REPLICA_RESET", "REPLICA_SILENT", "REPLICA_FROZEN");
 
     private AvailabilityChecks() {}
 
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/LoadChecks.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/LoadChecks.java
@@ -30,7 +30,9 @@
 
     private LoadChecks() {}
 
-    /** Repeats stay within their share of the requests and the fixed number. */
+    /**
+     * In each window, repeats by all lives of all routers stay within their share of the requests and the fixed number.
+     */
     static Stream<Breach> budget(History h) {
         return h.arrived().stream().collect(Collectors.groupingBy(Arrived::service)).entrySet().stream()
                 .flatMap(e -> overspent(h, e.getKey(), e.getValue()));
@@ -49,9 +51,15 @@
                 .map(Arrived::at)
                 .toList();
         return repeats.stream()
+                .flatMap(at -> Stream.of(at, at + WINDOW_MILLIS - 1))
                 .filter(end -> within(repeats, end) > SLACK + RATIO * most(requests, end))
                 .limit(1)
-                .map(end -> new Breach("budget", service + " got " + within(repeats, end) + " repeats", end));
+                .map(end -> new Breach("budget", overspending(service, repeats, requests, end), end));
+    }
+
+    private static String overspending(String service, List<Long> repeats, List<Long> requests, long end) {
+        return service + " got " + within(repeats, end) + " repeats from " + (end - WINDOW_MILLIS + 1) + " to " + end
+                + " ms, for " + most(requests, end) + " requests";
     }
 
     /** Requests of the window, the one before it, or the one between, whichever has most. */
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -26,6 +26,7 @@
         checks.put("true refusals", AnswerChecks::trueRefusals);
         checks.put("nothing unasked", AnswerChecks::nothingUnasked);
         checks.put("planned stops cut nothing", AnswerChecks::plannedStopsCutNothing);
+        checks.put("silence cuts nothing", SilenceChecks::silenceCutsNothing);
         checks.put("keys", StateChecks::keys);
         checks.put("configuration", StateChecks::configuration);
         checks.put("never back", StateChecks::neverBack);
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -71,6 +71,28 @@
         return h;
     }
 
+    /** Each life of two routers, which are killed every three seconds, makes some repeats. */
+    private static History repeatsOfFiveLives(int each) {
+        History h = new History();
+        IntStream.range(0, 10).forEach(life -> IntStream.range(0, each).forEach(i -> {
+            String id = life + "-" + i;
+            long at = 100 + life / 2 * 3_000L;
+            h.add(new Asked(id, RequestKind.SAFE, "key", "router" + life % 2, 1 + life / 2, at))
+                    .add(ran(id, "plain", at + 5))
+                    .add(ran(id, "plain", at + 10));
+        }));
+        return h;
+    }
+
+    /** Repeats with many requests in the window before the one that ends with them, and none in those that follow. */
+    private static History repeatsLongAfterRequests(int count) {
+        History h = new History();
+        IntStream.range(0, 200)
+                .forEach(i -> h.add(asked("i" + i, RequestKind.SAFE, 100)).add(ran("i" + i, "plain", 110)));
+        IntStream.range(0, count).forEach(i -> h.add(ran("i" + i, "plain", 12_000)));
+        return h;
+    }
+
     private static History lateRequests(int served, int failed) {
         History h = new History().add(new Disturbed("ROUTER_KILLED", "router1", false, 0, 1_000));
         IntStream.range(0, served + failed).forEach(i -> h.add(asked("i" + i, RequestKind.SAFE, 20_000))
@@ -146,6 +168,7 @@
     public Object[][] histories() {
         return Stream.of(
                         answerHistories(),
+                        silenceHistories(),
                         resumeHistories(),
                         stateHistories(),
                         loadHistories(),
@@ -186,6 +209,53 @@
         };
     }
 
+    /** A stream that is cut a second after its replica has fallen silent, or until a time, beside another fault. */
+    private static History silent(long cutAt, Disturbed... others) {
+        History h = new History()
+                .add(asked("i", RequestKind.STREAM, 10_000))
+                .add(ran("i", "lm", 10_010))
+                .add(new Answered("i", 200, RequestKind.event("i", 1), false, cutAt))
+                .add(new Disturbed("REPLICA_FROZEN", "replica1", true, 10_020, 13_500));
+        List.of(others).forEach(h::add);
+        return h;
+    }
+
+    private static Disturbed near(String kind, String subject) {
+        return new Disturbed(kind, subject, false, 10_500, 12_000);
+    }
+
+    private static Object[][] silenceHistories() {
+        History cut = silent(11_200);
+        History refused = new History()
+                .add(asked("i", RequestKind.STREAM, 10_000))
+                .add(ran("i", "lm", 10_010))
+                .add(new Answered("i", 0, "", false, 11_200))
+                .add(new Disturbed("REPLICA_FROZEN", "replica1", true, 10_020, 13_500));
+        return new Object[][] {
+            {"silence cuts nothing", cut, silent(13_000)},
+            {"silence cuts nothing", refused, served("i", RequestKind.STREAM, 10_000)},
+            {"silence cuts nothing", cut, silent(11_200, near("REPLICA_RESET", "replica1"))},
+            {"silence cuts nothing", cut, silent(11_200, near(Disturbed.REPLICA_ENDED, "replica1"))},
+            {"silence cuts nothing", cut, silent(11_200).add(new Acknowledged(Change.LEAVING, "replica1", 9_000))},
+            {"silence cuts nothing", cut, silent(11_200).add(new History.Announced("replica1", "j"))},
+            {
+                "silence cuts nothing",
+                silent(11_200, near("ROUTER_KILLED", "router1")),
+                silent(11_200, near("ROUTER_KILLED", "router0"))
+            },
+            {
+                "silence cuts nothing",
+                silent(11_200, near("STORE_SILENT", History.STORE)),
+                silent(11_200, near("ALL_KILLED", History.ALL_ROUTERS))
+            },
+            {
+                "silence cuts nothing",
+                silent(11_200, near("REPLICA_RESET", "replica2")),
+                silent(11_200, near("PATH_REFUSED", "router0"))
+            },
+        };
+    }
+
     private static Part part(String id, String first, int last, String... writers) {
         String body = IntStream.range(0, writers.length)
                 .mapToObj(i -> RequestKind.event(id, last + 1 + i, writers[i]))
@@ -326,6 +396,8 @@
                         .add(keptUnder("t", 2, "many"))
             },
             {"budget", repeats(70), repeats(50)},
+            {"budget", repeatsOfFiveLives(8), repeatsOfFiveLives(7)},
+            {"budget", repeatsLongAfterRequests(51), repeatsLongAfterRequests(50)},
             {"request limits", limited(10_000, 100, 200), limited(10_000, 40, 500)},
             {"request limits", limited(10_100, 300, 20), limited(4_000, 305, 20)},
             {
