A request that a router declines after it tried earns no retry there

What is guarded: the bound of arrivals beyond the first. A router that is handed a request, cannot connect to any replica and declines it had counted the request for its retry budget, and so did the next router that took it: one request of a caller earned parts of a retry at two routers.

Cause: the count of a request was taken back where it is handed over, but not where it is declined after attempts. FinalAnswer takes it back now.

Before: RetryPaymentTest.declinedRequestEarnsNothing red (a replica's refusal was repeated with the declined request's part of the budget: 0.5 of one retry was left by it, and 0.1 after the repeat), after: green.

RetryPaymentTest has a row for each way in which an attempt is lost: 13 ways, on a new and an open connection and behind a hop, end without a second arrival if the router has no retries, and with one if it has; attempts without a connection, hand-overs of unsent requests and declines are free. No other row was red.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/FinalAnswer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/FinalAnswer.java
@@ -55,7 +55,9 @@
     /** A request that was sent to a replica is not declined: a third router would send it once more without pay. */
     private void rejectNotExecuted(String reason, long retryAfterMillis) {
         boolean mayBeDeclined = serviceRequest.routed().origin().isPresent() && !forwarding.wasSent();
-        if (mayBeDeclined && dispatcher.paths().isLost(serviceRequest.service().name())) {
+        String service = serviceRequest.service().name();
+        if (mayBeDeclined && dispatcher.paths().isLost(service)) {
+            dispatcher.retryBudgets().withdrawRequest(service);
             dispatcher.answers().decline(serviceRequest.callerRequest(), response, "no path to the service");
         } else {
             dispatcher.answers().rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryAfterMillis);
