Shares of the retry budget stay bounded in a partition of more than a minute

Cause: boundedShare divided one half of the fixed number by the routers heard in the last minute, so that each group became a fleet of its own after that.

Change: a router counts all that it ever heard, and one that restarted always takes an equal part.

--- a/core/src/main/java/org/hornbeamhead/core/entry/ActiveRouters.java
+++ b/core/src/main/java/org/hornbeamhead/core/entry/ActiveRouters.java
@@ -1,8 +1,10 @@
 package org.hornbeamhead.core.entry;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.IntSupplier;
 
 /**
@@ -32,7 +34,8 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final IntSupplier listedCount;
-    private final long peersKnownFrom;
+    private final boolean restarted;
+    private final Set<String> everHeard = new HashSet<>();
     private final Map<String, PeerRate> peers = new HashMap<>();
     private long windowStart = Long.MIN_VALUE / 2;
     private int requestCount;
@@ -46,12 +49,12 @@
      * @param listedCount returns the number of listed routers, this one included
      */
     public ActiveRouters(IntSupplier listedCount) {
-        this(listedCount, Long.MIN_VALUE);
+        this(listedCount, false);
     }
 
-    private ActiveRouters(IntSupplier listedCount, long peersKnownFrom) {
+    private ActiveRouters(IntSupplier listedCount, boolean restarted) {
         this.listedCount = listedCount;
-        this.peersKnownFrom = peersKnownFrom;
+        this.restarted = restarted;
     }
 
     /**
@@ -59,11 +62,10 @@
      * from hearing of them.
      *
      * @param listedCount returns the number of listed routers, this one included
-     * @param nowMillis the monotonic time
      * @return the view
      */
-    public static ActiveRouters restarted(IntSupplier listedCount, long nowMillis) {
-        return new ActiveRouters(listedCount, nowMillis + PEER_RETENTION_MILLIS);
+    public static ActiveRouters restarted(IntSupplier listedCount) {
+        return new ActiveRouters(listedCount, true);
     }
 
     /**
@@ -108,6 +110,7 @@
      */
     public void recordPeer(String router, double requestsPerSecond, long nowMillis) {
         peers.put(router, new PeerRate(requestsPerSecond, nowMillis));
+        everHeard.add(router);
         peers.values().removeIf(peer -> nowMillis - peer.at() > PEER_RETENTION_MILLIS);
     }
 
@@ -171,8 +174,8 @@
 
     /**
      * Returns this router's share of a limit that all routers together must not exceed, whatever they know of one
-     * another. One half is divided by all routers; the other half by the active ones, of which a router without callers
-     * takes no part. A router that may not know all active ones takes an equal part.
+     * another. One half is divided by all routers; the other half by those that ever were active, of which a router
+     * without callers takes no part. A router that restarted may not have heard of some, and takes an equal part.
      *
      * @param nowMillis the monotonic time
      * @return the share, above 0 and at most 1
@@ -182,8 +185,8 @@
         if (ownRate(nowMillis) == 0) {
             return 0.5 / fleetSize;
         }
-        boolean peersKnown = !peers.isEmpty() && nowMillis >= peersKnownFrom;
-        return (1.0 / fleetSize + 1.0 / (peersKnown ? peers.size() + 1 : fleetSize)) / 2;
+        boolean peersKnown = !everHeard.isEmpty() && !restarted;
+        return (1.0 / fleetSize + 1.0 / (peersKnown ? Math.min(fleetSize, everHeard.size() + 1) : fleetSize)) / 2;
     }
 
     private int fleetSize() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -134,7 +134,7 @@
         routers = new RouterList(settings.self(), this::isReady, clock);
         activeRouters = settings.firstStart()
                 ? new ActiveRouters(routers::fleetSize)
-                : ActiveRouters.restarted(routers::fleetSize, clock.monotonicMillis());
+                : ActiveRouters.restarted(routers::fleetSize);
         registration = new RouterRegistration(reactor, ports.store(), settings.self());
         fleetSizeRecorder =
                 new FleetSizeRecorder(clock, daemon.timers(), ports.store(), mirror, routers, this::isListCurrent);
