A stream that has begun is handed over again when the path to its service is lost; the end of a silent attempt is weighed

Cause: a begun stream was not handed over at all after a silence, although a path counts as lost only after contacts with several replicas have failed. It is handed over again, and what is silent is looked at every half second instead of after the whole timeout again.

Also found by the review: a silent attempt that its replica turns out not to have run is not counted as run; an attempt that is not the latest does not eject its replica; an attempt that may not be followed stays the latest.

--- a/core/src/main/java/org/hornbeamhead/core/forward/ForwardingState.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/ForwardingState.java
@@ -105,7 +105,7 @@
         possibleExecutions++;
     }
 
-    /** Records that an attempt which was recorded as silent goes on; its end will be recorded again. */
+    /** Records that an attempt which was recorded as silent goes on, or has not run after all. */
     public void attemptGoesOn() {
         possibleExecutions--;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -124,11 +124,8 @@
         attempt.start();
     }
 
-    /** Ends a request that no replica can take: a stream that has begun goes on where it was, if it still can. */
+    /** Ends a request that no replica can take here. */
     private void giveUpHere() {
-        if (forwarding.hasResponseStarted() && attempts.goOnWithSilent()) {
-            return;
-        }
         if (canHandOver()) {
             handOver();
         } else {
@@ -180,10 +177,11 @@
         answer.recordLoss(AttemptOutcome.SILENT);
         NextStep step = forwarding.nextStep(AttemptOutcome.SILENT, retryConditions());
         log.attemptEnded(silent, AttemptOutcome.SILENT, reason, step);
-        attempts.keepLatestAsSilent();
         if (step instanceof NextStep.GiveUp) {
-            attempts.goOnWithSilent();
+            forwarding.attemptGoesOn();
+            silent.goOn();
         } else {
+            attempts.keepLatestAsSilent();
             startNextAttempt();
         }
     }
@@ -227,7 +225,13 @@
         notConnected += end == AttemptOutcome.NOT_CONNECTED ? 1 : 0;
         answer.recordLoss(end);
         content.reportLoss(end, lost);
-        if (finished || recorded) {
+        if (finished) {
+            return;
+        }
+        if (recorded) {
+            if (!end.mayHaveExecuted()) {
+                forwarding.attemptGoesOn();
+            }
             return;
         }
         NextStep step = forwarding.nextStep(end, retryConditions());
@@ -406,6 +410,11 @@
         return Duration.ofMillis(dispatcher.clock().monotonicMillis() - arrivedAt);
     }
 
+    /** Returns whether the caller has a part of the response. */
+    boolean hasResponseStarted() {
+        return forwarding.hasResponseStarted();
+    }
+
     boolean isFinished() {
         return finished;
     }
@@ -450,7 +459,7 @@
                 && dispatcher
                         .retryBudgets()
                         .isAvailable(serviceRequest.service().name())
-                && ((canHandOver() && !forwarding.hasResponseStarted())
+                && (canHandOver()
                         || dispatcher
                                 .targetSelector()
                                 .select(serviceRequest, scope)
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/SilenceWatch.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/SilenceWatch.java
@@ -13,6 +13,8 @@
      * second.
      */
     private static final long SILENCE_THRESHOLD_MILLIS = 500;
+    /** After how long it is looked at again whether another replica can take over for one that is still silent. */
+    private static final long RECHECK_MILLIS = 500;
 
     private final Exchange exchange;
     private final Attempt attempt;
@@ -56,6 +58,9 @@
     void restart(long millis) {
         timeoutMillis = millis;
         timers.restartSilenceTimer(millis, () -> {
+            if (!exchange.attempts().isLatest(attempt)) {
+                return;
+            }
             if (exchange.canRetryNow()) {
                 replica.connections().closeIdle();
                 replica.guard().recordFailure(now());
@@ -74,7 +79,7 @@
                 .with(Logs.DECISION, "waits on")
                 .with(Logs.REASON, "silent for " + (now() - lastHeardAt) + " ms, and " + reason)
                 .log("attempt continues without a response");
-        restart(timeoutMillis);
+        restart(Math.min(timeoutMillis, RECHECK_MILLIS));
     }
 
     /**
