An error response of another replica ends a stream that has begun, instead of being written into it

What callers saw: the head and body of a 404 behind the first events of a stream. Cause: an answer that is no stream was delivered whatever had been sent to the caller before; a hop checked it, an attempt did not. Found by a review. Test: RouterStreamsTest.errorResponseDoesNotContinueAStream.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -250,6 +250,8 @@
             releaseAndEnd(AttemptOutcome.FAILED, "the replica answered " + head.status(), Optional.of(buffered));
         } else if (streaming && streamParser.insideEvent()) {
             end(AttemptOutcome.BROKEN, "the stream ended inside an event", Optional.empty());
+        } else if (!streaming && exchange.hasResponseStarted()) {
+            closeAndEnd(AttemptOutcome.BROKEN, "the replica cannot go on with the stream: " + head.status());
         } else {
             deliver();
         }
