A failure while one request of the startup queue is served does not lose the others

If serving one of the requests that waited for the first configuration failed, those behind it got neither an answer nor a refusal.

Cause: all were served in one action, after the queue had been cleared. Change: each has an action of its own.

Before: StartupQueueTest.servesOthersWhenOneFails red (nothing served), after: green.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StartupQueue.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StartupQueue.java
@@ -1,8 +1,6 @@
 package org.hornbeamhead.gateway.dispatch;
 
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 import org.hornbeamhead.core.time.Timers;
 
@@ -57,13 +55,12 @@
 
     /**
      * Serves the queued requests, in a later reactor turn, after the changes that arrived with the configuration have
-     * been applied.
+     * been applied. Each has an action of its own, so that a failure of one does not keep the others from being served.
      */
     void release() {
         timers.schedule(0, () -> {
-            List<PendingRequest> requests = new ArrayList<>(waiting);
+            waiting.forEach(r -> timers.schedule(0, r.serve));
             waiting.clear();
-            requests.forEach(r -> r.serve.run());
         });
     }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/dispatch/StartupQueueTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/dispatch/StartupQueueTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -61,4 +62,19 @@
         IntStream.rangeClosed(0, StartupQueue.MAX_REQUESTS).forEach(i -> add("r" + i));
         assertEquals(outcomes, List.of("r" + StartupQueue.MAX_REQUESTS + " was rejected"));
     }
+
+    /** Guards against requests that are never answered since serving an earlier one failed. */
+    @Test
+    public void servesOthersWhenOneFails() {
+        queue.add(
+                () -> {
+                    throw new IllegalStateException("serving fails");
+                },
+                () -> {});
+        add("b");
+        queue.release();
+        assertThrows(IllegalStateException.class, () -> timers.advance(0));
+        timers.advance(0);
+        assertEquals(outcomes, List.of("b served"));
+    }
 }
