Pipelined bytes are parsed in the order in which they arrived

A caller that sends the rest of its next request just as an answer ends could have that rest parsed before the beginning, which was still buffered: a refusal as no request, or another request than it sent.

Cause: buffered bytes are parsed in a later turn of the reactor, and bytes that were read in between were parsed at once. Change: until then, they are appended to the buffer.

Before: CallerConnectionTest.pipelinedRequestIsReadInTheOrderOfItsBytes red, after: green.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
@@ -41,6 +41,7 @@
     private ScheduledRunnable timer;
     private byte[] pipelined = new byte[0];
     private ResponseWriter response;
+    private boolean parsePending;
     private boolean continueSent;
     private boolean closed;
     private boolean readPaused;
@@ -82,7 +83,7 @@
     }
 
     private void received(byte[] bytes) {
-        if (response != null) {
+        if (response != null || parsePending) {
             bufferPipelined(bytes);
         } else {
             parse(bytes);
@@ -159,17 +160,19 @@
             return;
         }
         becomeIdle();
-        byte[] nextBytes = pipelined;
-        pipelined = new byte[0];
-        if (nextBytes.length > 0) {
+        if (pipelined.length > 0) {
             // Parsed in a new reactor turn, so that a caller that pipelines many requests cannot overflow the stack.
-            reactor.post(() -> parseNext(nextBytes));
+            parsePending = true;
+            reactor.post(this::parsePipelined);
         } else {
             resumeReading();
         }
     }
 
-    private void parseNext(byte[] bytes) {
+    private void parsePipelined() {
+        parsePending = false;
+        byte[] bytes = pipelined;
+        pipelined = new byte[0];
         if (!closed) {
             parse(bytes);
             resumeReading();
@@ -212,7 +215,7 @@
     }
 
     void closeIdle() {
-        if (!closed && response == null && !reader.insideRequest()) {
+        if (!closed && response == null && !parsePending && !reader.insideRequest()) {
             finish();
         }
     }
--- /dev/null
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/caller/CallerConnectionTest.java
@@ -0,0 +1,135 @@
+package org.hornbeamhead.gateway.caller;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.eventloop.Eventloop;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.hornbeamhead.core.http.Headers;
+import org.hornbeamhead.core.http.WholeRequest;
+import org.hornbeamhead.core.route.CallerLimits;
+import org.hornbeamhead.core.time.ManualClock;
+import org.hornbeamhead.daemon.Metrics;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests which requests that a connection has read are handled, and when the connection is closed. */
+public class CallerConnectionTest {
+    private static final int MAX_CHECKS = 2_000;
+
+    private final List<String> targets = new ArrayList<>();
+    private final List<CallerResponse> responses = new ArrayList<>();
+    private Eventloop reactor;
+    private FakeSocket socket;
+    private CallerServer server;
+    private int checks;
+
+    /** A socket whose bytes the test delivers. */
+    private static final class FakeSocket implements ITcpSocket {
+        private final StringBuilder written = new StringBuilder();
+        private SettablePromise<ByteBuf> pendingRead;
+        private boolean closed;
+
+        @Override
+        public Promise<ByteBuf> read() {
+            pendingRead = new SettablePromise<>();
+            return pendingRead;
+        }
+
+        @Override
+        public Promise<Void> write(ByteBuf buf) {
+            if (buf != null) {
+                written.append(buf.asString(StandardCharsets.ISO_8859_1));
+            }
+            return Promise.complete();
+        }
+
+        void deliver(String text) {
+            SettablePromise<ByteBuf> read = pendingRead;
+            pendingRead = null;
+            read.set(ByteBuf.wrapForReading(text.getBytes(StandardCharsets.ISO_8859_1)));
+        }
+
+        @Override
+        public boolean isReadAvailable() {
+            return false;
+        }
+
+        @Override
+        public boolean isClosed() {
+            return closed;
+        }
+
+        @Override
+        public void closeEx(Exception e) {
+            closed = true;
+        }
+    }
+
+    /** Creates a connection whose requests wait for the test to answer them. */
+    @BeforeMethod
+    public void setUp() {
+        targets.clear();
+        responses.clear();
+        checks = 0;
+        reactor = Eventloop.builder()
+                .withCurrentThread()
+                .withFatalErrorHandler((e, context) -> {})
+                .build();
+        socket = new FakeSocket();
+    }
+
+    private void start(CallerHandler handler, long idleMillis) {
+        CallerLimits limits = new CallerLimits(1_000, 1_000, 5_000, idleMillis);
+        server = new CallerServer(reactor, new ManualClock(1_000), handler, () -> limits, new Metrics());
+        reactor.post(() -> new CallerConnection(reactor, socket, server, handler, () -> limits).start());
+        await(() -> socket.pendingRead != null);
+    }
+
+    private void record(WholeRequest request, CallerResponse response) {
+        targets.add(request.head().target());
+        responses.add(response);
+    }
+
+    /** Runs the reactor until a condition holds. */
+    private void await(BooleanSupplier condition) {
+        reactor.post(() -> check(condition));
+        reactor.run();
+        assertTrue(condition.getAsBoolean(), targets + " " + socket.written);
+    }
+
+    private void check(BooleanSupplier condition) {
+        if (!condition.getAsBoolean() && checks++ < MAX_CHECKS) {
+            reactor.delay(1, () -> check(condition));
+        }
+    }
+
+    private static String get(String target) {
+        return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+
+    private static void answer(CallerResponse response) {
+        response.respond(200, Headers.NONE, new byte[0]);
+    }
+
+    /** Guards against a request whose later part is read before the part that arrived during the previous one. */
+    @Test
+    public void pipelinedRequestIsReadInTheOrderOfItsBytes() {
+        start(this::record, 5_000);
+        reactor.post(() -> socket.deliver(get("/a") + "GET /b HTTP/1.1\r\n"));
+        await(() -> responses.size() == 1);
+        reactor.post(() -> {
+            answer(responses.get(0));
+            socket.deliver("Host: h\r\n\r\n");
+        });
+        await(() -> responses.size() == 2);
+        assertEquals(targets, List.of("/a", "/b"));
+    }
+}
