The idle timeout closes a connection only after what its socket holds was read

What callers saw: a request that arrived while the router's thread stood still ended with a closed connection, if the idle timeout expired meanwhile.

Cause: the timer's action runs before the next look at the sockets, and closed the connection with the request in its socket. What arrived in the 50 ms after that was read, and dropped, so that the caller could not tell that nobody had read it.

Change: the close waits for two turns of the reactor, in which a waiting request is read and served; an idle connection, which has no answer on its way, is then closed without reading on.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
@@ -41,6 +41,7 @@
     private ScheduledRunnable timer;
     private byte[] pipelined = new byte[0];
     private ResponseWriter response;
+    private int handled;
     private boolean parsePending;
     private boolean continueSent;
     private boolean closed;
@@ -131,6 +132,7 @@
 
     private void handle(WholeRequest request) {
         cancelTimer();
+        handled++;
         continueSent = false;
         boolean keepAlive = request.head().keepAlive();
         response = new ResponseWriter(
@@ -205,21 +207,39 @@
     }
 
     private void disconnected() {
+        closeNow();
+        if (response != null) {
+            response.callerDisconnected();
+        }
+    }
+
+    /**
+     * Closes the connection without reading on, so that a request which crosses the close is reset and its caller knows
+     * that it was not read.
+     */
+    private void closeNow() {
         closed = true;
         cancelTimer();
         server.connectionClosed(this);
         socket.close();
-        if (response != null) {
-            response.callerDisconnected();
-        }
     }
 
+    /** Closes the connection if it is idle and its socket holds no request, which would have been read by then. */
     void closeIdle() {
-        if (!closed && response == null && !parsePending && !reader.insideRequest()) {
-            finish();
+        int handledBefore = handled;
+        if (isIdle()) {
+            server.afterPendingReads(() -> {
+                if (isIdle() && handled == handledBefore) {
+                    closeNow();
+                }
+            });
         }
     }
 
+    private boolean isIdle() {
+        return !closed && response == null && !parsePending && !reader.insideRequest();
+    }
+
     private void becomeIdle() {
         idleSince = reactor.currentTimeMillis();
         limits = currentLimits.get();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -113,15 +113,19 @@
 
     /**
      * Handles a request. After a stall, the request may have been waiting for long, and its caller may have left; the
-     * reactor then looks for the end of the connection first, which takes two of its turns.
+     * reactor then looks for the end of the connection first.
      */
     void handle(CallerHandler requestHandler, WholeRequest request, ResponseWriter response) {
-        if (!stallDetector.mayHaveBacklog()) {
+        if (stallDetector.mayHaveBacklog()) {
+            afterPendingReads(() -> handleUnlessDisconnected(requestHandler, request, response));
+        } else {
             requestHandler.handle(request, response);
-            return;
         }
-        reactor.delayBackground(
-                1, () -> reactor.delayBackground(1, () -> handleUnlessDisconnected(requestHandler, request, response)));
+    }
+
+    /** Runs an action once the reactor has read what the sockets hold now, which takes two of its turns. */
+    void afterPendingReads(Runnable action) {
+        reactor.delayBackground(1, () -> reactor.delayBackground(1, action));
     }
 
     private void handleUnlessDisconnected(CallerHandler requestHandler, WholeRequest request, ResponseWriter response) {
--- a/gateway/src/test/java/org/hornbeamhead/gateway/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/caller/CallerConnectionTest.java
@@ -22,6 +22,7 @@
 
 /** Tests which requests that a connection has read are handled, and when the connection is closed. */
 public class CallerConnectionTest {
+    private static final long IDLE_MILLIS = 50;
     private static final int MAX_CHECKS = 2_000;
 
     private final List<String> targets = new ArrayList<>();
@@ -35,6 +36,7 @@
     private static final class FakeSocket implements ITcpSocket {
         private final StringBuilder written = new StringBuilder();
         private SettablePromise<ByteBuf> pendingRead;
+        private boolean halfClosed;
         private boolean closed;
 
         @Override
@@ -45,7 +47,9 @@
 
         @Override
         public Promise<Void> write(ByteBuf buf) {
-            if (buf != null) {
+            if (buf == null) {
+                halfClosed = true;
+            } else {
                 written.append(buf.asString(StandardCharsets.ISO_8859_1));
             }
             return Promise.complete();
@@ -132,4 +136,12 @@
         await(() -> responses.size() == 2);
         assertEquals(targets, List.of("/a", "/b"));
     }
+
+    /** Guards against requests that are read, and dropped, after the idle timeout has ended a connection. */
+    @Test
+    public void idleConnectionIsClosedWithoutReadingOn() {
+        start(this::record, IDLE_MILLIS);
+        await(() -> socket.halfClosed || socket.closed);
+        assertTrue(socket.closed && !socket.halfClosed);
+    }
 }
