A shutdown announces the close of a connection only once no pipelined request waits

A request that was read while the answer to the one before it was awaited was dropped during a shutdown.

Change: the answer announces the close only if nothing has been read behind its request.

Before: CallerConnectionTest.pipelinedRequestIsAnsweredBeforeTheCloseIsAnnounced red, after: green.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
@@ -137,7 +137,7 @@
         boolean keepAlive = request.head().keepAlive();
         response = new ResponseWriter(
                 socket,
-                () -> keepAlive && !server.draining(),
+                () -> keepAlive && (!server.draining() || pipelined.length > 0),
                 request.head().method().equals("HEAD"),
                 this::responseCompleted);
         server.requestStarted();
--- a/gateway/src/test/java/org/hornbeamhead/gateway/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/caller/CallerConnectionTest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.caller;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.activej.bytebuf.ByteBuf;
@@ -137,6 +138,24 @@
         assertEquals(targets, List.of("/a", "/b"));
     }
 
+    /** Guards against the loss of a whole request that was read while the router began to shut down. */
+    @Test
+    public void pipelinedRequestIsAnsweredBeforeTheCloseIsAnnounced() {
+        start(this::record, 5_000);
+        reactor.post(() -> socket.deliver(get("/a") + get("/b")));
+        await(() -> responses.size() == 1);
+        reactor.post(() -> {
+            server.drain();
+            answer(responses.get(0));
+            server.closeIdle();
+        });
+        await(() -> responses.size() == 2);
+        assertFalse(socket.written.toString().contains("Connection: close"));
+        reactor.post(() -> answer(responses.get(1)));
+        await(() -> socket.halfClosed);
+        assertTrue(socket.written.toString().contains("Connection: close"));
+    }
+
     /** Guards against requests that are read, and dropped, after the idle timeout has ended a connection. */
     @Test
     public void idleConnectionIsClosedWithoutReadingOn() {
