A request whose handling fails gets an answer

An uncaught error while a request was handed to its handler ended the reading of the connection: the caller got no answer, its connection stayed open, and its leave was not noticed.

Change: such a request gets 502, or its stream is cut if it has begun, and the connection is closed. The error is still counted and logged as uncaught.

Before: CallerConnectionTest.requestWhoseHandlingFailsIsAnswered red (nothing written), after: green.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -119,7 +119,7 @@
         if (stallDetector.mayHaveBacklog()) {
             afterPendingReads(() -> handleUnlessDisconnected(requestHandler, request, response));
         } else {
-            requestHandler.handle(request, response);
+            handleNow(requestHandler, request, response);
         }
     }
 
@@ -128,11 +128,20 @@
         reactor.delayBackground(1, () -> reactor.delayBackground(1, action));
     }
 
+    private static void handleNow(CallerHandler requestHandler, WholeRequest request, ResponseWriter response) {
+        try {
+            requestHandler.handle(request, response);
+        } catch (RuntimeException e) {
+            response.fail();
+            throw e;
+        }
+    }
+
     private void handleUnlessDisconnected(CallerHandler requestHandler, WholeRequest request, ResponseWriter response) {
         if (response.isFinished()) {
             metrics.count("hornbeam_callers_gone_unserved");
         } else {
-            requestHandler.handle(request, response);
+            handleNow(requestHandler, request, response);
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/ResponseWriter.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/ResponseWriter.java
@@ -18,6 +18,7 @@
         void completed(boolean reusable);
     }
 
+    private static final int BAD_GATEWAY = 502;
     private static final byte[] CRLF = {'\r', '\n'};
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
@@ -27,6 +28,8 @@
     private final CompletionListener listener;
     private Runnable onDisconnect = () -> {};
     private boolean keepAlive;
+    private boolean begun;
+    private boolean failed;
     private boolean finished;
 
     ResponseWriter(ITcpSocket socket, BooleanSupplier keepAliveAllowed, boolean omitBody, CompletionListener listener) {
@@ -41,7 +44,7 @@
         if (finished) {
             return;
         }
-        keepAlive = keepAliveAllowed.getAsBoolean();
+        keepAlive = !failed && keepAliveAllowed.getAsBoolean();
         byte[] bytes = encode(status, headers, body, keepAlive);
         int length = omitBody ? bytes.length - body.length : bytes.length;
         socket.write(ByteBuf.wrap(bytes, 0, length)).subscribe((v, e) -> finish(e == null && keepAlive));
@@ -50,6 +53,7 @@
     @Override
     public void begin(int status, Headers headers) {
         if (!finished) {
+            begun = true;
             keepAlive = keepAliveAllowed.getAsBoolean();
             socket.write(ByteBuf.wrapForReading(
                     encodeHead(status, headers.with("Transfer-Encoding", "chunked"), keepAlive)));
@@ -82,6 +86,17 @@
         }
     }
 
+    /** Ends the response to a request whose handling failed, which a replica may have run; the connection is closed. */
+    void fail() {
+        failed = true;
+        if (begun) {
+            abort();
+        } else {
+            byte[] body = "the request could not be handled\n".getBytes(StandardCharsets.UTF_8);
+            respond(BAD_GATEWAY, Headers.NONE.with("Content-Type", "text/plain"), body);
+        }
+    }
+
     @Override
     public void onDisconnect(Runnable action) {
         onDisconnect = action;
--- a/gateway/src/test/java/org/hornbeamhead/gateway/caller/CallerConnectionTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/caller/CallerConnectionTest.java
@@ -156,6 +156,19 @@
         assertTrue(socket.written.toString().contains("Connection: close"));
     }
 
+    /** Guards against a caller that waits for ever since the handling of its request failed. */
+    @Test
+    public void requestWhoseHandlingFailsIsAnswered() {
+        start(
+                (request, response) -> {
+                    throw new IllegalStateException("handling fails");
+                },
+                5_000);
+        reactor.post(() -> socket.deliver(get("/a")));
+        await(() -> socket.halfClosed);
+        assertTrue(socket.written.toString().startsWith("HTTP/1.1 502 "), socket.written.toString());
+    }
+
     /** Guards against requests that are read, and dropped, after the idle timeout has ended a connection. */
     @Test
     public void idleConnectionIsClosedWithoutReadingOn() {
