--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.IntStream;
+import org.hornbeamhead.platform.StandinPorts;
 import org.hornbeamhead.soak.fault.FaultPlan;
 import org.hornbeamhead.soak.history.History;
 import org.hornbeamhead.soak.promise.Promises;
@@ -83,6 +84,7 @@
             }
         } finally {
             threads.shutdownNow();
+            StandinPorts.releaseAll();
         }
         return SoakReport.of(settings, plan, history, new Promises(Set.of(SoakFleet.ISOLATED)).check(history));
     }
