--- a/core/src/main/java/org/hornbeamhead/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/hornbeamhead/core/route/RoutingConfig.java
@@ -21,6 +21,7 @@
     private final Map<String, KeyOwner> keys;
     private final Map<String, Map<String, Route>> routesByHost;
     private final Map<String, Long> longestStreams;
+    private final Map<String, ServiceLevels> serviceLevels;
 
     /**
      * Creates an indexed configuration.
@@ -55,6 +56,10 @@
                 .filter(r -> r.kind() == RequestKind.STREAM && r.resumable())
                 .flatMap(r -> r.services().stream().map(s -> Map.entry(s.service(), streamMillis(r))))
                 .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue, Math::max));
+        this.serviceLevels = routes.stream()
+                .filter(r -> r.kind() == RequestKind.STREAM)
+                .flatMap(r -> r.services().stream().map(s -> Map.entry(s.service(), ServiceLevels.of(r))))
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue, ServiceLevels::and));
     }
 
     private static long streamMillis(Route route) {
@@ -72,6 +77,16 @@
         return longestStreams.getOrDefault(service, UNLIMITED_STREAM_MILLIS);
     }
 
+    /**
+     * Returns what the streaming routes of a service ask of its replicas.
+     *
+     * @param service the service's name
+     * @return the levels of all its streaming routes
+     */
+    public ServiceLevels serviceLevels(String service) {
+        return serviceLevels.getOrDefault(service, ServiceLevels.NONE);
+    }
+
     /**
      * Returns the route of the host with the longest matching path prefix.
      *
