Long prompts and long answers are told apart by callers' length hints; urgent prompts prevail

Cause: callers state 204 and 954 output tokens at most, whatever they get, so that every request counted as a long answer and was packed onto the first engines of one order; long prompts of priority 0 were refused for answers of priority 2; the cheapest engine may be too late while others are in time. Change: for services whose routes call for it, kinds follow the expected length, the packing follows the gap target and the slots, a more urgent prompt is not charged for delaying answers, and further engines are tried before a refusal.

--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChoice.java
@@ -15,6 +15,7 @@
  * @param storeMillis how long the fetch occupies the store's link, in milliseconds; 0 when nothing is fetched from it
  * @param queryStore whether the engine queries the store for a prefix that its cache was expected to hold and does not
  * @param saveToStore whether the engine should save the blocks to the KV store
+ * @param longAnswer whether the request was placed as a long answer
  * @param reason a description for the log
  */
 public record EngineChoice(
@@ -28,4 +29,5 @@
         double storeMillis,
         boolean queryStore,
         boolean saveToStore,
+        boolean longAnswer,
         String reason) {}
--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import net.openhft.hashing.LongHashFunction;
 
@@ -52,6 +54,8 @@
 
     /** Number of engines that are evaluated for a request; the small deployments have no more. */
     private static final int MAX_CONSIDERED = 8;
+    /** Groups of further engines that are evaluated for a request that none of the first ones accepts. */
+    private static final int MAX_FURTHER_GROUPS = 3;
     /** In very large services, one in this many engines is evaluated. */
     private static final int CONSIDERED_DIVISOR = 100;
 
@@ -59,6 +63,22 @@
     private static final String LONG_ANSWERS_KEY = "long answers";
 
     private final PrefixCacheTracker tracker;
+    private final RecentAnswerPriority answerPriority = new RecentAnswerPriority();
+
+    /**
+     * What is the same for all engines that are evaluated for a request.
+     *
+     * @param prevails whether the request is not charged for delaying long answers
+     * @param home the engine that every router would send the prompt to first
+     */
+    private record Placement(
+            Prompt prompt,
+            boolean longAnswer,
+            boolean prevails,
+            String home,
+            LongAnswerEngines longAnswerEngines,
+            PrefixSources sources,
+            long nowMillis) {}
 
     /**
      * Creates a chooser that knows of no cached prefixes.
@@ -69,10 +89,31 @@
         this.tracker = new PrefixCacheTracker(storeFilled);
     }
 
+    /**
+     * Chooses the engine for a prompt of which nothing else is regarded.
+     *
+     * @param prompt the prompt
+     * @param salt returns the salt that separates an engine's cached blocks from those of other customers and weights,
+     *     by version
+     * @param candidates the usable engines
+     * @param links the links over which cached blocks are transferred
+     * @param nowMillis the monotonic time
+     * @return the choice, empty when no candidate can start the request in time
+     */
+    public Optional<EngineChoice> choose(
+            Prompt prompt,
+            ToLongFunction<EngineCandidate> salt,
+            List<EngineCandidate> candidates,
+            KvTransferLinks links,
+            long nowMillis) {
+        return choose(prompt, RequestLevel.UNIFORM, salt, candidates, links, nowMillis);
+    }
+
     /**
      * Chooses the engine for a prompt.
      *
      * @param prompt the prompt
+     * @param level what the request asks of placement
      * @param salt returns the salt that separates an engine's cached blocks from those of other customers and weights,
      *     by version
      * @param candidates the usable engines
@@ -82,36 +123,81 @@
      */
     public Optional<EngineChoice> choose(
             Prompt prompt,
+            RequestLevel level,
             ToLongFunction<EngineCandidate> salt,
             List<EngineCandidate> candidates,
             KvTransferLinks links,
             long nowMillis) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
         String sharedKey = prompt.sharedKey();
         long prefixHash = hash(sharedKey);
         Map<String, EngineCandidate> byId =
                 candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
         PrefixSources sources = new PrefixSources(tracker, links, id -> Optional.ofNullable(byId.get(id)), nowMillis);
-        LongAnswerEngines longAnswerEngines =
-                LongAnswerEngines.of(candidates, id -> rank(LONG_ANSWERS_KEY, id), nowMillis);
-        Stream<String> homeCandidates =
-                prompt.hasLongAnswer() ? longAnswerEngines.preferred().stream() : byId.keySet().stream();
-        Optional<String> home = homeCandidates.max(Comparator.comparingLong(id -> rank(sharedKey, id)));
-        Function<EngineCandidate, EngineChoice> evaluate = candidate -> evaluate(
-                prompt,
-                prefixHash ^ salt.applyAsLong(candidate),
-                candidate,
-                home.orElseThrow(),
-                longAnswerEngines,
-                sources,
-                nowMillis);
-        return best(considered(prompt, sharedKey, candidates, longAnswerEngines), evaluate)
+        LongAnswerEngines longAnswerEngines = LongAnswerEngines.of(
+                candidates, id -> rank(LONG_ANSWERS_KEY, id), packing(level, candidates), nowMillis);
+        boolean longAnswer = level.isLongAnswer(prompt);
+        if (longAnswer) {
+            answerPriority.record(level.priority(), nowMillis);
+        }
+        boolean prevails = level.mixed() && !longAnswer && answerPriority.isBelow(level.priority(), nowMillis);
+        Stream<String> homeCandidates = longAnswer ? longAnswerEngines.preferred().stream() : byId.keySet().stream();
+        String home = homeCandidates
+                .max(Comparator.comparingLong(id -> rank(sharedKey, id)))
+                .orElseThrow();
+        Placement placement = new Placement(prompt, longAnswer, prevails, home, longAnswerEngines, sources, nowMillis);
+        Function<EngineCandidate, EngineChoice> evaluate =
+                candidate -> evaluate(placement, prefixHash ^ salt.applyAsLong(candidate), candidate);
+        List<EngineCandidate> considered =
+                considered(longAnswer, sharedKey, candidates, longAnswerEngines).toList();
+        Optional<EngineChoice> accepted = level.mixed()
+                ? firstAccepting(level, considered, inRankOrder(sharedKey, candidates), evaluate)
+                : Optional.empty();
+        return accepted.or(() -> best(considered.stream(), evaluate))
                 .or(() -> best(withoutPendingChange(candidates).stream(), evaluate));
     }
 
+    private static AnswerPacking packing(RequestLevel level, List<EngineCandidate> candidates) {
+        int slots = candidates.stream().mapToInt(EngineCandidate::slots).min().orElse(1);
+        return level.mixed() ? AnswerPacking.of(slots, level.gapMillis()) : AnswerPacking.COMMON;
+    }
+
+    /**
+     * Returns the best choice at which the request is accepted: among the considered engines, else among the next ones
+     * in rank, a few at a time. The cheapest engine may be cheap for its new weights or its cached prefix, and too
+     * late.
+     */
+    private static Optional<EngineChoice> firstAccepting(
+            RequestLevel level,
+            List<EngineCandidate> considered,
+            List<EngineCandidate> ranked,
+            Function<EngineCandidate, EngineChoice> evaluate) {
+        List<EngineCandidate> others =
+                ranked.stream().filter(c -> !considered.contains(c)).toList();
+        Stream<List<EngineCandidate>> groups = IntStream.range(0, MAX_FURTHER_GROUPS)
+                .mapToObj(i -> others.stream()
+                        .skip((long) i * MAX_CONSIDERED)
+                        .limit(MAX_CONSIDERED)
+                        .toList());
+        return Stream.concat(Stream.of(considered), groups)
+                .flatMap(group -> best(group.stream(), evaluate, level::accepts).stream())
+                .findFirst();
+    }
+
     private static Optional<EngineChoice> best(
             Stream<EngineCandidate> engines, Function<EngineCandidate, EngineChoice> evaluate) {
+        return best(engines, evaluate, choice -> true);
+    }
+
+    private static Optional<EngineChoice> best(
+            Stream<EngineCandidate> engines,
+            Function<EngineCandidate, EngineChoice> evaluate,
+            Predicate<EngineChoice> condition) {
         return engines.map(evaluate)
                 .filter(EngineChooser::startsInTime)
+                .filter(condition)
                 .min(Comparator.comparingDouble(EngineChoice::cost));
     }
 
@@ -133,15 +219,23 @@
      * superseded ones are about to expire.
      */
     private static Stream<EngineCandidate> considered(
-            Prompt prompt, String sharedKey, List<EngineCandidate> candidates, LongAnswerEngines longAnswerEngines) {
-        if (prompt.hasLongAnswer()) {
+            boolean longAnswer,
+            String sharedKey,
+            List<EngineCandidate> candidates,
+            LongAnswerEngines longAnswerEngines) {
+        if (longAnswer) {
             return candidates.stream().filter(longAnswerEngines::isEligible);
         }
+        return inRankOrder(sharedKey, candidates).stream()
+                .limit(Math.max(MAX_CONSIDERED, candidates.size() / CONSIDERED_DIVISOR));
+    }
+
+    private static List<EngineCandidate> inRankOrder(String sharedKey, List<EngineCandidate> candidates) {
         List<EngineCandidate> usable =
                 candidates.size() <= MAX_CONSIDERED ? candidates : withoutPendingChange(candidates);
         return usable.stream()
                 .sorted(Comparator.comparingLong((EngineCandidate candidate) -> -rank(sharedKey, candidate.id())))
-                .limit(Math.max(MAX_CONSIDERED, candidates.size() / CONSIDERED_DIVISOR));
+                .toList();
     }
 
     /**
@@ -193,15 +287,12 @@
         return LongHashFunction.xx3().hashBytes(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private EngineChoice evaluate(
-            Prompt prompt,
-            long prefixHash,
-            EngineCandidate candidate,
-            String homeId,
-            LongAnswerEngines longAnswerEngines,
-            PrefixSources sources,
-            long nowMillis) {
-        boolean isHome = homeId.equals(candidate.id());
+    private EngineChoice evaluate(Placement placement, long prefixHash, EngineCandidate candidate) {
+        Prompt prompt = placement.prompt();
+        long nowMillis = placement.nowMillis();
+        PrefixSources sources = placement.sources();
+        LongAnswerEngines longAnswerEngines = placement.longAnswerEngines();
+        boolean isHome = candidate.id().equals(placement.home());
         PrefixSources.Source source = sources.cheapest(prompt, prefixHash, candidate, isHome);
         double prefill = PrefixSources.prefillMillis(source, prompt);
         double queueWait = candidate.load().waitMillis(nowMillis);
@@ -213,8 +304,8 @@
         double slotWait = requestsOverSlots / candidate.slots() * TYPICAL_REQUEST_MILLIS;
         double predicted = queueWait + slotWait + source.fetchMillis() + prefill + batch + memoryWait;
         double interference = candidate.load().runningRequests(nowMillis) * prefill * INTERFERENCE_FACTOR
-                + longAnswerEngines.interferenceMillis(candidate, prefill, nowMillis);
-        double pauses = prompt.hasLongAnswer()
+                + (placement.prevails() ? 0 : longAnswerEngines.interferenceMillis(candidate, prefill, nowMillis));
+        double pauses = placement.longAnswer()
                 ? queueWait * PAUSE_FACTOR + longAnswerEngines.placementMillis(candidate, nowMillis)
                 : 0;
         double cost = predicted
@@ -239,6 +330,7 @@
                 source.storeMillis(),
                 queryStore,
                 saveToStore,
+                placement.longAnswer(),
                 reason);
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/engine/LongAnswerEngines.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/LongAnswerEngines.java
@@ -16,12 +16,6 @@
  * to the other engines.
  */
 final class LongAnswerEngines {
-    /** An event of six tokens is on time within 500 ms; prefill work in this window delays it. */
-    private static final long EVENT_MILLIS = 500;
-    /** Prefill work per event window that delays no answer: four steps of about 95 ms leave two short ones. */
-    private static final double HARMLESS_PREFILL_MILLIS = 300;
-    /** Every event is late with this much more prefill work. */
-    private static final double INTERFERENCE_RANGE_MILLIS = 250;
     /**
      * Cost of one late answer, in milliseconds of the prompt's own wait. A lower value places prompts among the
      * answers; a higher one rejects prompts that would have delayed nothing.
@@ -29,8 +23,6 @@
     private static final double LATE_ANSWER_MILLIS = 300;
     /** Cost for a long answer of each position after the preferred engines. */
     private static final double POSITION_MILLIS = 20;
-    /** Long answers per preferred engine; a step with as many takes a twentieth longer than with one. */
-    private static final int ANSWERS_PER_ENGINE = 12;
     /**
      * Largest share of the engines that is preferred, unless prefill leaves more of them free. When engines are short,
      * long answers take three times as long, so three times as many run. Without this limit they share all engines,
@@ -50,14 +42,16 @@
 
     private static final double CROWDED_MILLIS = 10;
 
+    private final AnswerPacking packing;
     private final List<String> ranked;
     private final int preferredCount;
     private final int answersPerPreferred;
 
-    private LongAnswerEngines(List<String> ranked, int totalAnswers, double prefillingEngines) {
+    private LongAnswerEngines(AnswerPacking packing, List<String> ranked, int totalAnswers, double prefillingEngines) {
+        this.packing = packing;
         this.ranked = ranked;
         double maxPreferred = Math.max(ranked.size() * MAX_PREFERRED_SHARE, ranked.size() - prefillingEngines);
-        this.preferredCount = Math.min((int) Math.ceil(maxPreferred), 1 + totalAnswers / ANSWERS_PER_ENGINE);
+        this.preferredCount = Math.min((int) Math.ceil(maxPreferred), 1 + totalAnswers / packing.answersPerEngine());
         this.answersPerPreferred = preferredCount == 0 ? 0 : totalAnswers / preferredCount;
     }
 
@@ -69,10 +63,12 @@
      *
      * @param engines the usable engines
      * @param rank returns an engine's rank by its id, the same on every router
+     * @param packing how densely long answers share engines
      * @param nowMillis the monotonic time
      * @return the engines for long answers at this time
      */
-    static LongAnswerEngines of(List<EngineCandidate> engines, ToLongFunction<String> rank, long nowMillis) {
+    static LongAnswerEngines of(
+            List<EngineCandidate> engines, ToLongFunction<String> rank, AnswerPacking packing, long nowMillis) {
         List<EngineCandidate> remaining =
                 engines.stream().filter(e -> !e.weightChangePending()).toList();
         List<String> ranked = (remaining.isEmpty() ? engines : remaining)
@@ -83,9 +79,9 @@
         int totalAnswers =
                 engines.stream().mapToInt(e -> e.load().longAnswers(nowMillis)).sum();
         double pendingMillis = engines.stream()
-                .mapToDouble(e -> e.load().recentPrefillMillis(EVENT_MILLIS, nowMillis))
+                .mapToDouble(e -> e.load().recentPrefillMillis(packing.windowMillis(), nowMillis))
                 .sum();
-        return new LongAnswerEngines(ranked, totalAnswers, pendingMillis / EVENT_MILLIS);
+        return new LongAnswerEngines(packing, ranked, totalAnswers, pendingMillis / packing.windowMillis());
     }
 
     /**
@@ -117,9 +113,10 @@
      */
     double interferenceMillis(EngineCandidate engine, double requestMillis, long nowMillis) {
         EngineLoad load = engine.load();
-        double pendingMillis = Math.max(load.waitMillis(nowMillis), load.recentPrefillMillis(EVENT_MILLIS, nowMillis));
-        double lateShare = (pendingMillis + requestMillis - HARMLESS_PREFILL_MILLIS) / INTERFERENCE_RANGE_MILLIS;
-        double requestWeight = Math.min(1, requestMillis / HARMLESS_PREFILL_MILLIS);
+        double pendingMillis =
+                Math.max(load.waitMillis(nowMillis), load.recentPrefillMillis(packing.windowMillis(), nowMillis));
+        double lateShare = (pendingMillis + requestMillis - packing.harmlessMillis()) / packing.rangeMillis();
+        double requestWeight = Math.min(1, requestMillis / packing.harmlessMillis());
         int affected = Math.max(load.longAnswers(nowMillis), fairShare(engine));
         return affected * LATE_ANSWER_MILLIS * Math.max(0, Math.min(1, lateShare)) * requestWeight;
     }
--- a/core/src/main/java/org/hornbeamhead/core/engine/Prompt.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/Prompt.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.core.engine;
 
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.stream.Collectors;
 
 /**
@@ -9,18 +10,36 @@
  * @param model the model's name
  * @param parts the parts of the prompt in order; the last belongs to this request or its session only
  * @param maxOutputTokens the maximum length of the answer, in tokens
+ * @param expectedOutputTokens the caller's estimate of the length of the answer, in tokens; empty if it states none
  */
-public record Prompt(String model, List<PromptPart> parts, int maxOutputTokens) {
+public record Prompt(String model, List<PromptPart> parts, int maxOutputTokens, OptionalInt expectedOutputTokens) {
     /**
      * An event holds six tokens in the deployments; an answer of at most this length has three events and a remainder.
      */
     private static final int SHORT_OUTPUT_TOKENS = 20;
 
+    /**
+     * Prompt tokens that an engine prefills in the time of its decoding steps that one output token accounts for: a
+     * step makes a token for each of about eight requests and takes as long as the prefill of 240 tokens.
+     */
+    private static final long PROMPT_TOKENS_PER_OUTPUT_TOKEN = 30;
+
     /** Copies the parts, so that the prompt is immutable. */
     public Prompt {
         parts = List.copyOf(parts);
     }
 
+    /**
+     * Creates a prompt without an estimate of the length of its answer.
+     *
+     * @param model the model's name
+     * @param parts the parts of the prompt in order
+     * @param maxOutputTokens the maximum length of the answer, in tokens
+     */
+    public Prompt(String model, List<PromptPart> parts, int maxOutputTokens) {
+        this(model, parts, maxOutputTokens, OptionalInt.empty());
+    }
+
     /**
      * Returns the length of the prompt.
      *
@@ -66,6 +85,16 @@
         return maxOutputTokens > SHORT_OUTPUT_TOKENS;
     }
 
+    /**
+     * Returns whether an engine is expected to spend more of its time on decoding the answer than on prefilling the
+     * prompt.
+     *
+     * @return true for a long answer, relative to its prompt; by the maximum length if no estimate is stated
+     */
+    public boolean isMostlyDecoding() {
+        return expectedOutputTokens.orElse(maxOutputTokens) * PROMPT_TOKENS_PER_OUTPUT_TOKEN > tokens();
+    }
+
     /**
      * Returns a key of the prefix that other requests share.
      *
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineAdmissionTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineAdmissionTest.java
@@ -15,7 +15,7 @@
 
     private static EngineChoice choice(double waitMillis, double predictedMillis) {
         return new EngineChoice(
-                null, 0, waitMillis, predictedMillis, 0, predictedMillis, Optional.empty(), 0, false, false, "");
+                null, 0, waitMillis, predictedMillis, 0, predictedMillis, Optional.empty(), 0, false, false, false, "");
     }
 
     @DataProvider
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineMixTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineMixTest.java
@@ -19,6 +19,7 @@
     private static final long BURST_MILLIS = 2_000;
     private static final double BURST_FACTOR = 1.5;
     private static final long SIMULATED_MILLIS = 8_000;
+    private static final long MIXED_MILLIS = 4_000;
 
     /**
      * Number of engines, factor of the small load, and the minimum shares of long answers and of long prompts on time.
@@ -80,6 +81,70 @@
         assertEquals(share >= 0.92, onTime, "long answers on time: " + share);
     }
 
+    private static final EngineSimulation.EngineFigures SMALL_ENGINES =
+            new EngineSimulation.EngineFigures(12, 2_048, 5.18, 0.0367, 6, 400, 0.15);
+    private static final EngineSimulation.StatedLengths MAXIMA = new EngineSimulation.StatedLengths(204, 954, false);
+    private static final EngineSimulation.StatedLengths HINTS = new EngineSimulation.StatedLengths(204, 954, true);
+
+    /**
+     * Guards against engines that stand idle while requests are late, since callers state the same large maximum for
+     * all answers and placement packs every request onto the first engines: 98 engines of 12 slots whose machines are
+     * noisy, with empty caches, a third above their usual load. Both kinds gain by the hints, and each has at least
+     * half of its requests on time.
+     */
+    @Test
+    public void lengthHintsBringBothKindsOnTime() {
+        EngineSimulation.Workload prompts =
+                new EngineSimulation.Workload("long prompts", 285, 6_300, 2_624, 2_890, 9, 1.6, 606, 1);
+        EngineSimulation.Workload answers =
+                new EngineSimulation.Workload("long answers", 186, 198, 1_146, 628, 49, 1.2, 403, 0);
+        Map<String, EngineSimulation.Results> packed = mixedRun(98, SMALL_ENGINES, prompts, answers, MAXIMA, false);
+        Map<String, EngineSimulation.Results> told = mixedRun(98, SMALL_ENGINES, prompts, answers, HINTS, true);
+        List.of(prompts, answers).forEach(workload -> {
+            double before = packed.get(workload.name()).onTimeShare();
+            double share = told.get(workload.name()).onTimeShare();
+            assertTrue(share > before && share >= 0.5, workload.name() + " on time: " + before + ", " + share);
+        });
+    }
+
+    private static Map<String, EngineSimulation.Results> mixedRun(
+            int engines,
+            EngineSimulation.EngineFigures figures,
+            EngineSimulation.Workload prompts,
+            EngineSimulation.Workload answers,
+            EngineSimulation.StatedLengths lengths,
+            boolean mixed) {
+        return new EngineSimulation(engines, figures, ROUTERS, List.of(prompts, answers), 1)
+                .withLengths(lengths, mixed)
+                .run(MIXED_MILLIS);
+    }
+
+    private static final EngineSimulation.EngineFigures UNEVEN_LOAD_ENGINES =
+            new EngineSimulation.EngineFigures(24, 2_048, 5.05, 0.0164, 6, 500, 0);
+
+    /**
+     * Guards against urgent long prompts that are refused for the sake of less urgent answers: a burst of answers of
+     * priority 2 at 2.6 times their usual rate beside long prompts of priority 0.
+     */
+    @Test
+    public void urgentPromptsAreNotRefusedForLessUrgentAnswers() {
+        EngineSimulation.Workload prompts =
+                new EngineSimulation.Workload("long prompts", 91, 6_300, 1_505, 2_890, 9, 1.4, 515, 0);
+        EngineSimulation.Workload answers =
+                new EngineSimulation.Workload("long answers", 540, 198, 1_976, 628, 49, 0.69, 1_507, 2);
+        EngineSimulation.Workload equal = new EngineSimulation.Workload(
+                answers.name(), 540, 198, 1_976, 628, 49, 0.69, 1_507, prompts.priority());
+        double refused = refusedShare(
+                mixedRun(63, UNEVEN_LOAD_ENGINES, prompts, answers, HINTS, true).get(prompts.name()));
+        double refusedIfEqual = refusedShare(
+                mixedRun(63, UNEVEN_LOAD_ENGINES, prompts, equal, HINTS, true).get(prompts.name()));
+        assertTrue(refused <= refusedIfEqual && refused < 0.05, "refused: " + refused + ", " + refusedIfEqual);
+    }
+
+    private static double refusedShare(EngineSimulation.Results results) {
+        return (double) (results.rejectedByRouter() + results.rejectedByEngine()) / results.requests();
+    }
+
     private static EngineSimulation.Workload scaled(EngineSimulation.Workload workload, double factor) {
         return new EngineSimulation.Workload(
                 workload.name(),
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineSimulation.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineSimulation.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -27,7 +28,47 @@
             int ownTokens,
             int meanOutput,
             double outputSigma,
-            int targetMillis) {}
+            int targetMillis,
+            int priority) {
+        Workload(
+                String name,
+                double requestsPerSecond,
+                int sharedTokens,
+                int dossiers,
+                int ownTokens,
+                int meanOutput,
+                double outputSigma,
+                int targetMillis) {
+            this(name, requestsPerSecond, sharedTokens, dossiers, ownTokens, meanOutput, outputSigma, targetMillis, 0);
+        }
+    }
+
+    /**
+     * What engines do: requests at once, tokens of a prefill chunk, time of a step, tokens of an event, the longest
+     * pause on time, and the share of time in which the engine takes 2.5 times as long.
+     */
+    record EngineFigures(
+            int slots,
+            int chunkTokens,
+            double stepMillis,
+            double stepMillisPerRequest,
+            int eventTokens,
+            int maxPauseMillis,
+            double noiseShare) {
+        static final EngineFigures FIRST = new EngineFigures(64, 4_096, 3.4, 0.017, 7, 500, 0);
+
+        EngineFigures withSlots(int count) {
+            return new EngineFigures(
+                    count, chunkTokens, stepMillis, stepMillisPerRequest, eventTokens, maxPauseMillis, noiseShare);
+        }
+    }
+
+    /** How callers state the lengths of answers: the mean, as the first callers did, or a maximum and an estimate. */
+    record StatedLengths(int maxTokensOfLongPrompts, int maxTokensOfShortPrompts, boolean hints) {
+        int maxOf(Workload workload) {
+            return workload.sharedTokens() > LONG_SHARED_TOKENS ? maxTokensOfLongPrompts : maxTokensOfShortPrompts;
+        }
+    }
 
     /** The outcomes of the requests of one workload. */
     record Results(int requests, int onTime, int late, int rejectedByRouter, int rejectedByEngine) {
@@ -36,17 +77,16 @@
         }
     }
 
-    private static final int DEFAULT_SLOTS = 64;
+    private static final double NOISE_FACTOR = 2.5;
+    private static final double NOISE_MILLIS = 600;
+    /** Standard deviation of the logarithm of callers' estimates. */
+    private static final double HINT_SIGMA = 0.5;
+    /** Prompts with more shared tokens are long. */
+    private static final int LONG_SHARED_TOKENS = 2_000;
+
     /** Number of requests that wait at an engine for a slot; it rejects any more. */
     private static final int MAX_QUEUED = 4;
 
-    private static final int CHUNK_TOKENS = 4_096;
-    private static final double STEP_MILLIS = 3.4;
-    private static final double STEP_MILLIS_PER_REQUEST = 0.017;
-    /** Number of tokens of an event, except the first, which holds a single token. Answers are counted in events. */
-    private static final int EVENT_TOKENS = 7;
-
-    private static final int MAX_PAUSE_MILLIS = 500;
     private static final int MEMORY_TOKENS = 94_571;
     private static final long TOKEN_BYTES = 163_840;
     private static final KvTransferLinks LINKS =
@@ -58,7 +98,9 @@
     /** Interval at which routers send their work at each engine. */
     private static final int LOAD_INTERVAL_MILLIS = 40;
 
-    private final int slots;
+    private final EngineFigures figures;
+    private Optional<StatedLengths> statedLengths = Optional.empty();
+    private boolean mixed;
     /**
      * Delay until other routers know of a request that a router sent: the transfer and the average time until it is
      * sent.
@@ -133,7 +175,7 @@
             this.router = router;
             this.workload = workload;
             this.arrivedAt = arrivedAt;
-            this.output = 1 + (output - 1) * EVENT_TOKENS;
+            this.output = output;
             this.prefilled = prefilled;
             this.remainingPrefill = remainingPrefill;
             this.tokens = prefilled + remainingPrefill + this.output;
@@ -147,6 +189,8 @@
         private final List<Running> waiting = new ArrayList<>();
         private final List<Running> running = new ArrayList<>();
         private double now;
+        private double paceUntil;
+        private double pace = 1;
 
         Engine(String id) {
             this.id = id;
@@ -166,15 +210,17 @@
 
         private void admit() {
             int used = running.stream().mapToInt(r -> r.tokens).sum();
-            while (!waiting.isEmpty() && running.size() < slots && used + waiting.get(0).tokens <= MEMORY_TOKENS) {
+            while (!waiting.isEmpty()
+                    && running.size() < figures.slots()
+                    && used + waiting.get(0).tokens <= MEMORY_TOKENS) {
                 used += waiting.get(0).tokens;
                 running.add(waiting.remove(0));
             }
         }
 
         private void step() {
-            double millis = STEP_MILLIS + STEP_MILLIS_PER_REQUEST * running.size();
-            int budget = CHUNK_TOKENS;
+            double millis = figures.stepMillis() + figures.stepMillisPerRequest() * running.size();
+            int budget = figures.chunkTokens();
             List<Running> decoding = new ArrayList<>();
             for (Running r : running) {
                 int chunk = Math.min(budget, r.remainingPrefill);
@@ -186,19 +232,27 @@
                     decoding.add(r);
                 }
             }
-            now += millis;
+            now += millis * pace();
             decoding.forEach(this::produceToken);
             running.removeIf(r -> r.producedTokens >= r.output);
         }
 
+        private double pace() {
+            if (figures.noiseShare() > 0 && now >= paceUntil) {
+                pace = random.nextDouble() < figures.noiseShare() ? NOISE_FACTOR : 1;
+                paceUntil = now + NOISE_MILLIS;
+            }
+            return pace;
+        }
+
         private void produceToken(Running r) {
             r.producedTokens++;
             if (r.producedTokens == 1) {
                 r.router.load(id).recordFirstEvent(r.id, Math.round(now));
                 r.late = now - r.arrivedAt > r.workload.targetMillis();
                 r.lastEventAt = now;
-            } else if ((r.producedTokens - 1) % EVENT_TOKENS == 0) {
-                r.late |= now - r.lastEventAt > MAX_PAUSE_MILLIS;
+            } else if ((r.producedTokens - 1) % figures.eventTokens() == 0) {
+                r.late |= now - r.lastEventAt > figures.maxPauseMillis();
                 r.lastEventAt = now;
             }
             if (r.producedTokens >= r.output) {
@@ -211,11 +265,15 @@
     }
 
     EngineSimulation(int engineCount, int routerCount, List<Workload> workloads, long seed) {
-        this(engineCount, DEFAULT_SLOTS, routerCount, workloads, seed);
+        this(engineCount, EngineFigures.FIRST, routerCount, workloads, seed);
     }
 
     EngineSimulation(int engineCount, int slots, int routerCount, List<Workload> workloads, long seed) {
-        this.slots = slots;
+        this(engineCount, EngineFigures.FIRST.withSlots(slots), routerCount, workloads, seed);
+    }
+
+    EngineSimulation(int engineCount, EngineFigures figures, int routerCount, List<Workload> workloads, long seed) {
+        this.figures = figures;
         this.workloads = workloads;
         this.random = new Random(seed);
         for (int i = 0; i < engineCount; i++) {
@@ -233,6 +291,13 @@
         return this;
     }
 
+    /** Sets how callers state the lengths of answers, and whether placement is for a mixed service. */
+    EngineSimulation withLengths(StatedLengths lengths, boolean mixedService) {
+        statedLengths = Optional.of(lengths);
+        mixed = mixedService;
+        return this;
+    }
+
     /** Simulates the load for a time and returns the results of each workload by its name. */
     Map<String, Results> run(long millis) {
         return runAfterBurst(0, 1, millis);
@@ -299,13 +364,23 @@
                         new PromptPart(workload.name(), workload.sharedTokens() / 3),
                         new PromptPart(sharedId, workload.sharedTokens() - workload.sharedTokens() / 3),
                         new PromptPart("own", own)),
-                workload.meanOutput());
+                statedLengths.map(l -> l.maxOf(workload)).orElse(workload.meanOutput()),
+                hint(output));
         Router router = routers.get(random.nextInt(routers.size()));
         List<EngineCandidate> candidates = engines.stream()
                 .map(e -> new EngineCandidate(
-                        e.id, "z", 1, true, router.load(e.id), MEMORY_TOKENS, slots, false, Long.MAX_VALUE, false))
+                        e.id,
+                        "z",
+                        1,
+                        true,
+                        router.load(e.id),
+                        MEMORY_TOKENS,
+                        figures.slots(),
+                        false,
+                        Long.MAX_VALUE,
+                        false))
                 .toList();
-        Optional<EngineChoice> choice = router.chooser.choose(prompt, c -> 0, candidates, LINKS, now);
+        Optional<EngineChoice> choice = router.chooser.choose(prompt, level(workload), c -> 0, candidates, LINKS, now);
         OptionalLong retryAfter =
                 EngineAdmission.retryAfterMillis(choice.orElseThrow(), workload.targetMillis(), TIME_LEFT_MILLIS);
         if (retryAfter.isPresent()) {
@@ -315,6 +390,18 @@
         }
     }
 
+    private OptionalInt hint(int output) {
+        return statedLengths.filter(StatedLengths::hints).isPresent()
+                ? OptionalInt.of((int)
+                        Math.max(1, output * figures.eventTokens() * Math.exp(random.nextGaussian() * HINT_SIGMA)))
+                : OptionalInt.empty();
+    }
+
+    private RequestLevel level(Workload workload) {
+        return new RequestLevel(
+                mixed, workload.priority(), workload.targetMillis(), figures.maxPauseMillis(), TIME_LEFT_MILLIS);
+    }
+
     private void send(
             Router router,
             Workload workload,
@@ -327,19 +414,28 @@
                 .filter(e -> e.id.equals(choice.engine().id()))
                 .findFirst()
                 .orElseThrow();
-        if (engine.running.size() + engine.waiting.size() >= slots + MAX_QUEUED) {
+        if (engine.running.size() + engine.waiting.size() >= figures.slots() + MAX_QUEUED) {
             counts.get(workload)[4] += now >= countedFromMillis ? 1 : 0;
             return;
         }
         String id = "r" + nextId++;
-        router.load(engine.id)
-                .recordSent(id, choice.prefillMillis(), prompt.memoryTokens(), prompt.hasLongAnswer(), now);
+        router.load(engine.id).recordSent(id, choice.prefillMillis(), prompt.memoryTokens(), choice.longAnswer(), now);
         router.recordSent(choice, now);
         hints.addLast(new SentHint(router, choice, now + hintDelayMillis));
         boolean isCached =
                 !engine.cachedPrefixes.add(sharedId) || choice.fetchFrom().isPresent();
         int prefilled = isCached ? prompt.sharedTokens() : 0;
-        Running r = new Running(id, router, workload, now, output, prefilled, prompt.tokens() - prefilled);
-        engine.waiting.add(r);
+        Running r = new Running(
+                id,
+                router,
+                workload,
+                now,
+                1 + (output - 1) * figures.eventTokens(),
+                prefilled,
+                prompt.tokens() - prefilled);
+        int urgent = (int) engine.waiting.stream()
+                .filter(w -> w.workload.priority() <= workload.priority())
+                .count();
+        engine.waiting.add(urgent, r);
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/AttemptRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/AttemptRequest.java
@@ -43,7 +43,8 @@
     void recordSent() {
         Optional<Prompt> prompt = exchange.serviceRequest().callerRequest().prompt();
         int memoryTokens = prompt.map(Prompt::memoryTokens).orElse(0);
-        boolean longResponse = prompt.map(Prompt::hasLongAnswer).orElse(false);
+        boolean longResponse =
+                target.engineChoice().map(EngineChoice::longAnswer).orElse(false);
         double readMillis =
                 target.engineChoice().map(EngineChoice::prefillMillis).orElse(0.0);
         replica.load().recordSent(id(), readMillis, memoryTokens, longResponse, now());
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.hornbeamhead.core.engine.EngineAdmission;
@@ -201,16 +200,11 @@
     }
 
     ForwardingOptions forwardingOptions(Target target) {
-        int priority = serviceRequest
-                .owner()
-                .map(KeyOwner::priority)
-                .orElse(OptionalInt.empty())
-                .orElse(serviceRequest.route().priority());
         return new ForwardingOptions(
                 target.replica().entry().id(),
                 serviceRequest.owner().map(KeyOwner::customer),
                 Math.max(1, timeLeftMillis()),
-                priority,
+                serviceRequest.priority(),
                 target.engineOptions(),
                 progress.lastEventId());
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.stream.Collectors;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.NextStep;
 import org.hornbeamhead.daemon.Logs;
@@ -66,7 +67,10 @@
                 .callerRequest()
                 .prompt()
                 .map(p -> " tokens=" + p.sharedTokens() + "+" + (p.tokens() - p.sharedTokens()) + ">"
-                        + p.maxOutputTokens())
+                        + p.maxOutputTokens()
+                        + p.expectedOutputTokens().stream()
+                                .mapToObj(t -> " expected=" + t)
+                                .collect(Collectors.joining()))
                 .orElse("");
         return "route=" + serviceRequest.route().name() + tokens + timings + " millis=" + elapsed.toMillis() + " tried="
                 + scope;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
@@ -25,6 +26,11 @@
         return routed.owner();
     }
 
+    /** Returns the priority of the request: that of its customer if there is one, else that of its route. */
+    int priority() {
+        return owner().map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route().priority());
+    }
+
     CallerRequest callerRequest() {
         return routed.callerRequest();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -11,9 +11,11 @@
 import org.hornbeamhead.core.engine.EngineChooser;
 import org.hornbeamhead.core.engine.KvTransferLinks;
 import org.hornbeamhead.core.engine.Prompt;
+import org.hornbeamhead.core.engine.RequestLevel;
 import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.route.ServiceLevels;
 import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.gateway.availability.ReplicaAvailability;
@@ -50,7 +52,7 @@
         List<LiveReplica> replicas = usableReplicas(scope);
         Optional<Prompt> prompt = request.callerRequest().prompt();
         return request.service().engine().isPresent() && prompt.isPresent()
-                ? selectEngine(request.config(), request.service(), prompt.get(), request.owner(), replicas)
+                ? selectEngine(request, prompt.get(), replicas)
                 : selectLeastLoaded(replicas);
     }
 
@@ -87,17 +89,13 @@
                 .map(r -> new Target(r, Optional.empty(), Optional.empty(), "least load"));
     }
 
-    private Optional<Target> selectEngine(
-            RoutingConfig config,
-            ServiceSpec service,
-            Prompt prompt,
-            Optional<KeyOwner> owner,
-            List<LiveReplica> replicas) {
+    private Optional<Target> selectEngine(ServiceRequest request, Prompt prompt, List<LiveReplica> replicas) {
+        ServiceSpec service = request.service();
         long now = clock.monotonicMillis();
         Map<String, LiveReplica> replicasByRun = new HashMap<>();
         replicas.forEach(r -> replicasByRun.put(r.entry().run(), r));
         EngineSpec spec = service.engine().orElseThrow();
-        KvTransferLinks links = links(spec, config);
+        KvTransferLinks links = links(spec, request.config());
         List<EngineCandidate> candidates = replicas.stream()
                 .map(r -> new EngineCandidate(
                         r.entry().run(),
@@ -111,10 +109,18 @@
                         weights.usableMillis(prompt.model(), r.weightsVersion(prompt.model()), now),
                         weights.isWeightChangePending(r.entry().run(), now)))
                 .toList();
-        String isolatedCustomer =
-                owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
+        String isolatedCustomer = request.owner()
+                .filter(KeyOwner::isolated)
+                .map(KeyOwner::customer)
+                .orElse("");
         return chooser(service.name())
-                .choose(prompt, c -> salt(prompt, isolatedCustomer, c.weights()).hashCode(), candidates, links, now)
+                .choose(
+                        prompt,
+                        level(request, now),
+                        c -> salt(prompt, isolatedCustomer, c.weights()).hashCode(),
+                        candidates,
+                        links,
+                        now)
                 .map(choice -> toTarget(
                         links,
                         prompt,
@@ -123,6 +129,16 @@
                         replicasByRun.get(choice.engine().id())));
     }
 
+    private static RequestLevel level(ServiceRequest request, long now) {
+        ServiceLevels levels = request.config().serviceLevels(request.service().name());
+        return new RequestLevel(
+                levels.isMixed(),
+                request.priority(),
+                request.route().limits().latencyTargetMillis(),
+                levels.shortestGapMillis(),
+                request.routed().deadline() - now);
+    }
+
     private static KvTransferLinks links(EngineSpec engine, RoutingConfig config) {
         return new KvTransferLinks(
                 KvTransferLinks.tokensPerMilli(engine.linkMbps(), engine.kvTokenBytes()),
