Engines are told priorities of customers first and of routes among equal customers

Cause: on both new deployments all customers have the priority 0 or 1, which replaced the routes' priorities, so that engines took urgent and deferrable requests of a customer for equal, and placement compared equal numbers. Change: for services whose routes call for length-aware placement the priority at engines holds both; kinds are compared by their routes. Other services are told what they were told before.

--- a/core/src/main/java/org/hornbeamhead/core/engine/RequestLevel.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/RequestLevel.java
@@ -4,7 +4,7 @@
  * What a request and the routes of its service ask of placement.
  *
  * @param mixed whether long prompts and long answers of the service are told apart by their expected lengths
- * @param priority the priority of the request, 0 is the highest
+ * @param priority the priority of the request's route, 0 is the highest
  * @param targetMillis the time within which the first event is on time, in milliseconds
  * @param gapMillis the shortest target for the gap between two events on the service's routes, in milliseconds
  * @param timeLeftMillis how long the caller waits, in milliseconds
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -204,7 +204,7 @@
                 target.replica().entry().id(),
                 serviceRequest.owner().map(KeyOwner::customer),
                 Math.max(1, timeLeftMillis()),
-                serviceRequest.priority(),
+                serviceRequest.enginePriority(),
                 target.engineOptions(),
                 progress.lastEventId());
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
@@ -2,9 +2,11 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.hornbeamhead.core.route.EnginePriority;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.route.ServiceLevels;
 import org.hornbeamhead.core.route.ServiceSpec;
 
 /**
@@ -26,9 +28,17 @@
         return routed.owner();
     }
 
-    /** Returns the priority of the request: that of its customer if there is one, else that of its route. */
-    int priority() {
-        return owner().map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route().priority());
+    /** Returns what the streaming routes of the service ask of its replicas. */
+    ServiceLevels levels() {
+        return config().serviceLevels(service.name());
+    }
+
+    /** Returns the priority that engines are told. */
+    int enginePriority() {
+        OptionalInt customer = owner().map(KeyOwner::priority).orElse(OptionalInt.empty());
+        return levels().isMixed()
+                ? EnginePriority.ofCustomerThenRoute(customer, route().priority())
+                : EnginePriority.ofCustomerElseRoute(customer, route().priority());
     }
 
     CallerRequest callerRequest() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -130,10 +130,10 @@
     }
 
     private static RequestLevel level(ServiceRequest request, long now) {
-        ServiceLevels levels = request.config().serviceLevels(request.service().name());
+        ServiceLevels levels = request.levels();
         return new RequestLevel(
                 levels.isMixed(),
-                request.priority(),
+                request.route().priority(),
                 request.route().limits().latencyTargetMillis(),
                 levels.shortestGapMillis(),
                 request.routed().deadline() - now);
