Soak: answers without end state the replica's notices

Cause: the heads of SoakReplica.writeWithoutEnd left out the request limit that the replica states.

Change: an answer without end whose head is whole bears the same notices as other answers. Forms whose head never ends bear none, since no router can read them.

--- a/soak/src/main/java/org/hornbeamhead/soak/EndlessAnswer.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/EndlessAnswer.java
@@ -46,6 +46,11 @@
         return form.beginning.replace("ID", r.id());
     }
 
+    /** Returns whether a whole head comes before the bytes without end. */
+    boolean hasWholeHead() {
+        return form.beginning.endsWith("\r\n\r\n");
+    }
+
     /** Writes the next bytes and returns how many they are. */
     int writeNext(StandinReplica.Connection to) throws IOException, InterruptedException {
         String bytes = fast ? form.unit.repeat(FAST_WRITE_BYTES / form.unit.length()) : form.unit;
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakReplica.java
@@ -250,13 +250,17 @@
         }
     }
 
-    /** Writes until the router closes the connection, and records how much that was. */
+    /**
+     * Writes until the router closes the connection, and records how much that was. A whole head bears the notices,
+     * since an answer without a request limit ends the limit that the replica stated before.
+     */
     private void writeWithoutEnd(EndlessAnswer answer, StandinReplica.ReceivedRequest r, StandinReplica.Connection to)
             throws IOException, InterruptedException {
         long from = clock.millis();
         long sent = 0;
         try {
-            to.write(answer.beginning(r));
+            String beginning = answer.beginning(r);
+            to.write(answer.hasWholeHead() ? withNotices(r, beginning) : beginning);
             while (true) {
                 sent += answer.writeNext(to);
             }
