A silent attempt stays open while other routers have the request

Cause: Exchange.handOver ended the exchange before another router had answered, which closed a silent attempt of this router. If the other routers did not run the request, the caller got 502 although the paused replica answered later.

Change: Handover keeps the exchange and its silent attempt beside the RelayedRequest. If the silent attempt answers, the request is withdrawn from other routers. If another router begins a stream or delivers an answer, the silent attempt is closed. If none has an answer, this router waits on for its attempt. Executions elsewhere are added to those here, so that max_attempts holds, and an exchange hands over once at most. Quota and retry budget are given back when the request is left to the others.

Not run: other tests of gateway and platform, the soak.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -232,7 +232,7 @@
         }
         replica.load().recordFirstEvent(request.id(), now());
         silence.restart(request.silenceTimeouts().pauseMillis());
-        exchange.attempts().answered(this);
+        exchange.attemptAnswered(this);
         exchange.recordRelay(replica);
         exchange.beginResponse(head, replica);
         return exchange.response().write(newEvents);
@@ -293,7 +293,7 @@
 
     private void deliver() {
         stop();
-        exchange.attempts().answered(this);
+        exchange.attemptAnswered(this);
         replica.guard().recordSuccess();
         replica.brittleLimit().recordCompletion();
         exchange.content().recordCompletion();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -326,7 +326,15 @@
             return false;
         }
         StreamProgress progress = new StreamProgress(routed.callerRequest().lastEventId(), Optional.empty());
-        new RelayedRequest(this, routed, service, response, new ForwardingState(routed.route()), progress).start();
+        new RelayedRequest(
+                        this,
+                        routed,
+                        service,
+                        response,
+                        new ForwardingState(routed.route()),
+                        progress,
+                        RelayedRequest.SilentAttempt.NONE)
+                .start();
         return true;
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -45,6 +45,7 @@
     private final StreamProgress progress;
     private final StreamTimings timings = new StreamTimings();
     private final OpenAttempts<Attempt> attempts;
+    private final Handover handover;
     private final ExchangeLog log;
     private final FinalAnswer answer;
     private ScheduledRunnable deadlineTimer;
@@ -82,15 +83,21 @@
                 forwarding,
                 new OpenAttempts.Operations<>(
                         Attempt::wasSent, Attempt::hasProcessingStarted, a -> 1, Attempt::goOn, Attempt::cancel));
+        this.handover = new Handover(
+                forwarding, attempts, new Handover.Operations(this::leaveToOthers, this::watchCallerAndDeadline));
         this.log = new ExchangeLog(dispatcher, serviceRequest, scope, content);
         this.answer = new FinalAnswer(dispatcher, serviceRequest, response, forwarding);
     }
 
     void start() {
         dispatcher.inFlight().add(this);
+        watchCallerAndDeadline();
+        startNextAttempt();
+    }
+
+    private void watchCallerAndDeadline() {
         response.onDisconnect(this::callerDisconnected);
         deadlineTimer = dispatcher.reactor().delayBackground(Math.max(0, timeLeftMillis()), this::deadlineExpired);
-        startNextAttempt();
     }
 
     private long timeLeftMillis() {
@@ -163,7 +170,9 @@
     void cancelQuarantined() {
         attempts.cancelAwaitingStart();
         dispatcher.metrics().count("hornbeam_requests_taken_back");
-        if (attempts.isEmpty()) {
+        if (handover.isOpen()) {
+            handover.leaveIfAllEnded();
+        } else if (attempts.isEmpty()) {
             rejectQuarantined(content.quarantineMillis().orElse(0));
         } else {
             attempts.goOnWithSilent();
@@ -239,6 +248,7 @@
             if (!end.mayHaveExecuted()) {
                 forwarding.attemptGoesOn(1);
             }
+            handover.attemptEnded(end.mayHaveExecuted());
             return;
         }
         NextStep step = forwarding.nextStep(end, retryConditions());
@@ -269,6 +279,7 @@
         boolean unreached = dispatcher.paths().isLost(serviceRequest.service().name())
                 || (notConnected > 0 && notConnected == scope.triedCount());
         return unreached
+                && !handover.wasStarted()
                 && serviceRequest.routed().origin().isEmpty()
                 && (!forwarding.hasResponseStarted() || serviceRequest.route().repeatable())
                 && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
@@ -278,19 +289,31 @@
     }
 
     private void handOver() {
+        // The deadline is watched by the request at the other routers.
+        deadlineTimer.cancel();
+        handover.start(new RelayedRequest(
+                dispatcher,
+                serviceRequest.routed(),
+                serviceRequest.service().name(),
+                response,
+                forwarding.forHandOver(),
+                progress,
+                handover));
+    }
+
+    /** Ends the request here; other routers answer it and count it. */
+    private void leaveToOthers() {
         giveBackQuota();
         if (!serviceRequest.routed().isRepeat()) {
             dispatcher.retryBudgets().withdrawRequest(serviceRequest.service().name());
         }
         finish("HANDED_OVER");
-        new RelayedRequest(
-                        dispatcher,
-                        serviceRequest.routed(),
-                        serviceRequest.service().name(),
-                        response,
-                        forwarding.forHandOver(),
-                        progress)
-                .start();
+    }
+
+    /** Records that an attempt gives the answer: others are cancelled, also at other routers. */
+    void attemptAnswered(Attempt attempt) {
+        attempts.answered(attempt);
+        handover.attemptAnswered();
     }
 
     private void giveUp(FinalResponse finalAnswer, String reason, Optional<BufferedResponse> failure) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OpenAttempts.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OpenAttempts.java
@@ -148,6 +148,11 @@
         all().filter(operations.hasStarted().negate()).toList().forEach(this::cancel);
     }
 
+    /** Cancels all attempts, which may have been executed. */
+    void cancelAll() {
+        all().toList().forEach(this::cancel);
+    }
+
     private void cancel(A attempt) {
         if (operations.wasSent().test(attempt) && !isSilent(attempt)) {
             forwarding.attemptWithdrawn(operations.executions().applyAsInt(attempt));
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -23,7 +23,8 @@
  *
  * <p>The other router does everything for the request as if the caller had connected there; its answer is passed on
  * unchanged. It never hands the request on. If it breaks off a stream that may be resumed, a third router goes on after
- * the last event that the caller got. If it sends nothing for long, a third router is tried beside it.
+ * the last event that the caller got. If it sends nothing for long, a third router is tried beside it. A silent attempt
+ * of this router stays open meanwhile; the first that answers is delivered.
  */
 final class RelayedRequest {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -41,11 +42,40 @@
     private final ForwardingState forwarding;
     private final long deadline;
     private final StreamProgress progress;
+    private final SilentAttempt silentAttempt;
+    private final int executionsBefore;
     private final Set<String> tried = new HashSet<>();
     private final OpenAttempts<RelayHop> hops;
     private ScheduledRunnable deadlineTimer;
     private boolean finished;
 
+    /** An attempt of this router that fell silent before the request was handed over, and may still answer. */
+    interface SilentAttempt {
+        /** No attempt. */
+        SilentAttempt NONE = new SilentAttempt() {
+            @Override
+            public boolean goOn(int executions) {
+                return false;
+            }
+
+            @Override
+            public void close() {
+                // Nothing is open.
+            }
+        };
+
+        /**
+         * Waits for it alone, since no other router has an answer for the caller.
+         *
+         * @param executions how many executions the request may stand for at other routers
+         * @return false if the attempt is not open
+         */
+        boolean goOn(int executions);
+
+        /** Closes it, since the request ends elsewhere. */
+        void close();
+    }
+
     /**
      * Creates a request that is not handed over yet.
      *
@@ -55,6 +85,7 @@
      * @param response receives the answer
      * @param forwarding what attempts of this router may have been executed, and whether the response has begun
      * @param progress the last event that was relayed to the caller
+     * @param silentAttempt the attempt of this router that may still answer
      */
     RelayedRequest(
             Dispatcher dispatcher,
@@ -62,13 +93,16 @@
             String service,
             CallerResponse response,
             ForwardingState forwarding,
-            StreamProgress progress) {
+            StreamProgress progress,
+            SilentAttempt silentAttempt) {
         this.dispatcher = dispatcher;
         this.routed = routed;
         this.service = service;
         this.response = response;
         this.forwarding = forwarding;
         this.progress = progress;
+        this.silentAttempt = silentAttempt;
+        this.executionsBefore = forwarding.possibleExecutions();
         this.deadline = routed.deadline();
         this.hops = new OpenAttempts<>(
                 dispatcher.reactor(),
@@ -98,7 +132,7 @@
                 ? Optional.empty()
                 : dispatcher.relayRouters().select(service, tried);
         if (peer.isEmpty()) {
-            if (!hops.goOnWithSilent()) {
+            if (!goOnWithSilent()) {
                 sendOwnAnswer(forwarding.responseWithoutRetry(), "no router has a path to " + service);
             }
             return;
@@ -179,11 +213,38 @@
         log("handover " + outcome, reason, hop, "next=" + step);
         if (!(step instanceof NextStep.GiveUp giveUp)) {
             sendToNext();
-        } else if (!hops.goOnWithSilent()) {
+        } else if (!goOnWithSilent()) {
             answer.ifPresentOrElse(this::passOn, () -> sendOwnAnswer(giveUp.answer(), reason));
         }
     }
 
+    private boolean goOnWithSilent() {
+        if (hops.goOnWithSilent()) {
+            return true;
+        }
+        if (!silentAttempt.goOn(forwarding.possibleExecutions() - executionsBefore)) {
+            return false;
+        }
+        release("RETURNED");
+        return true;
+    }
+
+    /**
+     * Cancels the request at other routers, since the silent attempt of this router has answered.
+     *
+     * @return how many executions the request may stand for there
+     */
+    int withdraw() {
+        hops.cancelAll();
+        release("WITHDRAWN");
+        return forwarding.possibleExecutions() - executionsBefore;
+    }
+
+    /** Records that the silent attempt of this router has not run after all. */
+    void silentAttemptRefused() {
+        forwarding.attemptGoesOn(1);
+    }
+
     /** Handles a complete answer of another router. */
     void answered(RelayHop hop, RelayAnswer answer) {
         String reason = "the router answered " + answer.head().status();
@@ -227,6 +288,7 @@
             return false;
         }
         hops.answered(hop);
+        silentAttempt.close();
         if (!forwarding.hasResponseStarted()) {
             forwarding.responseStarted();
             response.begin(answer.head().status(), answer.callerHeaders());
@@ -279,6 +341,11 @@
     }
 
     private void finish(String outcome) {
+        release(outcome);
+        silentAttempt.close();
+    }
+
+    private void release(String outcome) {
         finished = true;
         deadlineTimer.cancel();
         hops.removeAll().forEach(RelayHop::cancel);
