--- /dev/null
+++ b/core/src/main/java/org/hornbeamhead/core/load/package-info.java
@@ -0,0 +1,2 @@
+/** The load that replicas state in their responses. */
+package org.hornbeamhead.core.load;
