Engine candidates have a pace

Cause: the predicted wait and prefill at an engine whose machine is slow are too short, so that it keeps its requests. Change: EngineCandidate.pace, 1 if unknown, multiplies queue wait and prefill in EngineChooser.evaluate. The prefill time that is recorded and told to other routers stays the usual one, since the wait is multiplied when it is read.

--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -204,14 +204,15 @@
         boolean isHome = homeId.equals(candidate.id());
         PrefixSources.Source source = sources.cheapest(prompt, prefixHash, candidate, isHome);
         double prefill = PrefixSources.prefillMillis(source, prompt);
-        double queueWait = candidate.load().waitMillis(nowMillis);
+        double queueWait = candidate.load().waitMillis(nowMillis) * candidate.pace();
         double batch = candidate.load().runningRequests(nowMillis) * MILLIS_PER_REQUEST;
         double memory = candidate.load().memoryTokens(nowMillis) + prompt.memoryTokens();
         double memoryWait =
                 Math.max(0, memory / (candidate.memoryTokens() * MAX_MEMORY_SHARE) - 1) * TYPICAL_REQUEST_MILLIS;
         double requestsOverSlots = Math.max(0, candidate.load().runningRequests(nowMillis) + 1 - candidate.slots());
         double slotWait = requestsOverSlots / candidate.slots() * TYPICAL_REQUEST_MILLIS;
-        double predicted = queueWait + slotWait + source.fetchMillis() + prefill + batch + memoryWait;
+        double predicted =
+                queueWait + slotWait + source.fetchMillis() + prefill * candidate.pace() + batch + memoryWait;
         double interference = candidate.load().runningRequests(nowMillis) * prefill * INTERFERENCE_FACTOR
                 + longAnswerEngines.interferenceMillis(candidate, prefill, nowMillis);
         double pauses = prompt.hasLongAnswer()
