Routers read, apply and share the load that replicas state

Cause: X-Server-Load was known by name only, so that a slow replica was noticed by late requests only. Change: PlatformHeaderCodec parses the header into ReplicaResponseInfo.load(). LoadStatements records it from responses that are attributable to the replica, counts and logs invalid ones (one log line per replica), and sends statements with a pace to the busy peers, at most every 60 ms and only after new ones. TargetSelector orders plain replicas by PlainReplica.byExpectedWork and passes the pace to EngineCandidate. Metrics: hornbeam_load_statements by source, hornbeam_slow_replicas. Replicas that state three figures or none are chosen as before.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -49,6 +49,7 @@
 import org.hornbeamhead.gateway.state.HttpMirrorClient;
 import org.hornbeamhead.gateway.state.LimitLending;
 import org.hornbeamhead.gateway.state.LoadHints;
+import org.hornbeamhead.gateway.state.LoadStatements;
 import org.hornbeamhead.gateway.state.MirrorServer;
 import org.hornbeamhead.gateway.state.PeerDatagrams;
 import org.hornbeamhead.gateway.state.PlatformStore;
@@ -95,6 +96,7 @@
     private final UsageGossip quotaGossip;
     private final ReplicaLimits replicaLimits;
     private final BrittleReplicas brittleReplicas;
+    private final LoadStatements loadStatements;
     private final UsageGossip limitGossip;
     private final ReplicaPaths paths;
     private final Dispatcher dispatcher;
@@ -155,6 +157,7 @@
         limitGossip = gossip(replicaLimits);
         replicaLimits.onChange(limitGossip::announce);
         brittleReplicas = new BrittleReplicas(brittleDependencies(random));
+        loadStatements = new LoadStatements(loadStatementDependencies());
         dispatcher = new Dispatcher(dispatcherDependencies(ports, random, ledger));
         loadHints = new LoadHints(
                 reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
@@ -194,6 +197,16 @@
                 metrics);
     }
 
+    private LoadStatements.Dependencies loadStatementDependencies() {
+        return new LoadStatements.Dependencies(
+                clock,
+                daemon.timers(),
+                registry,
+                () -> activeRouters.busyPeers(clock.monotonicMillis()),
+                datagrams::send,
+                metrics);
+    }
+
     private CrashConfirmation createCrashConfirmation(Random random) {
         return new CrashConfirmation(
                 clock,
@@ -274,6 +287,7 @@
                 new QuotaGate(ledger, clock),
                 replicaLimits,
                 brittleReplicas,
+                loadStatements,
                 paths,
                 new RelayRouters(reactor, clock, routers, paths, settings.self().dataCentre()),
                 softwareTracking.directory());
@@ -379,6 +393,7 @@
         paths.start();
         brittleReplicas.start();
         loadHints.start();
+        datagrams.addListener((from, bytes) -> loadStatements.receive(bytes));
         new LimitLending(reactor, clock, activeRouters, routers::hintAddresses, datagrams).start();
         new RetryTokenExchange(clock, activeRouters, dispatcher, datagrams).start();
         quotaGossip.start();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -38,6 +38,7 @@
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.resume.StreamOriginDirectory;
 import org.hornbeamhead.gateway.state.LoadHints;
+import org.hornbeamhead.gateway.state.LoadStatements;
 import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.WeightsView;
 
@@ -116,6 +117,7 @@
      * @param quotas the quotas of customers
      * @param replicaLimits the request limits that replicas state
      * @param brittleReplicas the limits of brittle replicas
+     * @param loadStatements the load that replicas state
      * @param paths the paths of this host to replicas
      * @param relayRouters the routers to which requests are handed when there is no path
      * @param streamOrigins tells which software began streams
@@ -137,6 +139,7 @@
             QuotaGate quotas,
             ReplicaLimits replicaLimits,
             BrittleReplicas brittleReplicas,
+            LoadStatements loadStatements,
             ReplicaPaths paths,
             RelayRouters relayRouters,
             StreamOriginDirectory streamOrigins) {}
@@ -165,6 +168,7 @@
                 replicaLimits,
                 brittleReplicas,
                 new ReplicaNotices(clock, metrics),
+                dependencies.loadStatements(),
                 new UnknownHeaders(headerCodec, metrics));
         this.paths = dependencies.paths();
         this.relayRouters = dependencies.relayRouters();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaResponseInfo.java
@@ -1,10 +1,12 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import io.vavr.control.Either;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.hornbeamhead.core.availability.AvailabilityNotice;
+import org.hornbeamhead.core.load.LoadStatement;
 
 /**
  * Routing information from the head of a replica's response.
@@ -19,6 +21,7 @@
  * @param brittle how many rejections a second the replica bears from all routers together without falling over, empty
  *     if it states no number, or why what it states is invalid
  * @param availability whether the replica takes further requests
+ * @param load the load that the replica states, empty if it states none, or why what it states is invalid
  */
 public record ReplicaResponseInfo(
         String requestId,
@@ -28,7 +31,8 @@
         OptionalLong weightsVersion,
         Either<String, OptionalDouble> requestLimit,
         Either<String, OptionalInt> brittle,
-        AvailabilityNotice availability) {
+        AvailabilityNotice availability,
+        Either<String, Optional<LoadStatement>> load) {
     /**
      * Returns whether the answer is a replica's beyond doubt.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaStatements.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaStatements.java
@@ -6,6 +6,7 @@
 import org.hornbeamhead.gateway.limit.BrittleReplicas;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.state.LoadStatements;
 
 /**
  * Heeds what replicas state of themselves in the heads of their answers. A statement binds each router that passes the
@@ -19,6 +20,7 @@
     private final ReplicaLimits limits;
     private final BrittleReplicas brittleReplicas;
     private final ReplicaNotices notices;
+    private final LoadStatements loadStatements;
     private final UnknownHeaders unknownHeaders;
 
     ReplicaStatements(
@@ -26,11 +28,13 @@
             ReplicaLimits limits,
             BrittleReplicas brittleReplicas,
             ReplicaNotices notices,
+            LoadStatements loadStatements,
             UnknownHeaders unknownHeaders) {
         this.headerCodec = headerCodec;
         this.limits = limits;
         this.brittleReplicas = brittleReplicas;
         this.notices = notices;
+        this.loadStatements = loadStatements;
         this.unknownHeaders = unknownHeaders;
     }
 
@@ -51,6 +55,7 @@
             observeLimit(replica, info, head.status(), sentAt);
             brittleReplicas.observe(replica, info.brittle(), sentAt, request);
             notices.observe(replica, info.availability(), request);
+            loadStatements.observe(replica, info.load(), sentAt, request);
         }
         unknownHeaders.observe(head, replica.entry().id(), request);
         return info;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -11,6 +11,7 @@
 import org.hornbeamhead.core.engine.EngineChooser;
 import org.hornbeamhead.core.engine.KvTransferLinks;
 import org.hornbeamhead.core.engine.Prompt;
+import org.hornbeamhead.core.load.PlainReplica;
 import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RoutingConfig;
@@ -81,12 +82,18 @@
     private Optional<Target> selectLeastLoaded(List<LiveReplica> replicas) {
         long now = clock.monotonicMillis();
         return replicas.stream()
-                .min(Comparator.comparingInt((LiveReplica r) -> r.load().runningRequests(now))
-                        .thenComparing(r -> !r.entry().dataCentre().equals(dataCentre))
-                        .thenComparingInt(r -> r.connections().openCount()))
+                .min(Comparator.comparing(r -> toPlain(r, now), PlainReplica.byExpectedWork(now)))
                 .map(r -> new Target(r, Optional.empty(), Optional.empty(), "least load"));
     }
 
+    private PlainReplica toPlain(LiveReplica replica, long now) {
+        return new PlainReplica(
+                replica.load().runningRequests(now),
+                replica.statedLoad(),
+                replica.entry().dataCentre().equals(dataCentre),
+                replica.connections().openCount());
+    }
+
     private Optional<Target> selectEngine(
             RoutingConfig config,
             ServiceSpec service,
@@ -109,7 +116,8 @@
                         r.entry().slots(),
                         weights.isPenalized(prompt.model(), r.weightsVersion(prompt.model()), now),
                         weights.usableMillis(prompt.model(), r.weightsVersion(prompt.model()), now),
-                        weights.isWeightChangePending(r.entry().run(), now)))
+                        weights.isWeightChangePending(r.entry().run(), now),
+                        r.statedLoad().pace(now)))
                 .toList();
         String isolatedCustomer =
                 owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -4,6 +4,7 @@
 import org.hornbeamhead.core.engine.EngineLoad;
 import org.hornbeamhead.core.limit.BrittleLimit;
 import org.hornbeamhead.core.limit.RequestLimiter;
+import org.hornbeamhead.core.load.StatedLoad;
 import org.hornbeamhead.core.replica.ReplicaEntry;
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.retry.OutlierDetector;
@@ -12,6 +13,7 @@
 public final class LiveReplica {
     private final ReplicaConnectionPool connections;
     private final EngineLoad load = new EngineLoad();
+    private final StatedLoad statedLoad = new StatedLoad();
     private final OutlierDetector guard = new OutlierDetector();
     private final RunStatements statements;
     private final SoftwareVersion software;
@@ -91,6 +93,15 @@
         return load;
     }
 
+    /**
+     * Returns what the replica states of its load.
+     *
+     * @return the newest statement that this router knows
+     */
+    public StatedLoad statedLoad() {
+        return statedLoad;
+    }
+
     /**
      * Returns the guard that ejects the replica after failures.
      *
