--- a/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
+++ b/fuzz/src/test/java/org/hornbeamhead/fuzz/FuzzTargets.java
@@ -2,11 +2,13 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.hornbeamhead.core.config.ConfigRecord;
@@ -21,6 +23,9 @@
 import org.hornbeamhead.core.limit.BrittleLimit;
 import org.hornbeamhead.core.limit.LimitHint;
 import org.hornbeamhead.core.limit.RequestLimiter;
+import org.hornbeamhead.core.load.LoadStatement;
+import org.hornbeamhead.core.load.LoadStatementHint;
+import org.hornbeamhead.core.load.StatedLoad;
 import org.hornbeamhead.core.path.PathHint;
 import org.hornbeamhead.core.path.PeerPaths;
 import org.hornbeamhead.core.quota.QuotaContacts;
@@ -95,6 +100,13 @@
                     FuzzTargets::brittleHints,
                     latin(new BrittleHint(1, 2, List.of(new BrittleHint.Entry(3, 4, 1))).encode())),
             target("PATH_HINTS", FuzzTargets::pathHints, latin(new PathHint(1, 2, Set.of(3, 4)).encode())),
+            // What routers tell one another of the load that replicas state.
+            target(
+                    "LOAD_STATEMENT_HINTS",
+                    FuzzTargets::loadStatementHints,
+                    latin(new LoadStatementHint(List.of(new LoadStatementHint.Entry(
+                                    1, new LoadStatement(2, 3, 4, OptionalInt.of(250)), 60, 20)))
+                            .encode())),
             // What routers tell and ask one another of streams, and keep in the store of software versions.
             target(
                     "STREAM_ORIGINS",
@@ -112,6 +124,7 @@
                     "REPLICA_HEADERS",
                     texts(HeaderReading::read),
                     "X-Attempt-Id: 1\nX-Server-Stamp: s\nServer-Limit: 2.5\nServer-Brittle: 3\nX-Weight-Versions: 3",
+                    "X-Server-Stamp: s\nX-Server-Load: 3,0,6,250",
                     "X-Not-Executed: 1\nRetry-After:2.5\nServer-Leaving:1"),
             // What routers tell one another of crashes.
             target("CRASH_NEWS", FuzzTargets::crashNews, "\u00c5\0\1\0\0\0\0\0\0\0\7\1\0\0\0\5\0\0\0\u0009\0\u0008"),
@@ -217,6 +230,16 @@
         limit.entry(1, 1);
     }
 
+    private static void loadStatementHints(byte[] bytes) {
+        StatedLoad load = new StatedLoad();
+        LoadStatementHint.decode(bytes).ifPresent(h -> {
+            assertEquals(LoadStatementHint.decode(h.encode()), Optional.of(h));
+            h.entries().forEach(e -> load.observe(e.statement(), -e.requestedAgeMillis(), -e.answeredAgeMillis()));
+        });
+        assertTrue(load.pace(0) >= 1 && load.pace(0) <= LoadStatement.MAX_PACE_PERCENT / 100.0);
+        assertTrue(load.requests(0) >= 0);
+    }
+
     private static void pathHints(byte[] bytes) {
         PeerPaths paths = new PeerPaths();
         PathHint.decode(bytes).ifPresent(h -> {
--- a/fuzz/src/test/java/org/hornbeamhead/platform/HeaderReading.java
+++ b/fuzz/src/test/java/org/hornbeamhead/platform/HeaderReading.java
@@ -7,6 +7,7 @@
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.http.RetryAfter;
+import org.hornbeamhead.core.load.LoadStatement;
 import org.hornbeamhead.gateway.dispatch.ReplicaResponseInfo;
 
 /** Reads lines of text as the headers of a replica's answer. */
@@ -26,6 +27,7 @@
         ReplicaResponseInfo info = new PlatformHeaderCodec().decodeResponse(head, "r1");
         info.requestLimit().forEach(limit -> limit.ifPresent(HeaderReading::checkLimit));
         info.availability().backOffMillis().forEach(millis -> millis.ifPresent(HeaderReading::checkPause));
+        info.load().forEach(load -> load.ifPresent(HeaderReading::checkPace));
         boolean saysOne = head.headers().all(PlatformHeaderCodec.LEAVING).equals(List.of("1"));
         if (info.availability().leaving().contains(true) != saysOne) {
             throw new AssertionError("leaving by " + head.headers().all(PlatformHeaderCodec.LEAVING));
@@ -38,6 +40,12 @@
         }
     }
 
+    private static void checkPace(LoadStatement load) {
+        if (!(load.pace() > 0) || load.pace() > LoadStatement.MAX_PACE_PERCENT / 100.0) {
+            throw new AssertionError("a pace of " + load.pace());
+        }
+    }
+
     private static void checkPause(long millis) {
         if (millis < 1 || millis > RetryAfter.MAX_MILLIS) {
             throw new AssertionError("a pause of " + millis + " ms");
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/AttemptRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/AttemptRequest.java
@@ -83,6 +83,9 @@
         WeightsExpiryMonitor monitor = exchange.dispatcher().weightsExpiry();
         return "predictedMillis=" + Math.round(target.predictedMillis())
                 + " load=" + replica.load().runningRequests(now())
+                + (replica.statedLoad().isSlow(now())
+                        ? " pace=" + replica.statedLoad().pace(now())
+                        : "")
                 + " millisLeft=" + options.timeLeftMillis()
                 + " software=" + replica.entry().softwareVersion()
                 + (options.lastEventId().isPresent()
