Deferrable requests wait in the router under a shortage

Cause: core.shortage decides on deferrable requests, and nothing asks it. Change: a new request of a deferrable route asks for admission before its first attempt; waiting requests are tried again when a request ends, when a hint arrives, and every 20 ms. Deferrable requests are placed among engines with room. A router that stops refuses what waits as not run. Callers that are refused for load are told booked times, for services with deferrable routes only. Metrics hornbeam_deferred_waiting, hornbeam_deferred_wait and hornbeam_deferred_refusals, and a log line for each refusal. RoutingConfig computes the shortest target of urgent routes. No existing test is changed. The whole build was not run.

--- a/core/src/main/java/org/hornbeamhead/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/hornbeamhead/core/route/RoutingConfig.java
@@ -22,6 +22,7 @@
     private final Map<String, Map<String, Route>> routesByHost;
     private final Map<String, Long> longestStreams;
     private final Map<String, ServiceLevels> serviceLevels;
+    private final Map<String, Long> urgentTargets;
 
     /**
      * Creates an indexed configuration.
@@ -60,6 +61,12 @@
                 .filter(r -> r.kind() == RequestKind.STREAM)
                 .flatMap(r -> r.services().stream().map(s -> Map.entry(s.service(), ServiceLevels.of(r))))
                 .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue, ServiceLevels::and));
+        this.urgentTargets = routes.stream()
+                .filter(r -> r.kind() == RequestKind.STREAM)
+                .flatMap(r -> r.services().stream()
+                        .filter(s -> !serviceLevels(s.service()).isDeferrable(r.priority()))
+                        .map(s -> Map.entry(s.service(), r.limits().latencyTargetMillis())))
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue, Math::min));
     }
 
     private static long streamMillis(Route route) {
@@ -87,6 +94,16 @@
         return serviceLevels.getOrDefault(service, ServiceLevels.NONE);
     }
 
+    /**
+     * Returns the shortest latency target of the streaming routes of a service that are not deferrable.
+     *
+     * @param service the service's name
+     * @return the target in milliseconds; without a bound if the service has no streaming route
+     */
+    public long urgentTargetMillis(String service) {
+        return urgentTargets.getOrDefault(service, Long.MAX_VALUE);
+    }
+
     /**
      * Returns the route of the host with the longest matching path prefix.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -157,11 +157,19 @@
         brittleReplicas = new BrittleReplicas(brittleDependencies(random));
         dispatcher = new Dispatcher(dispatcherDependencies(ports, random, ledger));
         loadHints = new LoadHints(
-                reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
+                reactor,
+                clock,
+                registry,
+                routers::hintAddresses,
+                activeRouters,
+                datagrams,
+                dispatcher::recordPeerSend,
+                dispatcher::loadReported);
         dispatcher.setLoadHints(loadHints);
         callerServer = new CallerServer(
                 reactor, clock, this::handle, this::callerLimits, ports.headerCodec()::requestId, metrics);
-        shutdown = new Shutdown(daemon, callerServer, registration, leaderTasks, settings.grace());
+        shutdown = new Shutdown(
+                daemon, callerServer, registration, leaderTasks, dispatcher::stopDeferring, settings.grace());
         mirror.addListener(new StoreChanges(storeChangesDependencies())::apply);
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
@@ -44,6 +44,7 @@
     private final CallerServer callerServer;
     private final RouterRegistration registration;
     private final LeaderTasks leaderTasks;
+    private final Runnable refuseWaiting;
     private final long graceMillis;
     private long startedAt = -1;
 
@@ -52,11 +53,13 @@
             CallerServer callerServer,
             RouterRegistration registration,
             LeaderTasks leaderTasks,
+            Runnable refuseWaiting,
             Duration grace) {
         this.daemon = daemon;
         this.callerServer = callerServer;
         this.registration = registration;
         this.leaderTasks = leaderTasks;
+        this.refuseWaiting = refuseWaiting;
         this.graceMillis = grace.toMillis();
     }
 
@@ -81,6 +84,7 @@
         }
         startedAt = daemon.clock().monotonicMillis();
         logger.atInfo().with(Logs.DECISION, "stopping").log("shutdown started, requests in progress are finished");
+        refuseWaiting.run();
         callerServer.drain();
         registration.deregister();
         leaderTasks.stop(
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -84,6 +84,7 @@
     private final RelayRouters relayRouters;
     private final StreamResumptions resumptions;
     private final InFlightRequests inFlight = new InFlightRequests();
+    private final DeferredRequests deferred;
     private LoadHints loadHints;
     private final RetryBudgets retryBudgets;
     private final OwnAnswers answers;
@@ -174,6 +175,7 @@
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
         this.startupQueue = new StartupQueue(timers);
+        this.deferred = new DeferredRequests(clock, timers, metrics, () -> routers.fleetRate(clock.monotonicMillis()));
         this.weightsExpiry = new WeightsExpiryMonitor(
                 timers, v -> weights.usableMillis(v.model(), v.version(), clock.monotonicMillis()));
         this.targetSelector = new TargetSelector(
@@ -389,6 +391,20 @@
         loadHints = hintExchange;
     }
 
+    /** Tries the deferred requests again, since another router told of its load. */
+    public void loadReported() {
+        deferred.retry();
+    }
+
+    /** Refuses the deferred requests, which have not run, since the router stops. */
+    public void stopDeferring() {
+        deferred.stop();
+    }
+
+    DeferredRequests deferred() {
+        return deferred;
+    }
+
     NioReactor reactor() {
         return reactor;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -4,10 +4,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.forward.ForwardingState;
@@ -40,6 +38,7 @@
     private final ForwardingState forwarding;
     private final ReplicaScope scope;
     private final RequestContent content;
+    private final ShortageGate shortage;
     private final long arrivedAt;
     private final long deadline;
     private final StreamProgress progress;
@@ -77,6 +76,7 @@
         this.deadline = serviceRequest.routed().deadline();
         this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId(), software);
         this.scope = new ReplicaScope(serviceRequest.service().name(), progress);
+        this.shortage = new ShortageGate(dispatcher.deferred(), dispatcher.targetSelector(), serviceRequest, scope);
         this.attempts = new OpenAttempts<>(
                 dispatcher.reactor(),
                 forwarding,
@@ -90,7 +90,24 @@
         dispatcher.inFlight().add(this);
         response.onDisconnect(this::callerDisconnected);
         deadlineTimer = dispatcher.reactor().delayBackground(Math.max(0, timeLeftMillis()), this::deadlineExpired);
-        startNextAttempt();
+        if (isNew()) {
+            shortage.ask(
+                    serviceRequest.routed().origin().isEmpty()
+                            && content.quarantineMillis().isEmpty(),
+                    new DeferrableRequest.Outcome() {
+                        @Override
+                        public void send() {
+                            startNextAttempt();
+                        }
+
+                        @Override
+                        public void refuse(String reason, long returnMillis) {
+                            refuseForLoad(reason, returnMillis);
+                        }
+                    });
+        } else {
+            startNextAttempt();
+        }
     }
 
     private long timeLeftMillis() {
@@ -107,22 +124,15 @@
         }
         Optional<Target> target = timeLeftMillis() < MIN_TIME_LEFT_MILLIS
                 ? Optional.empty()
-                : dispatcher.targetSelector().select(serviceRequest, scope);
+                : dispatcher.targetSelector().select(serviceRequest, scope, shortage::eligible);
         if (target.isEmpty()) {
             giveUpHere();
             return;
         }
-        OptionalLong retryMillis = isNew() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
+        OptionalLong retryMillis =
+                isNew() ? shortage.refusalMillis(target.get(), timeLeftMillis()) : OptionalLong.empty();
         if (retryMillis.isPresent()) {
-            giveBackQuota();
-            finish("REFUSED_FOR_LOAD");
-            dispatcher
-                    .answers()
-                    .rejectNotExecuted(
-                            serviceRequest.callerRequest(),
-                            response,
-                            "the engines are behind: " + target.get(),
-                            retryMillis.getAsLong());
+            refuseForLoad("the engines are behind: " + target.get(), retryMillis.getAsLong());
             return;
         }
         scope.recordTried(target.get().replica());
@@ -131,6 +141,17 @@
         attempt.start();
     }
 
+    /** Refuses a new request, which no replica has run. */
+    private void refuseForLoad(String reason, long retryMillis) {
+        giveBackQuota();
+        finish("REFUSED_FOR_LOAD");
+        if (shortage.booksReturns()) {
+            dispatcher.answers().rejectUntil(serviceRequest.callerRequest(), response, reason, retryMillis);
+        } else {
+            dispatcher.answers().rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryMillis);
+        }
+    }
+
     /** Ends a request that no replica can take here. */
     private void giveUpHere() {
         if (canHandOver()) {
@@ -193,24 +214,12 @@
         }
     }
 
-    private OptionalLong admissionRetryMillis(Target target) {
-        return target.engineChoice()
-                .map(c -> EngineAdmission.retryAfterMillis(
-                        c, serviceRequest.route().limits().latencyTargetMillis(), timeLeftMillis()))
-                .orElse(OptionalLong.empty());
-    }
-
     ForwardingOptions forwardingOptions(Target target) {
-        int priority = serviceRequest
-                .owner()
-                .map(KeyOwner::priority)
-                .orElse(OptionalInt.empty())
-                .orElse(serviceRequest.route().priority());
         return new ForwardingOptions(
                 target.replica().entry().id(),
                 serviceRequest.owner().map(KeyOwner::customer),
                 Math.max(1, timeLeftMillis()),
-                priority,
+                serviceRequest.priority(),
                 target.engineOptions(),
                 progress.lastEventId());
     }
@@ -407,6 +416,7 @@
         deadlineTimer.cancel();
         log.requestEnded(outcome, timings);
         stopAttempts();
+        shortage.requestEnded();
     }
 
     private Duration elapsed() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OwnAnswers.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OwnAnswers.java
@@ -62,6 +62,11 @@
         respond(request, response, FinalResponse.NOT_RUN.status(), reason, retryAfter(delayMillis));
     }
 
+    /** Rejects a request that has not run; the caller is told to return after exactly the delay that was booked. */
+    void rejectUntil(CallerRequest request, CallerResponse response, String reason, long returnMillis) {
+        respond(request, response, FinalResponse.NOT_RUN.status(), reason, retryAfter(returnMillis));
+    }
+
     static Headers retryAfter(long millis) {
         return Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", millis / 1000.0));
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
@@ -25,6 +26,26 @@
         return routed.owner();
     }
 
+    /** Returns the priority, which is that of the customer if it has one, and else that of the route. */
+    int priority() {
+        return owner().map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route().priority());
+    }
+
+    /** Returns whether requests of the service may have to wait for more urgent ones. */
+    boolean hasDeferrable() {
+        return service.engine().isPresent()
+                && config().serviceLevels(service.name()).hasDeferrable();
+    }
+
+    /** Returns whether the request may have to wait for more urgent ones. */
+    boolean isDeferrable() {
+        return hasDeferrable() && config().serviceLevels(service.name()).isDeferrable(priority());
+    }
+
+    long urgentTargetMillis() {
+        return config().urgentTargetMillis(service.name());
+    }
+
     CallerRequest callerRequest() {
         return routed.callerRequest();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.ToLongFunction;
+import java.util.function.UnaryOperator;
 import org.hornbeamhead.core.engine.EngineCandidate;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.EngineChooser;
@@ -47,13 +49,33 @@
     }
 
     Optional<Target> select(ServiceRequest request, ReplicaScope scope) {
+        return select(request, scope, UnaryOperator.identity());
+    }
+
+    /**
+     * Selects a replica among some of the engines.
+     *
+     * @param request the request
+     * @param scope the replicas that may get it
+     * @param eligible selects the engines that should get it from all that are usable; if none of them can, all may
+     */
+    Optional<Target> select(ServiceRequest request, ReplicaScope scope, UnaryOperator<List<EngineCandidate>> eligible) {
         List<LiveReplica> replicas = usableReplicas(scope);
         Optional<Prompt> prompt = request.callerRequest().prompt();
         return request.service().engine().isPresent() && prompt.isPresent()
-                ? selectEngine(request.config(), request.service(), prompt.get(), request.owner(), replicas)
+                ? selectEngine(request, prompt.get(), replicas, eligible)
                 : selectLeastLoaded(replicas);
     }
 
+    /** Returns the engines that a request could be sent to; none for a request that engines do not serve. */
+    List<EngineCandidate> engines(ServiceRequest request, ReplicaScope scope) {
+        Optional<Prompt> prompt = request.callerRequest().prompt();
+        return request.service()
+                .engine()
+                .flatMap(spec -> prompt.map(p -> candidates(spec, p, usableReplicas(scope))))
+                .orElse(List.of());
+    }
+
     boolean hasUntried(ReplicaScope scope) {
         return scope.untried(registry).anyMatch(availability::accepts);
     }
@@ -88,17 +110,40 @@
     }
 
     private Optional<Target> selectEngine(
-            RoutingConfig config,
-            ServiceSpec service,
+            ServiceRequest request,
             Prompt prompt,
-            Optional<KeyOwner> owner,
-            List<LiveReplica> replicas) {
+            List<LiveReplica> replicas,
+            UnaryOperator<List<EngineCandidate>> eligible) {
+        ServiceSpec service = request.service();
         long now = clock.monotonicMillis();
         Map<String, LiveReplica> replicasByRun = new HashMap<>();
         replicas.forEach(r -> replicasByRun.put(r.entry().run(), r));
         EngineSpec spec = service.engine().orElseThrow();
-        KvTransferLinks links = links(spec, config);
-        List<EngineCandidate> candidates = replicas.stream()
+        KvTransferLinks links = links(spec, request.config());
+        List<EngineCandidate> all = candidates(spec, prompt, replicas);
+        String isolatedCustomer = request.owner()
+                .filter(KeyOwner::isolated)
+                .map(KeyOwner::customer)
+                .orElse("");
+        ToLongFunction<EngineCandidate> salt =
+                c -> salt(prompt, isolatedCustomer, c.weights()).hashCode();
+        EngineChooser chooser = chooser(service.name());
+        List<EngineCandidate> preferred = eligible.apply(all);
+        return chooser.choose(prompt, salt, preferred, links, now)
+                .or(() -> preferred.size() < all.size()
+                        ? chooser.choose(prompt, salt, all, links, now)
+                        : Optional.empty())
+                .map(choice -> toTarget(
+                        links,
+                        prompt,
+                        isolatedCustomer,
+                        choice,
+                        replicasByRun.get(choice.engine().id())));
+    }
+
+    private List<EngineCandidate> candidates(EngineSpec spec, Prompt prompt, List<LiveReplica> replicas) {
+        long now = clock.monotonicMillis();
+        return replicas.stream()
                 .map(r -> new EngineCandidate(
                         r.entry().run(),
                         r.entry().dataCentre(),
@@ -111,16 +156,6 @@
                         weights.usableMillis(prompt.model(), r.weightsVersion(prompt.model()), now),
                         weights.isWeightChangePending(r.entry().run(), now)))
                 .toList();
-        String isolatedCustomer =
-                owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
-        return chooser(service.name())
-                .choose(prompt, c -> salt(prompt, isolatedCustomer, c.weights()).hashCode(), candidates, links, now)
-                .map(choice -> toTarget(
-                        links,
-                        prompt,
-                        isolatedCustomer,
-                        choice,
-                        replicasByRun.get(choice.engine().id())));
     }
 
     private static KvTransferLinks links(EngineSpec engine, RoutingConfig config) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/LoadHints.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/LoadHints.java
@@ -41,6 +41,7 @@
     private final ActiveRouters activeRouters;
     private final PeerDatagrams datagrams;
     private final BiConsumer<LiveReplica, LoadHint.SentRequest> onSend;
+    private final Runnable onHint;
     private final HintSequence toBusy = new HintSequence();
     private final HintSequence toOthers = new HintSequence();
     private long lastToOthersMillis;
@@ -58,6 +59,7 @@
      * @param activeRouters the routers that are active
      * @param datagrams the socket for hints
      * @param onSend called for each request that another router sent to a replica
+     * @param onHint called after each hint of another router
      */
     public LoadHints(
             NioReactor reactor,
@@ -66,7 +68,8 @@
             Supplier<List<String>> peers,
             ActiveRouters activeRouters,
             PeerDatagrams datagrams,
-            BiConsumer<LiveReplica, LoadHint.SentRequest> onSend) {
+            BiConsumer<LiveReplica, LoadHint.SentRequest> onSend,
+            Runnable onHint) {
         this.reactor = reactor;
         this.clock = clock;
         this.registry = registry;
@@ -74,6 +77,7 @@
         this.activeRouters = activeRouters;
         this.datagrams = datagrams;
         this.onSend = onSend;
+        this.onHint = onHint;
     }
 
     /** Starts to send and receive hints. */
@@ -159,5 +163,6 @@
             r.load().recordHint(s.prefillMillis(), now);
             onSend.accept(r, s);
         }));
+        onHint.run();
     }
 }
