--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.forward.ForwardingState;
@@ -39,6 +38,7 @@
     private final ForwardingState forwarding;
     private final ReplicaScope scope;
     private final RequestContent content;
+    private final ShortageGate shortage;
     private final long arrivedAt;
     private final long deadline;
     private final StreamProgress progress;
@@ -77,6 +77,7 @@
         this.deadline = serviceRequest.routed().deadline();
         this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId(), software);
         this.scope = new ReplicaScope(serviceRequest.service().name(), progress);
+        this.shortage = new ShortageGate(dispatcher.deferred(), dispatcher.targetSelector(), serviceRequest, scope);
         this.attempts = new OpenAttempts<>(
                 dispatcher.reactor(),
                 forwarding,
@@ -91,7 +92,24 @@
     void start() {
         dispatcher.inFlight().add(this);
         watchCallerAndDeadline();
-        startNextAttempt();
+        if (isNew()) {
+            shortage.ask(
+                    serviceRequest.routed().origin().isEmpty()
+                            && content.quarantineMillis().isEmpty(),
+                    new DeferrableRequest.Outcome() {
+                        @Override
+                        public void send() {
+                            startNextAttempt();
+                        }
+
+                        @Override
+                        public void refuse(String reason, long returnMillis) {
+                            refuseForLoad(reason, returnMillis);
+                        }
+                    });
+        } else {
+            startNextAttempt();
+        }
     }
 
     private void watchCallerAndDeadline() {
@@ -113,22 +131,15 @@
         }
         Optional<Target> target = timeLeftMillis() < MIN_TIME_LEFT_MILLIS
                 ? Optional.empty()
-                : dispatcher.targetSelector().select(serviceRequest, scope);
+                : dispatcher.targetSelector().select(serviceRequest, scope, shortage::eligible);
         if (target.isEmpty()) {
             giveUpHere();
             return;
         }
-        OptionalLong retryMillis = isNew() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
+        OptionalLong retryMillis =
+                isNew() ? shortage.refusalMillis(target.get(), timeLeftMillis()) : OptionalLong.empty();
         if (retryMillis.isPresent()) {
-            giveBackQuota();
-            finish("REFUSED_FOR_LOAD");
-            dispatcher
-                    .answers()
-                    .rejectNotExecuted(
-                            serviceRequest.callerRequest(),
-                            response,
-                            "the engines are behind: " + target.get(),
-                            retryMillis.getAsLong());
+            refuseForLoad("the engines are behind: " + target.get(), retryMillis.getAsLong());
             return;
         }
         scope.recordTried(target.get().replica());
@@ -137,6 +148,17 @@
         attempt.start();
     }
 
+    /** Refuses a new request, which no replica has run. */
+    private void refuseForLoad(String reason, long retryMillis) {
+        giveBackQuota();
+        finish("REFUSED_FOR_LOAD");
+        if (shortage.booksReturns()) {
+            dispatcher.answers().rejectUntil(serviceRequest.callerRequest(), response, reason, retryMillis);
+        } else {
+            dispatcher.answers().rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryMillis);
+        }
+    }
+
     /** Ends a request that no replica can take here. */
     private void giveUpHere() {
         if (canHandOver()) {
@@ -201,13 +223,6 @@
         }
     }
 
-    private OptionalLong admissionRetryMillis(Target target) {
-        return target.engineChoice()
-                .map(c -> EngineAdmission.retryAfterMillis(
-                        c, serviceRequest.route().limits().latencyTargetMillis(), timeLeftMillis()))
-                .orElse(OptionalLong.empty());
-    }
-
     ForwardingOptions forwardingOptions(Target target) {
         return new ForwardingOptions(
                 target.replica().entry().id(),
@@ -424,6 +439,7 @@
         deadlineTimer.cancel();
         log.requestEnded(outcome, timings);
         stopAttempts();
+        shortage.requestEnded();
     }
 
     private Duration elapsed() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
@@ -41,6 +41,20 @@
                 : EnginePriority.ofCustomerElseRoute(customer, route().priority());
     }
 
+    /** Returns whether requests of the service may have to wait for more urgent ones. */
+    boolean hasDeferrable() {
+        return service.engine().isPresent() && levels().hasDeferrable();
+    }
+
+    /** Returns whether the request may have to wait for more urgent ones. */
+    boolean isDeferrable() {
+        return hasDeferrable() && levels().isDeferrable(route().priority());
+    }
+
+    long urgentTargetMillis() {
+        return config().urgentTargetMillis(service.name());
+    }
+
     CallerRequest callerRequest() {
         return routed.callerRequest();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.ToLongFunction;
+import java.util.function.UnaryOperator;
 import org.hornbeamhead.core.engine.EngineCandidate;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.EngineChooser;
@@ -50,13 +52,33 @@
     }
 
     Optional<Target> select(ServiceRequest request, ReplicaScope scope) {
+        return select(request, scope, UnaryOperator.identity());
+    }
+
+    /**
+     * Selects a replica among some of the engines.
+     *
+     * @param request the request
+     * @param scope the replicas that may get it
+     * @param eligible selects the engines that should get it from all that are usable; if none of them can, all may
+     */
+    Optional<Target> select(ServiceRequest request, ReplicaScope scope, UnaryOperator<List<EngineCandidate>> eligible) {
         List<LiveReplica> replicas = usableReplicas(scope);
         Optional<Prompt> prompt = request.callerRequest().prompt();
         return request.service().engine().isPresent() && prompt.isPresent()
-                ? selectEngine(request, prompt.get(), replicas)
+                ? selectEngine(request, prompt.get(), replicas, eligible)
                 : selectLeastLoaded(replicas);
     }
 
+    /** Returns the engines that a request could be sent to; none for a request that engines do not serve. */
+    List<EngineCandidate> engines(ServiceRequest request, ReplicaScope scope) {
+        Optional<Prompt> prompt = request.callerRequest().prompt();
+        return request.service()
+                .engine()
+                .flatMap(spec -> prompt.map(p -> candidates(spec, p, usableReplicas(scope))))
+                .orElse(List.of());
+    }
+
     boolean hasUntried(ReplicaScope scope) {
         return scope.untried(registry).anyMatch(availability::accepts);
     }
@@ -96,14 +118,42 @@
                 replica.connections().openCount());
     }
 
-    private Optional<Target> selectEngine(ServiceRequest request, Prompt prompt, List<LiveReplica> replicas) {
+    private Optional<Target> selectEngine(
+            ServiceRequest request,
+            Prompt prompt,
+            List<LiveReplica> replicas,
+            UnaryOperator<List<EngineCandidate>> eligible) {
         ServiceSpec service = request.service();
         long now = clock.monotonicMillis();
         Map<String, LiveReplica> replicasByRun = new HashMap<>();
         replicas.forEach(r -> replicasByRun.put(r.entry().run(), r));
         EngineSpec spec = service.engine().orElseThrow();
         KvTransferLinks links = links(spec, request.config());
-        List<EngineCandidate> candidates = replicas.stream()
+        List<EngineCandidate> all = candidates(spec, prompt, replicas);
+        String isolatedCustomer = request.owner()
+                .filter(KeyOwner::isolated)
+                .map(KeyOwner::customer)
+                .orElse("");
+        ToLongFunction<EngineCandidate> salt =
+                c -> salt(prompt, isolatedCustomer, c.weights()).hashCode();
+        RequestLevel level = level(request, now);
+        EngineChooser chooser = chooser(service.name());
+        List<EngineCandidate> preferred = eligible.apply(all);
+        return chooser.choose(prompt, level, salt, preferred, links, now)
+                .or(() -> preferred.size() < all.size()
+                        ? chooser.choose(prompt, level, salt, all, links, now)
+                        : Optional.empty())
+                .map(choice -> toTarget(
+                        links,
+                        prompt,
+                        isolatedCustomer,
+                        choice,
+                        replicasByRun.get(choice.engine().id())));
+    }
+
+    private List<EngineCandidate> candidates(EngineSpec spec, Prompt prompt, List<LiveReplica> replicas) {
+        long now = clock.monotonicMillis();
+        return replicas.stream()
                 .map(r -> new EngineCandidate(
                         r.entry().run(),
                         r.entry().dataCentre(),
@@ -117,24 +167,6 @@
                         weights.isWeightChangePending(r.entry().run(), now),
                         r.statedLoad().pace(now)))
                 .toList();
-        String isolatedCustomer = request.owner()
-                .filter(KeyOwner::isolated)
-                .map(KeyOwner::customer)
-                .orElse("");
-        return chooser(service.name())
-                .choose(
-                        prompt,
-                        level(request, now),
-                        c -> salt(prompt, isolatedCustomer, c.weights()).hashCode(),
-                        candidates,
-                        links,
-                        now)
-                .map(choice -> toTarget(
-                        links,
-                        prompt,
-                        isolatedCustomer,
-                        choice,
-                        replicasByRun.get(choice.engine().id())));
     }
 
     private static RequestLevel level(ServiceRequest request, long now) {
