Stated load: test that an invalid header is logged once

Cause: no test covered the rule that an invalid header is logged once per replica. Change: the test of invalid statements observes three of them, and expects one log line and a count of three.

--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/LoadStatementsTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/LoadStatementsTest.java
@@ -6,11 +6,14 @@
 import io.activej.eventloop.Eventloop;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import java.util.stream.IntStream;
 import org.hornbeamhead.core.engine.LoadHint;
 import org.hornbeamhead.core.load.LoadStatement;
@@ -124,15 +127,20 @@
         assertEquals(datagrams, 0);
     }
 
-    /** Guards against a damaged header that ends the statement before it. */
+    /** Guards against a damaged header that ends the statement before it, or that fills the log. */
     @Test
-    public void invalidStatementIsOnlyCounted() {
+    public void invalidStatementIsCountedAndLoggedOnce() {
         Router a = routers.get("a");
         a.observe(SLOW);
-        a.statements.observe(a.replica(), Either.left("two figures"), clock.monotonicMillis(), "q");
+        List<LogRecord> logged = new ArrayList<>();
+        Logger logger = Logger.getLogger(LoadStatements.class.getName());
+        logger.setFilter(logged::add);
+        IntStream.range(0, 3).forEach(i -> a.statements.observe(a.replica(), Either.left("two figures"), 10_000, "q"));
+        logger.setFilter(null);
+        assertEquals(logged.size(), 1);
         assertEquals(a.pace(), 2.5);
         String text = a.metrics.scrape().getResult().getBody().asString(StandardCharsets.UTF_8);
-        assertTrue(text.contains("hornbeam_load_statements_total{source=\"invalid\"} 1"), text);
+        assertTrue(text.contains("hornbeam_load_statements_total{source=\"invalid\"} 3"), text);
         assertTrue(text.contains("hornbeam_slow_replicas 1"), text);
     }
 }
