A stopping router refuses deferred requests after announcing its stop

Cause: waiting requests were refused before connections are drained, so that their answers did not announce the close; nothing tested that a stop reaches the queue; and a slot stayed reserved for long after the last urgent request, since its share fades but never becomes 0.

--- a/core/src/main/java/org/hornbeamhead/core/shortage/ServedShares.java
+++ b/core/src/main/java/org/hornbeamhead/core/shortage/ServedShares.java
@@ -13,6 +13,10 @@
     private static final double LEAST_SHARE = 0.35;
     /** With fewer requests the shares say nothing. */
     private static final double MIN_REQUESTS = 4;
+    /**
+     * A single urgent request counts this much after three times the memory; no reserve is kept for it from then on.
+     */
+    private static final double FORGOTTEN_REQUESTS = 0.05;
 
     private final RecentRate arrived = new RecentRate(MEMORY_MILLIS);
     private final RecentRate sent = new RecentRate(MEMORY_MILLIS);
@@ -32,7 +36,8 @@
     /** Returns the share of urgent requests among all. */
     double urgentShare(long nowMillis) {
         double all = arrived.amount(nowMillis);
-        return all <= 0 ? 0 : Math.max(0, 1 - deferrableArrived.amount(nowMillis) / all);
+        double urgent = all - deferrableArrived.amount(nowMillis);
+        return urgent < FORGOTTEN_REQUESTS ? 0 : urgent / all;
     }
 
     /** Returns whether deferrable requests were sent too rarely, so that one is sent without regard to room. */
--- a/core/src/test/java/org/hornbeamhead/core/shortage/ShortageTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/shortage/ShortageTest.java
@@ -261,6 +261,16 @@
         assertEquals(deferrable.refused, 0);
     }
 
+    /** Guards against slots that stay free for urgent requests of long ago. */
+    @Test
+    public void urgentRequestsAreForgotten() {
+        ServiceAdmission<String> shares = new ServiceAdmission<>();
+        shares.recordArrival(false, 0);
+        assertEquals(shares.room(100, URGENT_TARGET, 0).urgentPerSecond(), 100.0);
+        shares.recordArrival(true, 16_000);
+        assertEquals(shares.room(100, URGENT_TARGET, 16_000).urgentPerSecond(), 0.0);
+    }
+
     /** The rate of urgent requests per engine, and the slots of 24 that stay free for them. */
     @DataProvider
     public Object[][] reserves() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
@@ -84,8 +84,8 @@
         }
         startedAt = daemon.clock().monotonicMillis();
         logger.atInfo().with(Logs.DECISION, "stopping").log("shutdown started, requests in progress are finished");
-        refuseWaiting.run();
         callerServer.drain();
+        refuseWaiting.run();
         registration.deregister();
         leaderTasks.stop(
                 Math.max(0, Math.min(MIN_LISTEN_MILLIS, graceMillis - EXIT_MARGIN_MILLIS) - HANDOVER_MARGIN_MILLIS));
