Reproducible arrivals in ShortageTest

Cause: the rates were read from a map whose order differs between runs, so that one seed gave several sequences of arrivals, and figures differed between runs. Change: customers are taken in sorted order. ShortageTest: 10 tests pass.

--- a/core/src/test/java/org/hornbeamhead/core/shortage/ShortageTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/shortage/ShortageTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.engine.EngineCandidate;
@@ -182,7 +183,8 @@
         defers = withAdmission;
         IntStream.range(0, ENGINES).forEach(i -> engines.add(new Engine()));
         Random random = new Random(1616);
-        ratesByCustomer.forEach((customer, rate) -> {
+        // Sorted, so that a seed gives the same arrivals in each run.
+        new TreeMap<>(ratesByCustomer).forEach((customer, rate) -> {
             double at = 0;
             for (int i = 0; at < RUN_MILLIS; i++) {
                 at += -Math.log(1 - random.nextDouble()) / rate * 1_000;
