--- a/core/src/test/java/org/hornbeamhead/core/shortage/ShortageTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/shortage/ShortageTest.java
@@ -156,7 +156,18 @@
                 .stream().min(Comparator.comparingDouble(this::waitMillis)).orElseThrow();
         double wait = waitMillis(best);
         EngineChoice choice = new EngineChoice(
-                best, 0, wait, wait + job.prefillMillis(), 0, 0, Optional.empty(), 0, false, false, false, "least wait");
+                best,
+                0,
+                wait,
+                wait + job.prefillMillis(),
+                0,
+                0,
+                Optional.empty(),
+                0,
+                false,
+                false,
+                false,
+                "least wait");
         if (EngineAdmission.retryAfterMillis(choice, job.targetMillis(), TIME_LEFT)
                 .isPresent()) {
             counts(job).refused++;
