--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -61,7 +61,6 @@
      * caller return that router.
      */
     private static final long OTHER_ROUTER_RETRY_MILLIS = 20;
-
     /** Retry delay when nobody knows which software began a stream; other routers may be back in touch by then. */
     private static final long UNKNOWN_ORIGIN_RETRY_MILLIS = 300;
 
