Metrics: how requests ended for their callers, and why they were refused

Cause: hornbeam_requests tells how long requests took, not whether that was within the targets of their routes, and no metric tells which customers are refused for which reason.

Change: hornbeam_served{route,outcome} counts each routed request once, at its end, at the router that its caller connected to; core.forward.ServedOutcome compares its times with the targets. hornbeam_refused{route,customer,reason} counts the 503 and 429 of the router itself, with a constant of RefusalReason. The answer to a request over quota moves from Dispatcher to OwnAnswers.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.hornbeamhead.gateway.dispatch;
 
-import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
 import java.util.Optional;
@@ -9,11 +8,10 @@
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.LoadHint;
 import org.hornbeamhead.core.entry.ActiveRouters;
-import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.forward.ForwardingState;
+import org.hornbeamhead.core.forward.RefusalReason;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.WholeRequest;
-import org.hornbeamhead.core.quota.QuotaDecision;
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
@@ -21,7 +19,6 @@
 import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
-import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.availability.ReplicaAvailability;
 import org.hornbeamhead.gateway.availability.ReplicaNotices;
@@ -46,7 +43,6 @@
  * replicas.
  */
 public final class Dispatcher implements CallerHandler {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int BAD_REQUEST = 400;
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
@@ -189,7 +185,12 @@
         } else {
             startupQueue.add(
                     () -> routeRequest(state.config().orElseThrow(), request, response, arrivedAt, Optional.empty()),
-                    () -> answers.rejectNotExecuted(request, response, "no configuration yet", NOT_READY_RETRY_MILLIS));
+                    () -> answers.rejectNotExecuted(
+                            request,
+                            response,
+                            Refusal.beforeRouting(RefusalReason.NO_CONFIGURATION),
+                            "no configuration yet",
+                            NOT_READY_RETRY_MILLIS));
         }
     }
 
@@ -260,16 +261,22 @@
      * @param reason the reason, sent to the caller
      */
     public void rejectForOtherRouter(WholeRequest message, CallerResponse response, String reason) {
-        answers.rejectNotExecuted(headerCodec.decodeRequest(message), response, reason, OTHER_ROUTER_RETRY_MILLIS);
+        answers.rejectNotExecuted(
+                headerCodec.decodeRequest(message),
+                response,
+                Refusal.beforeRouting(RefusalReason.STOPPING),
+                reason,
+                OTHER_ROUTER_RETRY_MILLIS);
     }
 
     private void forward(RoutedRequest routed, CallerResponse response) {
         String name = routed.route().selectService(hash(routed.firstAttempt()));
         Optional<ServiceSpec> service = routed.config().findService(name);
         if (service.isEmpty()) {
-            answers.rejectNotExecuted(
-                    routed.callerRequest(),
+            answers.refuse(
+                    routed,
                     response,
+                    RefusalReason.STALE_CONFIGURATION,
                     "service " + name + " is not configured",
                     OwnAnswers.STALE_RETRY_MILLIS);
             return;
@@ -297,9 +304,10 @@
         if (software.isPresent()) {
             admit(request, response, software);
         } else {
-            answers.rejectNotExecuted(
-                    request.callerRequest(),
+            answers.refuse(
+                    request.routed(),
                     response,
+                    RefusalReason.UNKNOWN_STREAM,
                     "it is not known which software began the stream",
                     UNKNOWN_ORIGIN_RETRY_MILLIS);
         }
@@ -310,7 +318,7 @@
         quotas.admit(routed.quotaOwner(), routed.callerRequest().tokenCount())
                 .peek(decision -> decision.filter(d -> !d.admitted())
                         .ifPresentOrElse(
-                                d -> rejectOverQuota(routed, response, d),
+                                d -> answers.rejectOverQuota(routed, response, d),
                                 () -> startExchange(request, response, software)))
                 .peekLeft(
                         reason -> answers.respond(routed.callerRequest(), response, BAD_REQUEST, reason, Headers.NONE));
@@ -326,7 +334,15 @@
             return false;
         }
         StreamProgress progress = new StreamProgress(routed.callerRequest().lastEventId(), Optional.empty());
-        new RelayedRequest(this, routed, service, response, new ForwardingState(routed.route()), progress).start();
+        new RelayedRequest(
+                        this,
+                        routed,
+                        service,
+                        response,
+                        new ForwardingState(routed.route()),
+                        progress,
+                        new StreamTimings())
+                .start();
         return true;
     }
 
@@ -337,25 +353,6 @@
         new Exchange(this, request, response, software).start();
     }
 
-    private void rejectOverQuota(RoutedRequest routed, CallerResponse response, QuotaDecision decision) {
-        String customer = routed.owner().map(KeyOwner::customer).orElse("");
-        metrics.count("hornbeam_quota_refusals", "customer", customer);
-        logger.atInfo()
-                .with(Logs.REQUEST, routed.callerRequest().id())
-                .with(Logs.DECISION, "refused over quota")
-                .with(
-                        Logs.INPUTS,
-                        "customer=" + customer + " cost=" + decision.cost() + " level=" + Math.round(decision.level())
-                                + " share=" + decision.share() + " hintAgeMillis=" + decision.hintAgeMillis())
-                .log("request is over its customer's quota");
-        answers.respond(
-                routed.callerRequest(),
-                response,
-                FinalResponse.OVER_QUOTA.status(),
-                "the customer's quota is used up",
-                OwnAnswers.retryAfter(decision.retryAfterMillis()));
-    }
-
     /** Returns a hash that is spread over all values, since the ids themselves may come from a counter. */
     private static long hash(String id) {
         return id.chars().asLongStream().reduce(17, (hash, c) -> hash * 1_000_003 + c) >>> 8;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -12,6 +12,8 @@
 import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.forward.ForwardingState;
 import org.hornbeamhead.core.forward.NextStep;
+import org.hornbeamhead.core.forward.RefusalReason;
+import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.resume.SoftwareVersion;
@@ -115,12 +117,13 @@
         OptionalLong retryMillis = isNew() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
         if (retryMillis.isPresent()) {
             giveBackQuota();
-            finish("REFUSED_FOR_LOAD");
+            finish("REFUSED_FOR_LOAD", Optional.of(ServedOutcome.REFUSED));
             dispatcher
                     .answers()
                     .rejectNotExecuted(
                             serviceRequest.callerRequest(),
                             response,
+                            refusal(RefusalReason.ENGINES_BUSY),
                             "the engines are behind: " + target.get(),
                             retryMillis.getAsLong());
             return;
@@ -136,10 +139,22 @@
         if (canHandOver()) {
             handOver();
         } else {
-            giveUp(forwarding.responseAtDeadline(false), "no replica can take it", Optional.empty());
+            giveUp(
+                    forwarding.responseAtDeadline(false),
+                    unlessOutOfTime(RefusalReason.NO_REPLICA),
+                    "no replica can take it",
+                    Optional.empty());
         }
     }
 
+    private Refusal refusal(RefusalReason reason) {
+        return Refusal.of(serviceRequest.routed(), reason);
+    }
+
+    private RefusalReason unlessOutOfTime(RefusalReason reason) {
+        return timeLeftMillis() < MIN_TIME_LEFT_MILLIS ? RefusalReason.DEADLINE : reason;
+    }
+
     /** Returns whether nothing of the request was sent yet, and its caller has no part of the response. */
     private boolean isNew() {
         return scope.triedCount() == 0 && progress.software().isEmpty();
@@ -148,7 +163,7 @@
     /** Rejects a quarantined request. It is answered at once, since waiting does not change its effect on replicas. */
     private void rejectQuarantined(long millis) {
         String reason = "replicas ended under requests with " + content.describe();
-        sendFinalAnswer(forwarding.responseWithoutRetry(), reason, Optional.empty(), millis);
+        sendFinalAnswer(forwarding.responseWithoutRetry(), RefusalReason.QUARANTINED, reason, Optional.empty(), millis);
     }
 
     /**
@@ -247,7 +262,7 @@
             if (giveUp.answer() == FinalResponse.NOT_RUN && !forwarding.wasSent() && canHandOver()) {
                 handOver();
             } else {
-                giveUp(giveUp.answer(), reason, failure);
+                giveUp(giveUp.answer(), unlessOutOfTime(RefusalReason.REPLICAS_REFUSED), reason, failure);
             }
         } else {
             startNextAttempt();
@@ -282,18 +297,20 @@
         if (!serviceRequest.routed().isRepeat()) {
             dispatcher.retryBudgets().withdrawRequest(serviceRequest.service().name());
         }
-        finish("HANDED_OVER");
+        finish("HANDED_OVER", Optional.empty());
         new RelayedRequest(
                         dispatcher,
                         serviceRequest.routed(),
                         serviceRequest.service().name(),
                         response,
                         forwarding.forHandOver(),
-                        progress)
+                        progress,
+                        timings)
                 .start();
     }
 
-    private void giveUp(FinalResponse finalAnswer, String reason, Optional<BufferedResponse> failure) {
+    private void giveUp(
+            FinalResponse finalAnswer, RefusalReason refusal, String reason, Optional<BufferedResponse> failure) {
         if (attempts.goOnWithSilent()) {
             return;
         }
@@ -304,18 +321,23 @@
                 : OptionalLong.empty();
         sendFinalAnswer(
                 finalAnswer,
+                returnMillis.isPresent() ? RefusalReason.NO_REPLICA : refusal,
                 returnMillis.isPresent() ? "no replica takes requests now" : reason,
                 failure,
                 returnMillis.orElse(RETRY_AFTER_MILLIS));
     }
 
     private void sendFinalAnswer(
-            FinalResponse finalAnswer, String reason, Optional<BufferedResponse> failure, long retryAfterMillis) {
+            FinalResponse finalAnswer,
+            RefusalReason refusal,
+            String reason,
+            Optional<BufferedResponse> failure,
+            long retryAfterMillis) {
         if (finalAnswer == FinalResponse.NOT_RUN) {
             giveBackQuota();
         }
-        finish(finalAnswer.name());
-        answer.send(finalAnswer, reason, failure, retryAfterMillis);
+        finish(finalAnswer.name(), Optional.of(ServedOutcome.of(finalAnswer)));
+        answer.send(finalAnswer, refusal(refusal), reason, failure, retryAfterMillis);
     }
 
     private void deadlineExpired() {
@@ -324,7 +346,7 @@
         }
         FinalResponse finalAnswer = forwarding.responseAtDeadline(attempts.anySent());
         stopAttempts();
-        sendFinalAnswer(finalAnswer, "its time is over", Optional.empty(), RETRY_AFTER_MILLIS);
+        sendFinalAnswer(finalAnswer, RefusalReason.DEADLINE, "its time is over", Optional.empty(), RETRY_AFTER_MILLIS);
     }
 
     private void callerDisconnected() {
@@ -333,7 +355,7 @@
                 giveBackQuota();
             }
             stopAttempts();
-            finish("CALLER_GONE");
+            finish("CALLER_GONE", Optional.of(ServedOutcome.CALLER_GONE));
         }
     }
 
@@ -395,17 +417,17 @@
 
     void responseDelivered(String outcome) {
         attempts.removeAll();
-        finish(outcome);
+        finish(outcome, Optional.of(log.delivered(timings)));
     }
 
-    private void finish(String outcome) {
+    private void finish(String outcome, Optional<ServedOutcome> served) {
         finished = true;
         dispatcher.inFlight().remove(this);
         if (serviceRequest.route().resumable()) {
             dispatcher.resumptions().streamEnded(serviceRequest);
         }
         deadlineTimer.cancel();
-        log.requestEnded(outcome, timings);
+        log.requestEnded(outcome, served, timings);
         stopAttempts();
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
@@ -2,8 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.Optional;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.NextStep;
+import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.daemon.Logs;
 
 /** Logs and counts the attempts at one request and its end. */
@@ -42,9 +44,16 @@
                 .log("attempt ended: %s", end);
     }
 
-    /** Logs that the response is complete or given up. */
-    void requestEnded(String outcome, StreamTimings timings) {
-        Duration elapsed = Duration.ofMillis(now() - serviceRequest.routed().arrivedAt());
+    /**
+     * Logs that the response is complete or given up.
+     *
+     * @param outcome the reason of the end
+     * @param served what the end means for the caller; empty if the request goes on at another router
+     * @param timings the timings of the events
+     */
+    void requestEnded(String outcome, Optional<ServedOutcome> served, StreamTimings timings) {
+        Duration elapsed = elapsed();
+        served.ifPresent(s -> serviceRequest.routed().countServed(s, dispatcher.metrics()));
         dispatcher
                 .metrics()
                 .time(
@@ -61,6 +70,16 @@
                 .log("request ended: %s", outcome);
     }
 
+    /** Returns the outcome of a response that is complete now. */
+    ServedOutcome delivered(StreamTimings timings) {
+        return ServedOutcome.delivered(
+                serviceRequest.route(), timings.times(elapsed().toMillis()));
+    }
+
+    private Duration elapsed() {
+        return Duration.ofMillis(now() - serviceRequest.routed().arrivedAt());
+    }
+
     private String summary(StreamTimings timings, Duration elapsed) {
         String tokens = serviceRequest
                 .callerRequest()
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/FinalAnswer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/FinalAnswer.java
@@ -32,11 +32,17 @@
      * Sends the answer, or ends one that has begun.
      *
      * @param answer the kind of answer
+     * @param refusal what is counted if the request has not run
      * @param reason the reason, sent to the caller
      * @param failure the replica's error response, if it sent one
      * @param retryAfterMillis when the caller may return if the request has not run
      */
-    void send(FinalResponse answer, String reason, Optional<BufferedResponse> failure, long retryAfterMillis) {
+    void send(
+            FinalResponse answer,
+            Refusal refusal,
+            String reason,
+            Optional<BufferedResponse> failure,
+            long retryAfterMillis) {
         if (answer == FinalResponse.BROKEN_OFF) {
             String cause = firstLoss.map(AttemptOutcome::name).orElse("DEADLINE");
             dispatcher.metrics().count("hornbeam_answers_cut", "cause", cause);
@@ -44,7 +50,7 @@
         } else if (answer == FinalResponse.REPLICA_FAILURE && failure.isPresent()) {
             failure.get().sendTo(response);
         } else if (answer == FinalResponse.NOT_RUN) {
-            rejectNotExecuted(reason, retryAfterMillis);
+            rejectNotExecuted(refusal, reason, retryAfterMillis);
         } else {
             dispatcher
                     .answers()
@@ -53,14 +59,16 @@
     }
 
     /** A request that was sent to a replica is not declined: a third router would send it once more without pay. */
-    private void rejectNotExecuted(String reason, long retryAfterMillis) {
+    private void rejectNotExecuted(Refusal refusal, String reason, long retryAfterMillis) {
         boolean mayBeDeclined = serviceRequest.routed().origin().isPresent() && !forwarding.wasSent();
         String service = serviceRequest.service().name();
         if (mayBeDeclined && dispatcher.paths().isLost(service)) {
             dispatcher.retryBudgets().withdrawRequest(service);
             dispatcher.answers().decline(serviceRequest.callerRequest(), response, "no path to the service");
         } else {
-            dispatcher.answers().rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryAfterMillis);
+            dispatcher
+                    .answers()
+                    .rejectNotExecuted(serviceRequest.callerRequest(), response, refusal, reason, retryAfterMillis);
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OwnAnswers.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OwnAnswers.java
@@ -5,7 +5,10 @@
 import java.util.Locale;
 import java.util.random.RandomGenerator;
 import org.hornbeamhead.core.forward.FinalResponse;
+import org.hornbeamhead.core.forward.RefusalReason;
+import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.core.http.Headers;
+import org.hornbeamhead.core.quota.QuotaDecision;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
@@ -52,17 +55,54 @@
         if (state.isFresh(clock.monotonicMillis())) {
             respond(request, response, status, reason, Headers.NONE);
         } else {
-            rejectNotExecuted(request, response, reason + " in a configuration that may be old", STALE_RETRY_MILLIS);
+            rejectNotExecuted(
+                    request,
+                    response,
+                    Refusal.beforeRouting(RefusalReason.STALE_CONFIGURATION),
+                    reason + " in a configuration that may be old",
+                    STALE_RETRY_MILLIS);
         }
     }
 
     /** Rejects a request that has not run; the caller is told to return after the delay and up to as long again. */
-    void rejectNotExecuted(CallerRequest request, CallerResponse response, String reason, long retryAfterMillis) {
+    void rejectNotExecuted(
+            CallerRequest request, CallerResponse response, Refusal refusal, String reason, long retryAfterMillis) {
+        refusal.count(metrics);
         long delayMillis = retryAfterMillis + random.nextLong(Math.min(retryAfterMillis, MAX_JITTER_MILLIS) + 1);
         respond(request, response, FinalResponse.NOT_RUN.status(), reason, retryAfter(delayMillis));
     }
 
-    static Headers retryAfter(long millis) {
+    /** Ends a routed request that was not handled any further, as {@link #rejectNotExecuted} does. */
+    void refuse(
+            RoutedRequest routed, CallerResponse response, RefusalReason why, String reason, long retryAfterMillis) {
+        routed.countServed(ServedOutcome.REFUSED, metrics);
+        rejectNotExecuted(routed.callerRequest(), response, Refusal.of(routed, why), reason, retryAfterMillis);
+    }
+
+    /** Rejects a request that is beyond its customer's quota. */
+    void rejectOverQuota(RoutedRequest routed, CallerResponse response, QuotaDecision decision) {
+        Refusal refusal = Refusal.of(routed, RefusalReason.OVER_QUOTA);
+        metrics.count("hornbeam_quota_refusals", "customer", refusal.customer());
+        refusal.count(metrics);
+        routed.countServed(ServedOutcome.REFUSED, metrics);
+        logger.atInfo()
+                .with(Logs.REQUEST, routed.callerRequest().id())
+                .with(Logs.DECISION, "refused over quota")
+                .with(
+                        Logs.INPUTS,
+                        "customer=" + refusal.customer() + " cost=" + decision.cost() + " level="
+                                + Math.round(decision.level()) + " share=" + decision.share() + " hintAgeMillis="
+                                + decision.hintAgeMillis())
+                .log("request is over its customer's quota");
+        respond(
+                routed.callerRequest(),
+                response,
+                FinalResponse.OVER_QUOTA.status(),
+                "the customer's quota is used up",
+                retryAfter(decision.retryAfterMillis()));
+    }
+
+    private static Headers retryAfter(long millis) {
         return Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", millis / 1000.0));
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -10,6 +10,8 @@
 import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.forward.ForwardingState;
 import org.hornbeamhead.core.forward.NextStep;
+import org.hornbeamhead.core.forward.RefusalReason;
+import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.route.Route;
@@ -41,6 +43,7 @@
     private final ForwardingState forwarding;
     private final long deadline;
     private final StreamProgress progress;
+    private final StreamTimings timings;
     private final Set<String> tried = new HashSet<>();
     private final OpenAttempts<RelayHop> hops;
     private ScheduledRunnable deadlineTimer;
@@ -55,6 +58,7 @@
      * @param response receives the answer
      * @param forwarding what attempts of this router may have been executed, and whether the response has begun
      * @param progress the last event that was relayed to the caller
+     * @param timings the timings of the events that were relayed to the caller
      */
     RelayedRequest(
             Dispatcher dispatcher,
@@ -62,13 +66,15 @@
             String service,
             CallerResponse response,
             ForwardingState forwarding,
-            StreamProgress progress) {
+            StreamProgress progress,
+            StreamTimings timings) {
         this.dispatcher = dispatcher;
         this.routed = routed;
         this.service = service;
         this.response = response;
         this.forwarding = forwarding;
         this.progress = progress;
+        this.timings = timings;
         this.deadline = routed.deadline();
         this.hops = new OpenAttempts<>(
                 dispatcher.reactor(),
@@ -99,7 +105,8 @@
                 : dispatcher.relayRouters().select(service, tried);
         if (peer.isEmpty()) {
             if (!hops.goOnWithSilent()) {
-                sendOwnAnswer(forwarding.responseWithoutRetry(), "no router has a path to " + service);
+                sendOwnAnswer(
+                        forwarding.responseWithoutRetry(), RefusalReason.NO_PATH, "no router has a path to " + service);
             }
             return;
         }
@@ -180,7 +187,7 @@
         if (!(step instanceof NextStep.GiveUp giveUp)) {
             sendToNext();
         } else if (!hops.goOnWithSilent()) {
-            answer.ifPresentOrElse(this::passOn, () -> sendOwnAnswer(giveUp.answer(), reason));
+            answer.ifPresentOrElse(this::passOn, () -> sendOwnAnswer(giveUp.answer(), RefusalReason.NO_PATH, reason));
         }
     }
 
@@ -189,7 +196,7 @@
         String reason = "the router answered " + answer.head().status();
         if (answer.streaming()) {
             hops.remove(hop);
-            finish("DELIVERED");
+            finish("DELIVERED", Optional.of(delivered()));
             response.end();
         } else if (answer.kind() == RelayAnswer.Kind.DECLINED) {
             hopEnded(hop, AttemptOutcome.NOT_SENT, "the router declined it", Optional.empty());
@@ -206,13 +213,30 @@
 
     private void passOn(RelayAnswer answer) {
         if (answer.promisesNotRun() && forwarding.possibleExecutions() > 0) {
-            sendOwnAnswer(FinalResponse.OUTCOME_UNKNOWN, "another router may have run it");
+            sendOwnAnswer(FinalResponse.OUTCOME_UNKNOWN, RefusalReason.NO_PATH, "another router may have run it");
             return;
         }
-        finish("DELIVERED");
+        finish("DELIVERED", servedBy(answer));
         answer.body().sendTo(response);
     }
 
+    /** Returns the outcome of a request with an answer that is passed on; empty if it is an error of the caller. */
+    private Optional<ServedOutcome> servedBy(RelayAnswer answer) {
+        return switch (answer.kind()) {
+            case DELIVERABLE -> Optional.of(delivered());
+            case REJECTED, DECLINED -> answer.promisesNotRun() ? Optional.of(ServedOutcome.REFUSED) : Optional.empty();
+            case REPLICA_FAILED, LOST -> Optional.of(ServedOutcome.FAILED);
+        };
+    }
+
+    private ServedOutcome delivered() {
+        return ServedOutcome.delivered(routed.route(), timings.times(elapsedMillis()));
+    }
+
+    private long elapsedMillis() {
+        return dispatcher.clock().monotonicMillis() - routed.arrivedAt();
+    }
+
     /**
      * Begins to relay a stream.
      *
@@ -229,6 +253,7 @@
         hops.answered(hop);
         if (!forwarding.hasResponseStarted()) {
             forwarding.responseStarted();
+            timings.recordFirst(elapsedMillis());
             response.begin(answer.head().status(), answer.callerHeaders());
         }
         software.ifPresent(progress::recordSoftware);
@@ -241,6 +266,7 @@
             return Promise.complete();
         }
         hops.answered(hop);
+        timings.recordEvents(dispatcher.clock().monotonicMillis());
         return response.write(newEvents);
     }
 
@@ -248,12 +274,14 @@
         return progress;
     }
 
-    private void sendOwnAnswer(FinalResponse answer, String reason) {
-        finish(answer.name());
+    private void sendOwnAnswer(FinalResponse answer, RefusalReason refusal, String reason) {
+        finish(answer.name(), Optional.of(ServedOutcome.of(answer)));
         CallerRequest request = routed.callerRequest();
         switch (answer) {
             case BROKEN_OFF -> response.abort();
-            case NOT_RUN -> dispatcher.answers().rejectNotExecuted(request, response, reason, RETRY_AFTER_MILLIS);
+            case NOT_RUN -> dispatcher
+                    .answers()
+                    .rejectNotExecuted(request, response, Refusal.of(routed, refusal), reason, RETRY_AFTER_MILLIS);
             default -> dispatcher
                     .answers()
                     .respond(
@@ -268,18 +296,19 @@
     private void deadlineExpired() {
         if (!finished) {
             FinalResponse answer = forwarding.responseAtDeadline(hops.anySent());
-            sendOwnAnswer(answer, "its time is over");
+            sendOwnAnswer(answer, RefusalReason.DEADLINE, "its time is over");
         }
     }
 
     private void callerDisconnected() {
         if (!finished) {
-            finish("CALLER_GONE");
+            finish("CALLER_GONE", Optional.of(ServedOutcome.CALLER_GONE));
         }
     }
 
-    private void finish(String outcome) {
+    private void finish(String outcome, Optional<ServedOutcome> served) {
         finished = true;
+        served.ifPresent(s -> routed.countServed(s, dispatcher.metrics()));
         deadlineTimer.cancel();
         hops.removeAll().forEach(RelayHop::cancel);
         dispatcher.metrics().count("hornbeam_requests_handed_over", "outcome", outcome);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
@@ -1,10 +1,12 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.util.Optional;
+import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RequestKind;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.path.RelayHeaders;
 
 /**
@@ -54,6 +56,16 @@
         return callerRequest.resumedAttempt().filter(id -> resumesStream()).orElse(callerRequest.id());
     }
 
+    /**
+     * Counts the end of the request, at the router that its caller connected to. A router that serves it for that one
+     * does not count it again.
+     */
+    void countServed(ServedOutcome outcome, Metrics metrics) {
+        if (origin.isEmpty()) {
+            metrics.count("hornbeam_served", "route", route.name(), "outcome", outcome.label());
+        }
+    }
+
     /** Returns the customer whose quota the request counts against; empty on routes that allow anonymous requests. */
     Optional<KeyOwner> quotaOwner() {
         return route.allowsAnonymous() ? Optional.empty() : owner;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamTimings.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamTimings.java
@@ -1,6 +1,8 @@
 package org.hornbeamhead.gateway.dispatch;
 
-/** Timings of the events relayed to one caller, for the log. */
+import org.hornbeamhead.core.forward.ServedTimes;
+
+/** Timings of the events relayed to one caller. */
 final class StreamTimings {
     private long firstMillis = -1;
     private long lastAt = -1;
@@ -19,6 +21,11 @@
         lastAt = nowMillis;
     }
 
+    /** Returns the times of a response that is complete. */
+    ServedTimes times(long totalMillis) {
+        return new ServedTimes(firstMillis, longestPauseMillis, totalMillis);
+    }
+
     @Override
     public String toString() {
         return " firstMillis=" + firstMillis + " pauseMillis=" + longestPauseMillis;
