Core: what placement, quotas and limits would decide, read only

Cause: asking where a request would be sent must not count it, book its return, release booked returns, lower a limit, or change which prefixes are remembered.

Change: EngineChooser.evaluations, QuotaLedger.peek, RequestLimiter.wouldAccept and BrittleLimit.wouldAccept beside the methods that change something. The evaluations read a copy of the prefixes of the prompt. WholeRequest has a public constructor.

--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
@@ -69,6 +70,65 @@
         this.tracker = new PrefixCacheTracker(storeFilled);
     }
 
+    private EngineChooser(PrefixCacheTracker tracker) {
+        this.tracker = tracker;
+    }
+
+    /**
+     * Evaluates all engines as {@link #choose} would, and changes nothing. The first engine without an exclusion is the
+     * one that would be chosen.
+     *
+     * @param prompt the prompt
+     * @param salt returns the salt of an engine's cached blocks
+     * @param candidates the usable engines
+     * @param links the links over which cached blocks are transferred
+     * @param nowMillis the monotonic time
+     * @return the evaluations, the lowest cost first
+     */
+    public List<EngineEvaluation> evaluations(
+            Prompt prompt,
+            ToLongFunction<EngineCandidate> salt,
+            List<EngineCandidate> candidates,
+            KvTransferLinks links,
+            long nowMillis) {
+        String sharedKey = prompt.sharedKey();
+        long prefixHash = hash(sharedKey);
+        Map<String, EngineCandidate> byId =
+                candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
+        Set<Long> prefixes =
+                candidates.stream().map(c -> prefixHash ^ salt.applyAsLong(c)).collect(Collectors.toSet());
+        EngineChooser reader = new EngineChooser(tracker.copyOf(prefixes));
+        PrefixSources sources =
+                new PrefixSources(reader.tracker, links, id -> Optional.ofNullable(byId.get(id)), nowMillis);
+        LongAnswerEngines longAnswerEngines =
+                LongAnswerEngines.of(candidates, id -> rank(LONG_ANSWERS_KEY, id), nowMillis);
+        Stream<String> homeCandidates =
+                prompt.hasLongAnswer() ? longAnswerEngines.preferred().stream() : byId.keySet().stream();
+        Optional<String> home = homeCandidates.max(Comparator.comparingLong(id -> rank(sharedKey, id)));
+        Function<EngineCandidate, EngineChoice> evaluate = c -> reader.evaluate(
+                prompt, prefixHash ^ salt.applyAsLong(c), c, home.orElseThrow(), longAnswerEngines, sources, nowMillis);
+        List<EngineCandidate> considered =
+                considered(prompt, sharedKey, candidates, longAnswerEngines).toList();
+        List<EngineCandidate> unchanging = withoutPendingChange(candidates);
+        List<EngineCandidate> eligible =
+                considered.stream().map(evaluate).anyMatch(EngineChooser::startsInTime) ? considered : unchanging;
+        Function<EngineChoice, Optional<PlacementExclusion>> exclusion = choice -> {
+            if (eligible.contains(choice.engine())) {
+                return startsInTime(choice) ? Optional.empty() : Optional.of(PlacementExclusion.WEIGHTS_EXPIRE);
+            }
+            return Optional.of(
+                    unchanging.contains(choice.engine())
+                            ? PlacementExclusion.NOT_CONSIDERED
+                            : PlacementExclusion.WEIGHT_CHANGE_PENDING);
+        };
+        // The sort is stable, so that of equal costs the same engine comes first as in the choice.
+        return Stream.concat(eligible.stream(), candidates.stream().filter(c -> !eligible.contains(c)))
+                .map(evaluate)
+                .sorted(Comparator.comparingDouble(EngineChoice::cost))
+                .map(choice -> new EngineEvaluation(choice, exclusion.apply(choice)))
+                .toList();
+    }
+
     /**
      * Chooses the engine for a prompt.
      *
--- a/core/src/main/java/org/hornbeamhead/core/engine/PrefixCacheTracker.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/PrefixCacheTracker.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -71,6 +72,31 @@
         this.storeFilled = storeFilled;
     }
 
+    /**
+     * Returns a copy with what is known of some prefixes. Reading it changes neither the order in which this tracker
+     * drops prefixes nor the time of its first use.
+     *
+     * @param prefixes hashes of the prefixes with their salts
+     * @return the copy
+     */
+    PrefixCacheTracker copyOf(Set<Long> prefixes) {
+        PrefixCacheTracker copy = new PrefixCacheTracker(storeFilled);
+        copy.startedAt = startedAt;
+        copy.linkBusyUntil.putAll(linkBusyUntil);
+        // Looking prefixes up by their keys would make them the most recently used ones.
+        savedAt.forEach((prefix, at) -> {
+            if (prefixes.contains(prefix)) {
+                copy.savedAt.put(prefix, at);
+            }
+        });
+        readyAt.forEach((prefix, engines) -> {
+            if (prefixes.contains(prefix)) {
+                copy.readyAt.put(prefix, new HashMap<>(engines));
+            }
+        });
+        return copy;
+    }
+
     /**
      * Returns whether a prefix may be assumed to be in the store although this router has not seen it.
      *
--- a/core/src/main/java/org/hornbeamhead/core/http/WholeRequest.java
+++ b/core/src/main/java/org/hornbeamhead/core/http/WholeRequest.java
@@ -5,7 +5,13 @@
     private final RequestHead head;
     private final byte[] body;
 
-    WholeRequest(RequestHead head, byte[] body) {
+    /**
+     * Creates a request.
+     *
+     * @param head the head
+     * @param body the decoded body; not copied
+     */
+    public WholeRequest(RequestHead head, byte[] body) {
         this.head = head;
         this.body = body;
     }
--- a/core/src/main/java/org/hornbeamhead/core/limit/BrittleLimit.java
+++ b/core/src/main/java/org/hornbeamhead/core/limit/BrittleLimit.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
 
 /**
  * Limits the requests in progress at one run of a replica that falls over when it has to turn away more requests in a
@@ -186,10 +187,37 @@
             return true;
         }
         limit = Math.min(limit, slots);
-        double part = Math.max(1, Math.floor(limit * share));
-        return knownRejections(nowMillis) < Math.max(1, tolerance * USABLE_SHARE)
-                && total < Math.floor(limit)
-                && (own < part || (own == part && total < limit * LENT_PART));
+        return hasRoom(own, total, limit, share, tolerance, nowMillis);
+    }
+
+    /**
+     * Returns what {@link #accepts} would return, and changes nothing.
+     *
+     * @param own the requests of this router in progress at the replica
+     * @param total the requests of all routers in progress there, as far as known
+     * @param slots the requests that the replica runs at the same time
+     * @param share this router's part of limits for all routers, above 0 and at most 1
+     * @param presumed the rejections that other replicas of the service bear; empty if they are not brittle
+     * @param nowMillis the monotonic time
+     * @return true if one more request finds room, or the replica is not brittle
+     */
+    public boolean wouldAccept(int own, int total, int slots, double share, OptionalInt presumed, long nowMillis) {
+        boolean brittle = isBrittle(nowMillis);
+        return (!brittle && presumed.isEmpty())
+                || hasRoom(
+                        own,
+                        total,
+                        Math.min(limit, slots),
+                        share,
+                        brittle ? tolerance : presumed.getAsInt(),
+                        nowMillis);
+    }
+
+    private boolean hasRoom(int own, int total, double bound, double share, int rejections, long nowMillis) {
+        double part = Math.max(1, Math.floor(bound * share));
+        return knownRejections(nowMillis) < Math.max(1, rejections * USABLE_SHARE)
+                && total < Math.floor(bound)
+                && (own < part || (own == part && total < bound * LENT_PART));
     }
 
     /**
--- a/core/src/main/java/org/hornbeamhead/core/limit/RequestLimiter.java
+++ b/core/src/main/java/org/hornbeamhead/core/limit/RequestLimiter.java
@@ -139,6 +139,17 @@
         return level >= ONE_REQUEST;
     }
 
+    /**
+     * Returns what {@link #accepts} would return, and releases no booked returns.
+     *
+     * @param share the part of the limit that this router and those in contact with it may use
+     * @param nowMillis the monotonic time
+     * @return true if a request is within the limit, or there is none
+     */
+    public boolean wouldAccept(double share, long nowMillis) {
+        return !isLimited() || level(share, nowMillis, nowMillis) >= ONE_REQUEST;
+    }
+
     /** Returns when the next request may be sent if none is sent before, in milliseconds from now. */
     private long waitMillis(double share, long nowMillis) {
         return LongStream.iterate(0, wait -> wait < WINDOW_MILLIS, wait -> wait + RecentSends.SLOT_MILLIS)
--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaAccount.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaAccount.java
@@ -43,6 +43,18 @@
         this.level = capacity();
     }
 
+    /** Returns an account with the same state, which can be evaluated without changing this one. */
+    QuotaAccount copy() {
+        QuotaAccount copy = new QuotaAccount(limit, share, provisional, updatedMillis);
+        copy.level = level;
+        copy.setAside = setAside;
+        copy.lastPartialMillis = lastPartialMillis;
+        copy.lastUseMillis = lastUseMillis;
+        copy.returnsBookedUntilMillis = returnsBookedUntilMillis;
+        copy.admittedUnits = admittedUnits;
+        return copy;
+    }
+
     /** Brings the level to the present time, with the share that applies from now on. */
     void update(double newShare, boolean informed, long nowMillis) {
         update(limit, newShare, informed, nowMillis);
--- a/core/src/main/java/org/hornbeamhead/core/quota/QuotaLedger.java
+++ b/core/src/main/java/org/hornbeamhead/core/quota/QuotaLedger.java
@@ -102,16 +102,39 @@
         long key = hash(customer);
         double currentShare = share(nowMillis);
         QuotaAccount account = accounts.computeIfAbsent(key, k -> open(k, limit, currentShare, nowMillis));
+        QuotaDecision decision = decide(key, account, limit, cost, nowMillis);
+        if (decision.admitted()) {
+            account.admit(cost, nowMillis);
+            untold.add(key);
+        }
+        return decision;
+    }
+
+    /**
+     * Returns what {@link #admit} would decide, and counts and books nothing.
+     *
+     * @param customer the customer's name
+     * @param limit the customer's quota
+     * @param cost what the request counts
+     * @param nowMillis the monotonic time
+     * @return the decision
+     */
+    public QuotaDecision peek(String customer, QuotaLimit limit, long cost, long nowMillis) {
+        long key = hash(customer);
+        QuotaAccount account =
+                accounts.containsKey(key) ? accounts.get(key).copy() : open(key, limit, share(nowMillis), nowMillis);
+        return decide(key, account, limit, cost, nowMillis);
+    }
+
+    private QuotaDecision decide(long customer, QuotaAccount account, QuotaLimit limit, long cost, long nowMillis) {
+        double currentShare = share(nowMillis);
         account.update(limit, currentShare, contacts.isInformed(nowMillis), nowMillis);
         double level = account.level();
-        if (!account.covers(cost)) {
-            long millis = (long) Math.ceil(account.bookReturnMillis(cost, ownPart(key, account), nowMillis));
-            return new QuotaDecision(
-                    false, cost, level, currentShare, contacts.oldestHintMillis(nowMillis), Math.max(1, millis));
-        }
-        account.admit(cost, nowMillis);
-        untold.add(key);
-        return new QuotaDecision(true, cost, level, currentShare, contacts.oldestHintMillis(nowMillis), 0);
+        boolean admitted = account.covers(cost);
+        long millis = admitted
+                ? 0
+                : Math.max(1, (long) Math.ceil(account.bookReturnMillis(cost, ownPart(customer, account), nowMillis)));
+        return new QuotaDecision(admitted, cost, level, currentShare, contacts.oldestHintMillis(nowMillis), millis);
     }
 
     /**
--- a/core/src/test/java/org/hornbeamhead/core/limit/BrittleLimitTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/limit/BrittleLimitTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.OptionalInt;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -71,4 +72,17 @@
         }
         assertTrue(limit.accepts(7, 7, SLOTS, 1, 0));
     }
+
+    /** Guards against a limit that is lowered when it is only looked at. */
+    @Test(dataProvider = "loads")
+    public void lookingAtTheLimitDoesNotLowerIt(String description, int own, int total, boolean accepted) {
+        BrittleLimit limit = new BrittleLimit();
+        OptionalInt presumed = OptionalInt.of(4);
+        assertEquals(limit.wouldAccept(own, total, SLOTS, 0.25, presumed, 0), accepted, description);
+        assertTrue(limit.wouldAccept(50, 50, SLOTS, 0.25, OptionalInt.empty(), 0), "nothing is stated");
+        limit.recordStatement(4, 0);
+        assertFalse(limit.wouldAccept(1, 1, 1, 0.25, OptionalInt.empty(), 1));
+        assertEquals(limit.wouldAccept(own, total, SLOTS, 0.25, OptionalInt.empty(), 1), accepted, description);
+        assertEquals(limit.accepts(own, total, SLOTS, 0.25, 1), accepted, description);
+    }
 }
--- a/core/src/test/java/org/hornbeamhead/core/limit/RequestLimiterTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/limit/RequestLimiterTest.java
@@ -150,4 +150,21 @@
                 7, 8, List.of(entry(2.5, 30, 20, 1, 0, 255), new LimitHint.Entry(3, Optional.empty(), List.of())));
         assertEquals(LimitHint.decode(hint.encode()), Optional.of(hint));
     }
+
+    /** Guards against booked returns that are released when the limit is only looked at. */
+    @Test
+    public void lookingAtTheLimitKeepsBookedReturns() {
+        RequestLimiter limiter = new RequestLimiter();
+        limiter.observe(new StatedLimit(2, 0, 10));
+        limiter.recordSend(1_000);
+        assertFalse(limiter.wouldAccept(1, 1_000));
+        limiter.bookReturnMillis(1, 1_000);
+        limiter.bookReturnMillis(1, 1_000);
+        long next = limiter.nextReturnMillis(1, 1_600);
+        assertTrue(limiter.wouldAccept(1, 1_600));
+        assertEquals(limiter.nextReturnMillis(1, 1_600), next);
+        assertTrue(next > 1_600);
+        assertTrue(limiter.accepts(1, 1_600));
+        assertEquals(limiter.nextReturnMillis(1, 1_600), 1_600);
+    }
 }
--- a/core/src/test/java/org/hornbeamhead/core/quota/QuotaLedgerTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/quota/QuotaLedgerTest.java
@@ -239,4 +239,19 @@
         assertEquals(QuotaHint.decode(hint.encode()).get(), hint);
         assertTrue(QuotaHint.decode(new byte[] {1, 2}).isEmpty());
     }
+
+    @DataProvider
+    public Object[][] costs() {
+        return new Object[][] {{0}, {400}, {1_000}, {5_000}};
+    }
+
+    /** Guards against a decision that counts or books something when it is only looked at. */
+    @Test(dataProvider = "costs")
+    public void peekDecidesAsAdmitAndChangesNothing(long cost) {
+        for (long now = STARTED; now < STARTED + 3_000; now += 290) {
+            QuotaDecision peeked = ledger.peek("c", LIMIT, cost, now);
+            assertEquals(ledger.peek("c", LIMIT, cost, now), peeked);
+            assertEquals(ledger.admit("c", LIMIT, cost, now), peeked);
+        }
+    }
 }
