Router: GET /explain at the metrics address

Cause: operators cannot see where a router would send a request now, what it would cost elsewhere, and which rule excludes a replica.

Change: ExplainEndpoint reads a query from the body or the URL; DecisionExplainer follows the steps of a request with the read-only methods and answers with the route, the quota, all replicas and the decision. Every other path at this address still gives the metrics. TargetSelector shares the order of plain replicas and the list of engine candidates between selection and explanation.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -33,6 +33,7 @@
 import org.hornbeamhead.gateway.duty.LeaderTasks;
 import org.hornbeamhead.gateway.duty.PeerChangeNotifier;
 import org.hornbeamhead.gateway.duty.ReplicaOrderClient;
+import org.hornbeamhead.gateway.explain.ExplainEndpoint;
 import org.hornbeamhead.gateway.limit.BrittleReplicas;
 import org.hornbeamhead.gateway.limit.CountedOrderClient;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
@@ -101,6 +102,7 @@
     private final LoadHints loadHints;
     private final CallerServer callerServer;
     private final Shutdown shutdown;
+    private final ExplainEndpoint explainEndpoint;
 
     /**
      * The interfaces that a platform implements.
@@ -162,6 +164,7 @@
         callerServer = new CallerServer(
                 reactor, clock, this::handle, this::callerLimits, ports.headerCodec()::requestId, metrics);
         shutdown = new Shutdown(daemon, callerServer, registration, leaderTasks, settings.grace());
+        explainEndpoint = new ExplainEndpoint(query -> dispatcher.explain(query, shutdown.rejectsNewRequests()));
         mirror.addListener(new StoreChanges(storeChangesDependencies())::apply);
     }
 
@@ -371,7 +374,7 @@
                 (request, answer) -> dispatcher.declineRelayed(request, answer, "no router is listed there"));
         daemon.listenForShortCalls(settings.peerAddress(), this::handlePeerRequest);
         if (settings.metricsAddress().getPort() != 0) {
-            daemon.listenForShortCalls(settings.metricsAddress(), request -> metrics.scrape());
+            daemon.listenForShortCalls(settings.metricsAddress(), this::handleMetricsRequest);
         }
         registerGauges();
         quarantine.start();
@@ -405,6 +408,10 @@
         metrics.gauge("hornbeam_uncaught_errors", daemon::uncaughtErrors);
     }
 
+    private Promise<HttpResponse> handleMetricsRequest(HttpRequest request) {
+        return request.getPath().equals(ExplainEndpoint.PATH) ? explainEndpoint.handle(request) : metrics.scrape();
+    }
+
     private Promise<HttpResponse> handlePeerRequest(HttpRequest request) throws Exception {
         AsyncServlet servlet =
                 switch (request.getPath()) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.hornbeamhead.core.availability.Unavailability;
 import org.hornbeamhead.core.time.Clock;
@@ -59,6 +60,22 @@
      * @return the reason, empty if it may get the request
      */
     public Optional<Unavailability> checkPlaced(LiveReplica replica) {
+        return check(replica, limits::accepts);
+    }
+
+    /**
+     * Returns what {@link #check} would return, and changes nothing.
+     *
+     * @param replica the replica
+     * @return the reason, empty if it may get a request
+     */
+    public Optional<Unavailability> peek(LiveReplica replica) {
+        return check(replica, limits::wouldAccept)
+                .or(() ->
+                        brittleReplicas.wouldAccept(replica) ? Optional.empty() : Optional.of(Unavailability.BRITTLE));
+    }
+
+    private Optional<Unavailability> check(LiveReplica replica, Predicate<LiveReplica> withinLimit) {
         if (replica.isEntryInvalid()) {
             return Optional.of(Unavailability.INVALID_ENTRY);
         }
@@ -71,7 +88,7 @@
         if (isBackingOff(replica)) {
             return Optional.of(Unavailability.BACK_OFF);
         }
-        return limits.accepts(replica) ? Optional.empty() : Optional.of(Unavailability.REQUEST_LIMIT);
+        return withinLimit.test(replica) ? Optional.empty() : Optional.of(Unavailability.REQUEST_LIMIT);
     }
 
     private boolean isBackingOff(LiveReplica replica) {
@@ -110,6 +127,21 @@
         return returnMillis;
     }
 
+    /**
+     * Returns the time that {@link #bookReturnMillis} would book for replicas of which none takes requests, and books
+     * nothing.
+     *
+     * @param replicas the replicas of the service
+     * @return the time in milliseconds; empty if none is known to take requests again
+     */
+    public OptionalLong peekReturnMillis(List<LiveReplica> replicas) {
+        return replicas.stream()
+                .filter(LiveReplica::isInService)
+                .filter(r -> !paths.isLost(r.entry().service()))
+                .mapToLong(r -> Math.max(0, returnAtMillis(r) - clock.monotonicMillis()))
+                .min();
+    }
+
     private long returnAtMillis(LiveReplica replica) {
         return Math.max(replica.notices().backOffUntilMillis(), limits.nextReturnMillis(replica));
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -24,6 +24,8 @@
 import org.hornbeamhead.gateway.availability.ReplicaNotices;
 import org.hornbeamhead.gateway.caller.CallerHandler;
 import org.hornbeamhead.gateway.caller.CallerResponse;
+import org.hornbeamhead.gateway.explain.ExplainQuery;
+import org.hornbeamhead.gateway.explain.Explanation;
 import org.hornbeamhead.gateway.limit.BrittleReplicas;
 import org.hornbeamhead.gateway.limit.ReplicaLimits;
 import org.hornbeamhead.gateway.path.RelayHeaders;
@@ -44,18 +46,18 @@
  */
 public final class Dispatcher implements CallerHandler {
     private static final int BAD_REQUEST = 400;
-    private static final int UNAUTHORIZED = 401;
-    private static final int NOT_FOUND = 404;
+    static final int UNAUTHORIZED = 401;
+    static final int NOT_FOUND = 404;
     /**
      * Retry delay while there is no configuration. This router may load one soon, and other routers may have one
      * already.
      */
-    private static final long NOT_READY_RETRY_MILLIS = 100;
+    static final long NOT_READY_RETRY_MILLIS = 100;
     /**
      * Retry delay when another router can take the request at once; the short delay lets the next address lookup of the
      * caller return that router.
      */
-    private static final long OTHER_ROUTER_RETRY_MILLIS = 20;
+    static final long OTHER_ROUTER_RETRY_MILLIS = 20;
 
     /** Retry delay when nobody knows which software began a stream; other routers may be back in touch by then. */
     private static final long UNKNOWN_ORIGIN_RETRY_MILLIS = 300;
@@ -270,7 +272,7 @@
     }
 
     private void forward(RoutedRequest routed, CallerResponse response) {
-        String name = routed.route().selectService(hash(routed.firstAttempt()));
+        String name = serviceOf(routed);
         Optional<ServiceSpec> service = routed.config().findService(name);
         if (service.isEmpty()) {
             answers.refuse(
@@ -353,6 +355,21 @@
         new Exchange(this, request, response, software).start();
     }
 
+    static String serviceOf(RoutedRequest routed) {
+        return routed.route().selectService(hash(routed.firstAttempt()));
+    }
+
+    /**
+     * Explains what would be done with a new request now, and changes nothing.
+     *
+     * @param query the request
+     * @param stopping whether this router rejects new requests because it is about to end
+     * @return the explanation
+     */
+    public Explanation explain(ExplainQuery query, boolean stopping) {
+        return new DecisionExplainer(this, state).explain(query, stopping);
+    }
+
     /** Returns a hash that is spread over all values, since the ids themselves may come from a counter. */
     private static long hash(String id) {
         return id.chars().asLongStream().reduce(17, (hash, c) -> hash * 1_000_003 + c) >>> 8;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.hornbeamhead.core.engine.EngineAdmission;
@@ -34,7 +33,7 @@
      * The retry delay given to callers whose request no replica could take, about the time in which the queue of a
      * replica turns over.
      */
-    private static final long RETRY_AFTER_MILLIS = 300;
+    static final long RETRY_AFTER_MILLIS = 300;
 
     private final Dispatcher dispatcher;
     private final ServiceRequest serviceRequest;
@@ -216,16 +215,11 @@
     }
 
     ForwardingOptions forwardingOptions(Target target) {
-        int priority = serviceRequest
-                .owner()
-                .map(KeyOwner::priority)
-                .orElse(OptionalInt.empty())
-                .orElse(serviceRequest.route().priority());
         return new ForwardingOptions(
                 target.replica().entry().id(),
                 serviceRequest.owner().map(KeyOwner::customer),
                 Math.max(1, timeLeftMillis()),
-                priority,
+                serviceRequest.routed().priority(),
                 target.engineOptions(),
                 progress.lastEventId());
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RequestKind;
@@ -66,6 +67,11 @@
         }
     }
 
+    /** Returns the priority for replicas, 0 is the highest. */
+    int priority() {
+        return owner.map(KeyOwner::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+    }
+
     /** Returns the customer whose quota the request counts against; empty on routes that allow anonymous requests. */
     Optional<KeyOwner> quotaOwner() {
         return route.allowsAnonymous() ? Optional.empty() : owner;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -6,9 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hornbeamhead.core.engine.EngineCandidate;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.EngineChooser;
+import org.hornbeamhead.core.engine.EngineEvaluation;
 import org.hornbeamhead.core.engine.KvTransferLinks;
 import org.hornbeamhead.core.engine.Prompt;
 import org.hornbeamhead.core.route.EngineSpec;
@@ -31,6 +35,15 @@
     private final boolean priorTraffic;
     private final Map<String, EngineChooser> choosers = new HashMap<>();
 
+    /**
+     * What the selection regards at one replica.
+     *
+     * @param replica the replica
+     * @param excludedBy the rule that excludes it; empty if it may be selected
+     * @param choice the predictions for an engine; empty for a plain service, or if no prediction was needed
+     */
+    record Evaluation(LiveReplica replica, Optional<String> excludedBy, Optional<EngineChoice> choice) {}
+
     TargetSelector(
             Clock clock,
             ReplicaRegistry registry,
@@ -54,6 +67,56 @@
                 : selectLeastLoaded(replicas);
     }
 
+    /**
+     * Returns what the selection for a new request would regard, and changes nothing. The first replica that is not
+     * excluded would be selected.
+     */
+    List<Evaluation> evaluations(ServiceRequest request) {
+        long now = clock.monotonicMillis();
+        List<LiveReplica> all = registry.replicas(request.service().name());
+        Map<Boolean, List<LiveReplica>> byAvailability = all.stream()
+                .collect(Collectors.partitioningBy(r -> availability.peek(r).isEmpty()));
+        List<LiveReplica> available = byAvailability.get(true);
+        List<LiveReplica> usable = withoutEjected(available, now);
+        Stream<Evaluation> ejected = available.stream()
+                .filter(r -> !usable.contains(r))
+                .map(r -> new Evaluation(r, Optional.of("EJECTED"), Optional.empty()));
+        Stream<Evaluation> unavailable = byAvailability.get(false).stream()
+                .map(r -> new Evaluation(r, availability.peek(r).map(Enum::name), Optional.empty()));
+        Optional<Prompt> prompt = request.callerRequest().prompt();
+        Stream<Evaluation> candidates = request.service().engine().isPresent() && prompt.isPresent()
+                ? engineEvaluations(request, prompt.get(), usable)
+                : usable.stream().sorted(byLoad(now)).map(r -> new Evaluation(r, Optional.empty(), Optional.empty()));
+        return Stream.of(candidates, ejected, unavailable)
+                .flatMap(Function.identity())
+                .toList();
+    }
+
+    private Stream<Evaluation> engineEvaluations(ServiceRequest request, Prompt prompt, List<LiveReplica> replicas) {
+        long now = clock.monotonicMillis();
+        EngineSpec spec = request.service().engine().orElseThrow();
+        String customer = isolatedCustomer(request.owner());
+        Map<String, LiveReplica> byRun =
+                replicas.stream().collect(Collectors.toMap(r -> r.entry().run(), Function.identity()));
+        EngineChooser chooser = Optional.ofNullable(
+                        choosers.get(request.service().name()))
+                .orElseGet(() -> new EngineChooser(priorTraffic));
+        List<EngineEvaluation> evaluations = chooser.evaluations(
+                prompt,
+                c -> salt(prompt, customer, c.weights()).hashCode(),
+                candidates(spec, prompt, replicas, now),
+                links(spec, request.config()),
+                now);
+        return evaluations.stream()
+                .map(e -> new Evaluation(
+                        byRun.get(e.choice().engine().id()), e.exclusion().map(Enum::name), Optional.of(e.choice())));
+    }
+
+    /** Returns when a replica of a service takes requests again, as {@link #bookReturnMillis} but without booking. */
+    OptionalLong peekReturnMillis(String service) {
+        return availability.peekReturnMillis(registry.replicas(service));
+    }
+
     boolean hasUntried(ReplicaScope scope) {
         return scope.untried(registry).anyMatch(availability::accepts);
     }
@@ -73,17 +136,25 @@
         long now = clock.monotonicMillis();
         List<LiveReplica> untried =
                 scope.untried(registry).filter(availability::accepts).toList();
+        return withoutEjected(untried, now);
+    }
+
+    private static List<LiveReplica> withoutEjected(List<LiveReplica> replicas, long now) {
         List<LiveReplica> healthy =
-                untried.stream().filter(r -> !r.guard().isEjected(now)).toList();
-        return healthy.isEmpty() ? untried : healthy;
+                replicas.stream().filter(r -> !r.guard().isEjected(now)).toList();
+        return healthy.isEmpty() ? replicas : healthy;
+    }
+
+    private Comparator<LiveReplica> byLoad(long now) {
+        return Comparator.comparingInt((LiveReplica r) -> r.load().runningRequests(now))
+                .thenComparing(r -> !r.entry().dataCentre().equals(dataCentre))
+                .thenComparingInt(r -> r.connections().openCount());
     }
 
     private Optional<Target> selectLeastLoaded(List<LiveReplica> replicas) {
         long now = clock.monotonicMillis();
         return replicas.stream()
-                .min(Comparator.comparingInt((LiveReplica r) -> r.load().runningRequests(now))
-                        .thenComparing(r -> !r.entry().dataCentre().equals(dataCentre))
-                        .thenComparingInt(r -> r.connections().openCount()))
+                .min(byLoad(now))
                 .map(r -> new Target(r, Optional.empty(), Optional.empty(), "least load"));
     }
 
@@ -98,7 +169,20 @@
         replicas.forEach(r -> replicasByRun.put(r.entry().run(), r));
         EngineSpec spec = service.engine().orElseThrow();
         KvTransferLinks links = links(spec, config);
-        List<EngineCandidate> candidates = replicas.stream()
+        List<EngineCandidate> candidates = candidates(spec, prompt, replicas, now);
+        String isolatedCustomer = isolatedCustomer(owner);
+        return chooser(service.name())
+                .choose(prompt, c -> salt(prompt, isolatedCustomer, c.weights()).hashCode(), candidates, links, now)
+                .map(choice -> toTarget(
+                        links,
+                        prompt,
+                        isolatedCustomer,
+                        choice,
+                        replicasByRun.get(choice.engine().id())));
+    }
+
+    private List<EngineCandidate> candidates(EngineSpec spec, Prompt prompt, List<LiveReplica> replicas, long now) {
+        return replicas.stream()
                 .map(r -> new EngineCandidate(
                         r.entry().run(),
                         r.entry().dataCentre(),
@@ -111,16 +195,10 @@
                         weights.usableMillis(prompt.model(), r.weightsVersion(prompt.model()), now),
                         weights.isWeightChangePending(r.entry().run(), now)))
                 .toList();
-        String isolatedCustomer =
-                owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
-        return chooser(service.name())
-                .choose(prompt, c -> salt(prompt, isolatedCustomer, c.weights()).hashCode(), candidates, links, now)
-                .map(choice -> toTarget(
-                        links,
-                        prompt,
-                        isolatedCustomer,
-                        choice,
-                        replicasByRun.get(choice.engine().id())));
+    }
+
+    private static String isolatedCustomer(Optional<KeyOwner> owner) {
+        return owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
     }
 
     private static KvTransferLinks links(EngineSpec engine, RoutingConfig config) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/BrittleReplicas.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/BrittleReplicas.java
@@ -161,6 +161,26 @@
                         now);
     }
 
+    /**
+     * Returns what {@link #accepts} would return, and changes nothing.
+     *
+     * @param replica the replica
+     * @return true if a request may be sent now
+     */
+    public boolean wouldAccept(LiveReplica replica) {
+        long now = clock.monotonicMillis();
+        ServiceStatement statement = byService.get(replica.entry().service());
+        boolean presumed = statement != null && now - statement.atMillis() <= SERVICE_STATEMENT_MILLIS;
+        return replica.brittleLimit()
+                .wouldAccept(
+                        replica.load().ownRequests(),
+                        replica.load().runningRequests(now),
+                        replica.entry().slots(),
+                        dependencies.share().getAsDouble(),
+                        presumed ? OptionalInt.of(statement.tolerance()) : OptionalInt.empty(),
+                        now);
+    }
+
     /**
      * Returns whether the end of a replica may be due to requests that it turned away.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/limit/ReplicaLimits.java
@@ -128,6 +128,18 @@
         return limiter.accepts(dependencies.share().applyAsDouble(now), now);
     }
 
+    /**
+     * Returns what {@link #accepts} would return, and changes nothing.
+     *
+     * @param replica the replica
+     * @return true if a request may be sent now
+     */
+    public boolean wouldAccept(LiveReplica replica) {
+        long now = clock.monotonicMillis();
+        return !replica.limiter().isLimited()
+                || replica.limiter().wouldAccept(dependencies.share().applyAsDouble(now), now);
+    }
+
     /**
      * Returns when the limit of a replica lets the next caller return.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/path/RelayRouters.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/path/RelayRouters.java
@@ -96,14 +96,27 @@
      * @return the router, empty if none is known
      */
     public Optional<Peer> select(String service, Set<String> tried) {
-        long now = clock.monotonicMillis();
         removeUnlisted();
+        return find(service, tried).flatMap(r -> peer(r.hints()));
+    }
+
+    /**
+     * Returns the router that {@link #select} would select first, and creates no connections.
+     *
+     * @param service the name of the service
+     * @return the address at which it accepts requests of other routers, empty if none is known
+     */
+    public Optional<String> peek(String service) {
+        return find(service, Set.of()).map(RouterEntry::hints);
+    }
+
+    private Optional<RouterEntry> find(String service, Set<String> tried) {
+        long now = clock.monotonicMillis();
         return routers.others().stream()
                 .filter(r -> !tried.contains(r.hints()))
                 .filter(r -> paths.peers().hasPath(r.hints(), service, now))
                 .filter(r -> inProgress(r) < MAX_REQUESTS)
-                .min(Comparator.comparingDouble(this::relativeLoad))
-                .flatMap(r -> peer(r.hints()));
+                .min(Comparator.comparingDouble(this::relativeLoad));
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/quota/QuotaGate.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/quota/QuotaGate.java
@@ -44,6 +44,20 @@
                         Optional.of(ledger.admit(owner.get().customer(), limit.get(), cost, clock.monotonicMillis())));
     }
 
+    /**
+     * Returns what {@link #admit} would decide, and counts nothing.
+     *
+     * @param owner the customer; empty for requests that no quota applies to
+     * @param tokenCount what the request states of its tokens
+     * @return the decision; empty if the request is not limited or states an invalid number of tokens
+     */
+    public Optional<QuotaDecision> peek(Optional<KeyOwner> owner, Either<String, OptionalLong> tokenCount) {
+        return owner.flatMap(o -> o.quota().flatMap(limit -> tokenCount
+                .map(limit::cost)
+                .map(cost -> ledger.peek(o.customer(), limit, cost, clock.monotonicMillis()))
+                .toJavaOptional()));
+    }
+
     /**
      * Takes back what a request counted that was admitted and that no replica has run.
      *
