hornbeamctl explain

Cause: the explanation of a router is JSON; operators want a table and an exit code.

Change: the command sends the query to the metrics address of a router and prints its answer. Exit code 2 for a wrong field, 1 for a router that cannot be reached.

--- a/ctl/src/main/java/org/hornbeamhead/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/CtlMain.java
@@ -4,7 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import joptsimple.OptionException;
@@ -29,11 +31,13 @@
               diff FILE       tell which sections of FILE differ from the configuration in force
               history         print who changed what, when and why, newest last
               status          print the fleet, the replicas, and the classes against their targets
+              explain         print where a router would send a request now, and why; needs --router (its metrics
+                              address), --host and --path; nothing is sent
               drain ADDRESS   let an endpoint take no new work; needs --reason
               undrain ADDRESS end that
               drains          print all drain orders
 
-            exit codes: 0 done, 1 failed, 2 wrong command line or file,
+            exit codes: 0 done, 1 failed, 2 wrong command line, file or field of explain,
                         3 another operator's change came first, 4 not known whether the change was made
             """;
 
@@ -43,8 +47,9 @@
     private final OptionSpec<String> platform = parser.accepts(
                     "platform", "address of the platform's key-value service")
             .withRequiredArg();
-    private final OptionSpec<String> router =
-            parser.accepts("router", "address of an entry host, for status").withRequiredArg();
+    private final OptionSpec<String> router = parser.accepts(
+                    "router", "address of an entry host, for status; metrics address, for explain")
+            .withRequiredArg();
     private final OptionSpec<String> author = parser.accepts("author", "who makes the change")
             .withRequiredArg()
             .defaultsTo(System.getProperty("user.name"));
@@ -53,11 +58,26 @@
     private final OptionSpec<Long> base = parser.accepts("base", "version that FILE was made from")
             .withRequiredArg()
             .ofType(Long.class);
+    private final Map<String, OptionSpec<String>> explained = new LinkedHashMap<>();
     private final OptionSpec<Void> json = parser.accepts("json", "print JSON");
     private final OptionSpec<Void> help =
             parser.acceptsAll(List.of("help", "h"), "print this help").forHelp();
 
-    private CtlMain() {}
+    private CtlMain() {
+        explainOption("host", "host", "requested host");
+        explainOption("path", "path", "requested path");
+        explainOption("key", "key", "API key of the customer");
+        explainOption("id", "id", "request id, which selects one of several services of a route");
+        explainOption("model", "model", "model");
+        explainOption("prompt", "prompt", "parts of the prompt in order, ID:TOKENS,...");
+        explainOption("max-output-tokens", "max_output_tokens", "maximum length of the answer");
+        explainOption("expected-output-tokens", "expected_output_tokens", "expected length of the answer");
+    }
+
+    private void explainOption(String option, String field, String description) {
+        explained.put(
+                field, parser.accepts(option, description + ", for explain").withRequiredArg());
+    }
 
     /**
      * Runs a command.
@@ -109,14 +129,30 @@
             case "apply" -> config(options).apply(readChecked(words), author(options), base(options));
             case "diff" -> config(options).diff(readFile(argument(words)));
             case "drain", "undrain" -> config(options).drain(argument(words), author(options), name.equals("drain"));
-            case "status" -> StatusCommand.run(
-                    Optional.ofNullable(options.valueOf(router))
-                            .orElseThrow(() -> new IllegalArgumentException("status needs --router")),
-                    options.has(json));
+            case "status" -> StatusCommand.run(router(name, options), options.has(json));
+            case "explain" -> {
+                noArgument(words);
+                yield ExplainCommand.run(router(name, options), explainedFields(options), options.has(json));
+            }
             default -> usage("unknown command '" + name + "'");
         };
     }
 
+    private String router(String command, OptionSet options) {
+        return Optional.ofNullable(options.valueOf(router))
+                .orElseThrow(() -> new IllegalArgumentException(command + " needs --router"));
+    }
+
+    private Map<String, String> explainedFields(OptionSet options) {
+        Map<String, String> fields = new LinkedHashMap<>();
+        explained.forEach((field, option) -> {
+            if (options.has(option)) {
+                fields.put(field, options.valueOf(option));
+            }
+        });
+        return fields;
+    }
+
     private ExitCode check(String file, OptionSet options) throws IOException {
         return OperatorsConfigReader.read(Path.of(file).getFileName().toString(), readFile(file))
                 .fold(
