Test: hornbeamctl explain sends the fields in the body

Cause: the test of exit codes did not look at the query; a key in the URL would be in logs.

Change: the stand-in router records the body of the query.

--- a/ctl/src/test/java/org/hornbeamhead/ctl/ExplainCommandTest.java
+++ b/ctl/src/test/java/org/hornbeamhead/ctl/ExplainCommandTest.java
@@ -7,7 +7,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.hornbeamhead.daemon.ExitCode;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -34,7 +36,9 @@
     @Test(dataProvider = "answers")
     public void exitCodeFollowsTheAnswer(int status, String body, ExitCode expected) throws IOException {
         HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        List<String> queries = new CopyOnWriteArrayList<>();
         server.createContext("/explain", exchange -> {
+            queries.add(new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8));
             byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
             exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
             exchange.getResponseBody().write(bytes);
@@ -43,6 +47,7 @@
         server.start();
         try {
             assertEquals(explain(server.getAddress().getPort()), expected);
+            assertEquals(queries, List.of("{\"host\":\"h\"}"), "the fields are in the body");
         } finally {
             server.stop(0);
         }
