--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import net.openhft.hashing.LongHashFunction;
 
@@ -53,6 +55,8 @@
 
     /** Number of engines that are evaluated for a request; the small deployments have no more. */
     private static final int MAX_CONSIDERED = 8;
+    /** Groups of further engines that are evaluated for a request that none of the first ones accepts. */
+    private static final int MAX_FURTHER_GROUPS = 3;
     /** In very large services, one in this many engines is evaluated. */
     private static final int CONSIDERED_DIVISOR = 100;
 
@@ -60,6 +64,22 @@
     private static final String LONG_ANSWERS_KEY = "long answers";
 
     private final PrefixCacheTracker tracker;
+    private final RecentAnswerPriority answerPriority = new RecentAnswerPriority();
+
+    /**
+     * What is the same for all engines that are evaluated for a request.
+     *
+     * @param prevails whether the request is not charged for delaying long answers
+     * @param home the engine that every router would send the prompt to first
+     */
+    private record Placement(
+            Prompt prompt,
+            boolean longAnswer,
+            boolean prevails,
+            String home,
+            LongAnswerEngines longAnswerEngines,
+            PrefixSources sources,
+            long nowMillis) {}
 
     /**
      * Creates a chooser that knows of no cached prefixes.
@@ -79,6 +99,7 @@
      * one that would be chosen.
      *
      * @param prompt the prompt
+     * @param level what the request asks of placement
      * @param salt returns the salt of an engine's cached blocks
      * @param candidates the usable engines
      * @param links the links over which cached blocks are transferred
@@ -87,52 +108,124 @@
      */
     public List<EngineEvaluation> evaluations(
             Prompt prompt,
+            RequestLevel level,
             ToLongFunction<EngineCandidate> salt,
             List<EngineCandidate> candidates,
             KvTransferLinks links,
             long nowMillis) {
-        String sharedKey = prompt.sharedKey();
-        long prefixHash = hash(sharedKey);
-        Map<String, EngineCandidate> byId =
-                candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
+        if (candidates.isEmpty()) {
+            return List.of();
+        }
+        long prefixHash = hash(prompt.sharedKey());
         Set<Long> prefixes =
                 candidates.stream().map(c -> prefixHash ^ salt.applyAsLong(c)).collect(Collectors.toSet());
         EngineChooser reader = new EngineChooser(tracker.copyOf(prefixes));
-        PrefixSources sources =
-                new PrefixSources(reader.tracker, links, id -> Optional.ofNullable(byId.get(id)), nowMillis);
-        LongAnswerEngines longAnswerEngines =
-                LongAnswerEngines.of(candidates, id -> rank(LONG_ANSWERS_KEY, id), nowMillis);
-        Stream<String> homeCandidates =
-                prompt.hasLongAnswer() ? longAnswerEngines.preferred().stream() : byId.keySet().stream();
-        Optional<String> home = homeCandidates.max(Comparator.comparingLong(id -> rank(sharedKey, id)));
-        Function<EngineCandidate, EngineChoice> evaluate = c -> reader.evaluate(
-                prompt, prefixHash ^ salt.applyAsLong(c), c, home.orElseThrow(), longAnswerEngines, sources, nowMillis);
-        List<EngineCandidate> considered =
-                considered(prompt, sharedKey, candidates, longAnswerEngines).toList();
-        List<EngineCandidate> unchanging = withoutPendingChange(candidates);
-        List<EngineCandidate> eligible =
-                considered.stream().map(evaluate).anyMatch(EngineChooser::startsInTime) ? considered : unchanging;
-        Function<EngineChoice, Optional<PlacementExclusion>> exclusion = choice -> {
-            if (eligible.contains(choice.engine())) {
-                return startsInTime(choice) ? Optional.empty() : Optional.of(PlacementExclusion.WEIGHTS_EXPIRE);
-            }
-            return Optional.of(
-                    unchanging.contains(choice.engine())
-                            ? PlacementExclusion.NOT_CONSIDERED
-                            : PlacementExclusion.WEIGHT_CHANGE_PENDING);
-        };
+        Placement placement = placement(prompt, level, reader.tracker, candidates, links, nowMillis);
+        Function<EngineCandidate, EngineChoice> evaluate =
+                c -> reader.evaluate(placement, prefixHash ^ salt.applyAsLong(c), c);
+        PlacementExclusions exclusions = exclusions(level, placement, candidates, evaluate);
         // The sort is stable, so that of equal costs the same engine comes first as in the choice.
-        return Stream.concat(eligible.stream(), candidates.stream().filter(c -> !eligible.contains(c)))
+        return Stream.concat(
+                        exclusions.compared().stream(),
+                        candidates.stream().filter(c -> !exclusions.compared().contains(c)))
                 .map(evaluate)
                 .sorted(Comparator.comparingDouble(EngineChoice::cost))
-                .map(choice -> new EngineEvaluation(choice, exclusion.apply(choice)))
+                .map(choice -> new EngineEvaluation(choice, exclusions.of(choice)))
                 .toList();
     }
 
+    /**
+     * Which engines are not chosen whatever their cost.
+     *
+     * @param compared the engines whose costs are compared
+     * @param unchanging the engines that are not about to change their weights
+     * @param condition the condition for a choice
+     */
+    private record PlacementExclusions(
+            List<EngineCandidate> compared, List<EngineCandidate> unchanging, Predicate<EngineChoice> condition) {
+        Optional<PlacementExclusion> of(EngineChoice choice) {
+            if (!compared.contains(choice.engine())) {
+                return Optional.of(
+                        unchanging.contains(choice.engine())
+                                ? PlacementExclusion.NOT_CONSIDERED
+                                : PlacementExclusion.WEIGHT_CHANGE_PENDING);
+            }
+            if (!startsInTime(choice)) {
+                return Optional.of(PlacementExclusion.WEIGHTS_EXPIRE);
+            }
+            return condition.test(choice) ? Optional.empty() : Optional.of(PlacementExclusion.LATE);
+        }
+    }
+
+    /** Returns the exclusions that follow from the steps of {@link #choose}. */
+    private static PlacementExclusions exclusions(
+            RequestLevel level,
+            Placement placement,
+            List<EngineCandidate> candidates,
+            Function<EngineCandidate, EngineChoice> evaluate) {
+        List<EngineCandidate> considered = considered(placement, candidates);
+        List<EngineCandidate> unchanging = withoutPendingChange(candidates);
+        Optional<List<EngineCandidate>> accepting = level.mixed()
+                ? groups(considered, inRankOrder(placement.prompt().sharedKey(), candidates))
+                        .filter(group ->
+                                best(group.stream(), evaluate, level::accepts).isPresent())
+                        .findFirst()
+                : Optional.empty();
+        return accepting
+                .map(group -> new PlacementExclusions(group, unchanging, level::accepts))
+                .orElseGet(() -> new PlacementExclusions(
+                        best(considered.stream(), evaluate).isPresent() ? considered : unchanging,
+                        unchanging,
+                        choice -> true));
+    }
+
+    /** Returns what is the same for all engines; records nothing. */
+    private Placement placement(
+            Prompt prompt,
+            RequestLevel level,
+            PrefixCacheTracker prefixes,
+            List<EngineCandidate> candidates,
+            KvTransferLinks links,
+            long nowMillis) {
+        Map<String, EngineCandidate> byId =
+                candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
+        PrefixSources sources = new PrefixSources(prefixes, links, id -> Optional.ofNullable(byId.get(id)), nowMillis);
+        LongAnswerEngines longAnswerEngines = LongAnswerEngines.of(
+                candidates, id -> rank(LONG_ANSWERS_KEY, id), packing(level, candidates), nowMillis);
+        boolean longAnswer = level.isLongAnswer(prompt);
+        boolean prevails = level.mixed() && !longAnswer && answerPriority.isBelow(level.priority(), nowMillis);
+        Stream<String> homeCandidates = longAnswer ? longAnswerEngines.preferred().stream() : byId.keySet().stream();
+        String home = homeCandidates
+                .max(Comparator.comparingLong(id -> rank(prompt.sharedKey(), id)))
+                .orElseThrow();
+        return new Placement(prompt, longAnswer, prevails, home, longAnswerEngines, sources, nowMillis);
+    }
+
+    /**
+     * Chooses the engine for a prompt of which nothing else is regarded.
+     *
+     * @param prompt the prompt
+     * @param salt returns the salt that separates an engine's cached blocks from those of other customers and weights,
+     *     by version
+     * @param candidates the usable engines
+     * @param links the links over which cached blocks are transferred
+     * @param nowMillis the monotonic time
+     * @return the choice, empty when no candidate can start the request in time
+     */
+    public Optional<EngineChoice> choose(
+            Prompt prompt,
+            ToLongFunction<EngineCandidate> salt,
+            List<EngineCandidate> candidates,
+            KvTransferLinks links,
+            long nowMillis) {
+        return choose(prompt, RequestLevel.UNIFORM, salt, candidates, links, nowMillis);
+    }
+
     /**
      * Chooses the engine for a prompt.
      *
      * @param prompt the prompt
+     * @param level what the request asks of placement
      * @param salt returns the salt that separates an engine's cached blocks from those of other customers and weights,
      *     by version
      * @param candidates the usable engines
@@ -142,36 +235,75 @@
      */
     public Optional<EngineChoice> choose(
             Prompt prompt,
+            RequestLevel level,
             ToLongFunction<EngineCandidate> salt,
             List<EngineCandidate> candidates,
             KvTransferLinks links,
             long nowMillis) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
         String sharedKey = prompt.sharedKey();
         long prefixHash = hash(sharedKey);
-        Map<String, EngineCandidate> byId =
-                candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
-        PrefixSources sources = new PrefixSources(tracker, links, id -> Optional.ofNullable(byId.get(id)), nowMillis);
-        LongAnswerEngines longAnswerEngines =
-                LongAnswerEngines.of(candidates, id -> rank(LONG_ANSWERS_KEY, id), nowMillis);
-        Stream<String> homeCandidates =
-                prompt.hasLongAnswer() ? longAnswerEngines.preferred().stream() : byId.keySet().stream();
-        Optional<String> home = homeCandidates.max(Comparator.comparingLong(id -> rank(sharedKey, id)));
-        Function<EngineCandidate, EngineChoice> evaluate = candidate -> evaluate(
-                prompt,
-                prefixHash ^ salt.applyAsLong(candidate),
-                candidate,
-                home.orElseThrow(),
-                longAnswerEngines,
-                sources,
-                nowMillis);
-        return best(considered(prompt, sharedKey, candidates, longAnswerEngines), evaluate)
+        Placement placement = placement(prompt, level, tracker, candidates, links, nowMillis);
+        if (placement.longAnswer()) {
+            answerPriority.record(level.priority(), nowMillis);
+        }
+        Function<EngineCandidate, EngineChoice> evaluate =
+                candidate -> evaluate(placement, prefixHash ^ salt.applyAsLong(candidate), candidate);
+        List<EngineCandidate> considered = considered(placement, candidates);
+        Optional<EngineChoice> accepted = level.mixed()
+                ? firstAccepting(level, considered, inRankOrder(sharedKey, candidates), evaluate)
+                : Optional.empty();
+        return accepted.or(() -> best(considered.stream(), evaluate))
                 .or(() -> best(withoutPendingChange(candidates).stream(), evaluate));
     }
 
+    private static AnswerPacking packing(RequestLevel level, List<EngineCandidate> candidates) {
+        int slots = candidates.stream().mapToInt(EngineCandidate::slots).min().orElse(1);
+        return level.mixed() ? AnswerPacking.of(slots, level.gapMillis()) : AnswerPacking.COMMON;
+    }
+
+    /**
+     * Returns the best choice at which the request is accepted: among the considered engines, else among the next ones
+     * in rank, a few at a time. The cheapest engine may be cheap for its new weights or its cached prefix, and too
+     * late.
+     */
+    private static Optional<EngineChoice> firstAccepting(
+            RequestLevel level,
+            List<EngineCandidate> considered,
+            List<EngineCandidate> ranked,
+            Function<EngineCandidate, EngineChoice> evaluate) {
+        return groups(considered, ranked)
+                .flatMap(group -> best(group.stream(), evaluate, level::accepts).stream())
+                .findFirst();
+    }
+
+    /** Returns the considered engines, then the groups of further ones in rank. */
+    private static Stream<List<EngineCandidate>> groups(
+            List<EngineCandidate> considered, List<EngineCandidate> ranked) {
+        List<EngineCandidate> others =
+                ranked.stream().filter(c -> !considered.contains(c)).toList();
+        Stream<List<EngineCandidate>> further = IntStream.range(0, MAX_FURTHER_GROUPS)
+                .mapToObj(i -> others.stream()
+                        .skip((long) i * MAX_CONSIDERED)
+                        .limit(MAX_CONSIDERED)
+                        .toList());
+        return Stream.concat(Stream.of(considered), further);
+    }
+
     private static Optional<EngineChoice> best(
             Stream<EngineCandidate> engines, Function<EngineCandidate, EngineChoice> evaluate) {
+        return best(engines, evaluate, choice -> true);
+    }
+
+    private static Optional<EngineChoice> best(
+            Stream<EngineCandidate> engines,
+            Function<EngineCandidate, EngineChoice> evaluate,
+            Predicate<EngineChoice> condition) {
         return engines.map(evaluate)
                 .filter(EngineChooser::startsInTime)
+                .filter(condition)
                 .min(Comparator.comparingDouble(EngineChoice::cost));
     }
 
@@ -192,16 +324,23 @@
      * none of them can start a request in time, all engines are evaluated, since few may have the new weights when the
      * superseded ones are about to expire.
      */
-    private static Stream<EngineCandidate> considered(
-            Prompt prompt, String sharedKey, List<EngineCandidate> candidates, LongAnswerEngines longAnswerEngines) {
-        if (prompt.hasLongAnswer()) {
-            return candidates.stream().filter(longAnswerEngines::isEligible);
+    private static List<EngineCandidate> considered(Placement placement, List<EngineCandidate> candidates) {
+        if (placement.longAnswer()) {
+            return candidates.stream()
+                    .filter(placement.longAnswerEngines()::isEligible)
+                    .toList();
         }
+        return inRankOrder(placement.prompt().sharedKey(), candidates).stream()
+                .limit(Math.max(MAX_CONSIDERED, candidates.size() / CONSIDERED_DIVISOR))
+                .toList();
+    }
+
+    private static List<EngineCandidate> inRankOrder(String sharedKey, List<EngineCandidate> candidates) {
         List<EngineCandidate> usable =
                 candidates.size() <= MAX_CONSIDERED ? candidates : withoutPendingChange(candidates);
         return usable.stream()
                 .sorted(Comparator.comparingLong((EngineCandidate candidate) -> -rank(sharedKey, candidate.id())))
-                .limit(Math.max(MAX_CONSIDERED, candidates.size() / CONSIDERED_DIVISOR));
+                .toList();
     }
 
     /**
@@ -253,28 +392,26 @@
         return LongHashFunction.xx3().hashBytes(text.getBytes(StandardCharsets.UTF_8));
     }
 
-    private EngineChoice evaluate(
-            Prompt prompt,
-            long prefixHash,
-            EngineCandidate candidate,
-            String homeId,
-            LongAnswerEngines longAnswerEngines,
-            PrefixSources sources,
-            long nowMillis) {
-        boolean isHome = homeId.equals(candidate.id());
+    private EngineChoice evaluate(Placement placement, long prefixHash, EngineCandidate candidate) {
+        Prompt prompt = placement.prompt();
+        long nowMillis = placement.nowMillis();
+        PrefixSources sources = placement.sources();
+        LongAnswerEngines longAnswerEngines = placement.longAnswerEngines();
+        boolean isHome = candidate.id().equals(placement.home());
         PrefixSources.Source source = sources.cheapest(prompt, prefixHash, candidate, isHome);
         double prefill = PrefixSources.prefillMillis(source, prompt);
-        double queueWait = candidate.load().waitMillis(nowMillis);
+        double queueWait = candidate.load().waitMillis(nowMillis) * candidate.pace();
         double batch = candidate.load().runningRequests(nowMillis) * MILLIS_PER_REQUEST;
         double memory = candidate.load().memoryTokens(nowMillis) + prompt.memoryTokens();
         double memoryWait =
                 Math.max(0, memory / (candidate.memoryTokens() * MAX_MEMORY_SHARE) - 1) * TYPICAL_REQUEST_MILLIS;
         double requestsOverSlots = Math.max(0, candidate.load().runningRequests(nowMillis) + 1 - candidate.slots());
         double slotWait = requestsOverSlots / candidate.slots() * TYPICAL_REQUEST_MILLIS;
-        double predicted = queueWait + slotWait + source.fetchMillis() + prefill + batch + memoryWait;
+        double predicted =
+                queueWait + slotWait + source.fetchMillis() + prefill * candidate.pace() + batch + memoryWait;
         double interference = candidate.load().runningRequests(nowMillis) * prefill * INTERFERENCE_FACTOR
-                + longAnswerEngines.interferenceMillis(candidate, prefill, nowMillis);
-        double pauses = prompt.hasLongAnswer()
+                + (placement.prevails() ? 0 : longAnswerEngines.interferenceMillis(candidate, prefill, nowMillis));
+        double pauses = placement.longAnswer()
                 ? queueWait * PAUSE_FACTOR + longAnswerEngines.placementMillis(candidate, nowMillis)
                 : 0;
         double cost = predicted
@@ -299,6 +436,7 @@
                 source.storeMillis(),
                 queryStore,
                 saveToStore,
+                placement.longAnswer(),
                 reason);
     }
 }
--- a/core/src/main/java/org/hornbeamhead/core/engine/PlacementExclusion.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/PlacementExclusion.java
@@ -7,5 +7,7 @@
     /** The engine is not among those that are evaluated for prompts with this prefix or answers of this length. */
     NOT_CONSIDERED,
     /** The request would not start before the engine's weights expire. */
-    WEIGHTS_EXPIRE
+    WEIGHTS_EXPIRE,
+    /** The request would be late at the engine, and not at another one. */
+    LATE
 }
--- a/core/src/main/java/org/hornbeamhead/core/forward/RefusalReason.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/RefusalReason.java
@@ -16,6 +16,8 @@
     QUARANTINED,
     /** The engines are so far behind that the response would be late. */
     ENGINES_BUSY,
+    /** The route is deferrable, and more urgent requests need the engines. */
+    DEFERRED,
     /** No replica takes the request now. */
     NO_REPLICA,
     /** The replicas that were asked did not run the request. */
--- a/core/src/test/java/org/hornbeamhead/core/engine/EngineEvaluationTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/engine/EngineEvaluationTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -44,17 +45,28 @@
     }
 
     private static Optional<EngineChoice> choose(
-            EngineChooser chooser, int maxOutputTokens, List<EngineCandidate> engines, long now) {
-        return chooser.choose(prompt(maxOutputTokens), c -> 0, engines, LINKS, now);
+            EngineChooser chooser, RequestLevel level, int maxOutputTokens, List<EngineCandidate> engines, long now) {
+        return chooser.choose(prompt(maxOutputTokens), level, c -> 0, engines, LINKS, now);
     }
 
     private static List<EngineEvaluation> evaluate(
-            EngineChooser chooser, int maxOutputTokens, List<EngineCandidate> engines, long now) {
-        return chooser.evaluations(prompt(maxOutputTokens), c -> 0, engines, LINKS, now);
+            EngineChooser chooser, RequestLevel level, int maxOutputTokens, List<EngineCandidate> engines, long now) {
+        return chooser.evaluations(prompt(maxOutputTokens), level, c -> 0, engines, LINKS, now);
     }
 
+    /** Every situation at the uniform level, and at mixed ones that accept all, few or no engines. */
     @DataProvider
     public Object[][] situations() {
+        return Stream.of(RequestLevel.UNIFORM, mixed(Long.MAX_VALUE), mixed(600), mixed(1))
+                .flatMap(level -> Stream.of(engineSituations()).map(s -> new Object[] {level, s[0], s[1]}))
+                .toArray(Object[][]::new);
+    }
+
+    private static RequestLevel mixed(long targetMillis) {
+        return new RequestLevel(true, 1, targetMillis, 60, 20_000);
+    }
+
+    private static Object[][] engineSituations() {
         return new Object[][] {
             {9, engines(0, false, Long.MAX_VALUE)},
             {9, engines(8, false, Long.MAX_VALUE)},
@@ -71,11 +83,12 @@
 
     /** Guards against an explanation that names another engine than the request would get. */
     @Test(dataProvider = "situations")
-    public void firstEngineWithoutExclusionIsChosen(int maxOutputTokens, List<EngineCandidate> engines) {
+    public void firstEngineWithoutExclusionIsChosen(
+            RequestLevel level, int maxOutputTokens, List<EngineCandidate> engines) {
         EngineChooser chooser = new EngineChooser(true);
         for (int i = 0; i < 3; i++) {
-            List<EngineEvaluation> evaluations = evaluate(chooser, maxOutputTokens, engines, NOW);
-            Optional<EngineChoice> choice = choose(chooser, maxOutputTokens, engines, NOW);
+            List<EngineEvaluation> evaluations = evaluate(chooser, level, maxOutputTokens, engines, NOW);
+            Optional<EngineChoice> choice = choose(chooser, level, maxOutputTokens, engines, NOW);
             assertEquals(evaluations.size(), engines.size());
             assertEquals(
                     evaluations.stream()
@@ -89,12 +102,12 @@
 
     /** Guards against explanations that change later choices, or one another. */
     @Test(dataProvider = "situations")
-    public void evaluationsChangeNothing(int maxOutputTokens, List<EngineCandidate> engines) {
+    public void evaluationsChangeNothing(RequestLevel level, int maxOutputTokens, List<EngineCandidate> engines) {
         EngineChooser explained = new EngineChooser(true);
-        List<EngineEvaluation> first = evaluate(explained, maxOutputTokens, engines, NOW);
-        assertEquals(evaluate(explained, maxOutputTokens, engines, NOW), first);
+        List<EngineEvaluation> first = evaluate(explained, level, maxOutputTokens, engines, NOW);
+        assertEquals(evaluate(explained, level, maxOutputTokens, engines, NOW), first);
         assertEquals(
-                choose(explained, maxOutputTokens, engines, LATER),
-                choose(new EngineChooser(true), maxOutputTokens, engines, LATER));
+                choose(explained, level, maxOutputTokens, engines, LATER),
+                choose(new EngineChooser(true), level, maxOutputTokens, engines, LATER));
     }
 }
--- a/ctl/src/main/java/org/hornbeamhead/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/hornbeamhead/ctl/ExplainCommand.java
@@ -50,12 +50,13 @@
     static String render(JsonNode explanation) {
         StringBuilder text = new StringBuilder();
         text.append(String.format(
-                "configuration %s, route %s, service %s, customer %s, priority %s%n",
+                "configuration %s, route %s, service %s, customer %s, priority %s, engine priority %s%n",
                 explanation.path("configuration_version").asText("-"),
                 explanation.path("route").asText("-"),
                 explanation.path("service").asText("-"),
                 explanation.path("customer").asText("-"),
-                explanation.path("priority").asText("-")));
+                explanation.path("priority").asText("-"),
+                explanation.path("engine_priority").asText("-")));
         JsonNode quota = explanation.path("quota");
         if (quota.isObject()) {
             text.append(String.format(
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -50,6 +50,7 @@
 import org.hornbeamhead.gateway.state.HttpMirrorClient;
 import org.hornbeamhead.gateway.state.LimitLending;
 import org.hornbeamhead.gateway.state.LoadHints;
+import org.hornbeamhead.gateway.state.LoadStatements;
 import org.hornbeamhead.gateway.state.MirrorServer;
 import org.hornbeamhead.gateway.state.PeerDatagrams;
 import org.hornbeamhead.gateway.state.PlatformStore;
@@ -96,6 +97,7 @@
     private final UsageGossip quotaGossip;
     private final ReplicaLimits replicaLimits;
     private final BrittleReplicas brittleReplicas;
+    private final LoadStatements loadStatements;
     private final UsageGossip limitGossip;
     private final ReplicaPaths paths;
     private final Dispatcher dispatcher;
@@ -157,13 +159,22 @@
         limitGossip = gossip(replicaLimits);
         replicaLimits.onChange(limitGossip::announce);
         brittleReplicas = new BrittleReplicas(brittleDependencies(random));
+        loadStatements = new LoadStatements(loadStatementDependencies());
         dispatcher = new Dispatcher(dispatcherDependencies(ports, random, ledger));
         loadHints = new LoadHints(
-                reactor, clock, registry, routers::hintAddresses, activeRouters, datagrams, dispatcher::recordPeerSend);
+                reactor,
+                clock,
+                registry,
+                routers::hintAddresses,
+                activeRouters,
+                datagrams,
+                dispatcher::recordPeerSend,
+                dispatcher::loadReported);
         dispatcher.setLoadHints(loadHints);
         callerServer = new CallerServer(
                 reactor, clock, this::handle, this::callerLimits, ports.headerCodec()::requestId, metrics);
-        shutdown = new Shutdown(daemon, callerServer, registration, leaderTasks, settings.grace());
+        shutdown = new Shutdown(
+                daemon, callerServer, registration, leaderTasks, dispatcher::stopDeferring, settings.grace());
         explainEndpoint = new ExplainEndpoint(query -> dispatcher.explain(query, shutdown.rejectsNewRequests()));
         mirror.addListener(new StoreChanges(storeChangesDependencies())::apply);
     }
@@ -197,6 +208,16 @@
                 metrics);
     }
 
+    private LoadStatements.Dependencies loadStatementDependencies() {
+        return new LoadStatements.Dependencies(
+                clock,
+                daemon.timers(),
+                registry,
+                () -> activeRouters.busyPeers(clock.monotonicMillis()),
+                datagrams::send,
+                metrics);
+    }
+
     private CrashConfirmation createCrashConfirmation(Random random) {
         return new CrashConfirmation(
                 clock,
@@ -277,6 +298,7 @@
                 new QuotaGate(ledger, clock),
                 replicaLimits,
                 brittleReplicas,
+                loadStatements,
                 paths,
                 new RelayRouters(reactor, clock, routers, paths, settings.self().dataCentre()),
                 softwareTracking.directory());
@@ -382,6 +404,7 @@
         paths.start();
         brittleReplicas.start();
         loadHints.start();
+        datagrams.addListener((from, bytes) -> loadStatements.receive(bytes));
         new LimitLending(reactor, clock, activeRouters, routers::hintAddresses, datagrams).start();
         new RetryTokenExchange(clock, activeRouters, dispatcher, datagrams).start();
         quotaGossip.start();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/DecisionExplainer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/DecisionExplainer.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.engine.EngineChoice;
@@ -64,9 +65,14 @@
             return unrouted(version, deny(Dispatcher.UNAUTHORIZED, "UNKNOWN_KEY"));
         }
         RoutedRequest routed = new RoutedRequest(config, route.get(), owner, request, now(), Optional.empty());
-        Optional<Explanation.Routing> routing = Optional.of(new Explanation.Routing(
-                route.get().name(), Dispatcher.serviceOf(routed), owner.map(KeyOwner::customer), routed.priority()));
         Optional<ServiceSpec> service = config.findService(Dispatcher.serviceOf(routed));
+        Optional<Explanation.Routing> routing = Optional.of(new Explanation.Routing(
+                route.get().name(),
+                Dispatcher.serviceOf(routed),
+                owner.map(KeyOwner::customer),
+                route.get().priority(),
+                service.map(s -> OptionalInt.of(new ServiceRequest(routed, s).enginePriority()))
+                        .orElse(OptionalInt.empty())));
         Optional<QuotaDecision> quota = dispatcher.quotas().peek(routed.quotaOwner(), request.tokenCount());
         if (service.isEmpty()) {
             Decision decision = refuse(RefusalReason.STALE_CONFIGURATION, OwnAnswers.STALE_RETRY_MILLIS);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -37,6 +37,7 @@
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 import org.hornbeamhead.gateway.resume.StreamOriginDirectory;
 import org.hornbeamhead.gateway.state.LoadHints;
+import org.hornbeamhead.gateway.state.LoadStatements;
 import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.WeightsView;
 
@@ -82,6 +83,7 @@
     private final RelayRouters relayRouters;
     private final StreamResumptions resumptions;
     private final InFlightRequests inFlight = new InFlightRequests();
+    private final DeferredRequests deferred;
     private LoadHints loadHints;
     private final RetryBudgets retryBudgets;
     private final OwnAnswers answers;
@@ -114,6 +116,7 @@
      * @param quotas the quotas of customers
      * @param replicaLimits the request limits that replicas state
      * @param brittleReplicas the limits of brittle replicas
+     * @param loadStatements the load that replicas state
      * @param paths the paths of this host to replicas
      * @param relayRouters the routers to which requests are handed when there is no path
      * @param streamOrigins tells which software began streams
@@ -135,6 +138,7 @@
             QuotaGate quotas,
             ReplicaLimits replicaLimits,
             BrittleReplicas brittleReplicas,
+            LoadStatements loadStatements,
             ReplicaPaths paths,
             RelayRouters relayRouters,
             StreamOriginDirectory streamOrigins) {}
@@ -163,6 +167,7 @@
                 replicaLimits,
                 brittleReplicas,
                 new ReplicaNotices(clock, metrics),
+                dependencies.loadStatements(),
                 new UnknownHeaders(headerCodec, metrics));
         this.paths = dependencies.paths();
         this.relayRouters = dependencies.relayRouters();
@@ -172,6 +177,7 @@
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
         this.startupQueue = new StartupQueue(timers);
+        this.deferred = new DeferredRequests(clock, timers, metrics, () -> routers.fleetRate(clock.monotonicMillis()));
         this.weightsExpiry = new WeightsExpiryMonitor(
                 timers, v -> weights.usableMillis(v.model(), v.version(), clock.monotonicMillis()));
         this.targetSelector = new TargetSelector(
@@ -343,7 +349,8 @@
                         response,
                         new ForwardingState(routed.route()),
                         progress,
-                        new StreamTimings())
+                        new StreamTimings(),
+                        RelayedRequest.SilentAttempt.NONE)
                 .start();
         return true;
     }
@@ -403,6 +410,20 @@
         loadHints = hintExchange;
     }
 
+    /** Tries the deferred requests again, since another router told of its load. */
+    public void loadReported() {
+        deferred.retry();
+    }
+
+    /** Refuses the deferred requests, which have not run, since the router stops. */
+    public void stopDeferring() {
+        deferred.stop();
+    }
+
+    DeferredRequests deferred() {
+        return deferred;
+    }
+
     NioReactor reactor() {
         return reactor;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.hornbeamhead.core.engine.EngineAdmission;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.forward.ForwardingState;
@@ -41,11 +40,13 @@
     private final ForwardingState forwarding;
     private final ReplicaScope scope;
     private final RequestContent content;
+    private final ShortageGate shortage;
     private final long arrivedAt;
     private final long deadline;
     private final StreamProgress progress;
     private final StreamTimings timings = new StreamTimings();
     private final OpenAttempts<Attempt> attempts;
+    private final Handover handover;
     private final ExchangeLog log;
     private final FinalAnswer answer;
     private ScheduledRunnable deadlineTimer;
@@ -78,20 +79,44 @@
         this.deadline = serviceRequest.routed().deadline();
         this.progress = new StreamProgress(serviceRequest.callerRequest().lastEventId(), software);
         this.scope = new ReplicaScope(serviceRequest.service().name(), progress);
+        this.shortage = new ShortageGate(dispatcher.deferred(), dispatcher.targetSelector(), serviceRequest, scope);
         this.attempts = new OpenAttempts<>(
                 dispatcher.reactor(),
                 forwarding,
                 new OpenAttempts.Operations<>(
                         Attempt::wasSent, Attempt::hasProcessingStarted, a -> 1, Attempt::goOn, Attempt::cancel));
+        this.handover = new Handover(
+                forwarding, attempts, new Handover.Operations(this::leaveToOthers, this::watchCallerAndDeadline));
         this.log = new ExchangeLog(dispatcher, serviceRequest, scope, content);
         this.answer = new FinalAnswer(dispatcher, serviceRequest, response, forwarding);
     }
 
     void start() {
         dispatcher.inFlight().add(this);
+        watchCallerAndDeadline();
+        if (isNew()) {
+            shortage.ask(
+                    serviceRequest.routed().origin().isEmpty()
+                            && content.quarantineMillis().isEmpty(),
+                    new DeferrableRequest.Outcome() {
+                        @Override
+                        public void send() {
+                            startNextAttempt();
+                        }
+
+                        @Override
+                        public void refuse(String reason, long returnMillis) {
+                            refuseForLoad(RefusalReason.DEFERRED, reason, returnMillis);
+                        }
+                    });
+        } else {
+            startNextAttempt();
+        }
+    }
+
+    private void watchCallerAndDeadline() {
         response.onDisconnect(this::callerDisconnected);
         deadlineTimer = dispatcher.reactor().delayBackground(Math.max(0, timeLeftMillis()), this::deadlineExpired);
-        startNextAttempt();
     }
 
     private long timeLeftMillis() {
@@ -108,23 +133,16 @@
         }
         Optional<Target> target = timeLeftMillis() < MIN_TIME_LEFT_MILLIS
                 ? Optional.empty()
-                : dispatcher.targetSelector().select(serviceRequest, scope);
+                : dispatcher.targetSelector().select(serviceRequest, scope, shortage::eligible);
         if (target.isEmpty()) {
             giveUpHere();
             return;
         }
-        OptionalLong retryMillis = isNew() ? admissionRetryMillis(target.get()) : OptionalLong.empty();
+        OptionalLong retryMillis =
+                isNew() ? shortage.refusalMillis(target.get(), timeLeftMillis()) : OptionalLong.empty();
         if (retryMillis.isPresent()) {
-            giveBackQuota();
-            finish("REFUSED_FOR_LOAD", Optional.of(ServedOutcome.REFUSED));
-            dispatcher
-                    .answers()
-                    .rejectNotExecuted(
-                            serviceRequest.callerRequest(),
-                            response,
-                            refusal(RefusalReason.ENGINES_BUSY),
-                            "the engines are behind: " + target.get(),
-                            retryMillis.getAsLong());
+            refuseForLoad(
+                    RefusalReason.ENGINES_BUSY, "the engines are behind: " + target.get(), retryMillis.getAsLong());
             return;
         }
         scope.recordTried(target.get().replica());
@@ -133,6 +151,18 @@
         attempt.start();
     }
 
+    /** Refuses a new request, which no replica has run. */
+    private void refuseForLoad(RefusalReason why, String reason, long retryMillis) {
+        giveBackQuota();
+        finish("REFUSED_FOR_LOAD", Optional.of(ServedOutcome.REFUSED));
+        CallerRequest request = serviceRequest.callerRequest();
+        if (shortage.booksReturns()) {
+            dispatcher.answers().rejectUntil(request, response, refusal(why), reason, retryMillis);
+        } else {
+            dispatcher.answers().rejectNotExecuted(request, response, refusal(why), reason, retryMillis);
+        }
+    }
+
     /** Ends a request that no replica can take here. */
     private void giveUpHere() {
         if (canHandOver()) {
@@ -177,7 +207,9 @@
     void cancelQuarantined() {
         attempts.cancelAwaitingStart();
         dispatcher.metrics().count("hornbeam_requests_taken_back");
-        if (attempts.isEmpty()) {
+        if (handover.isOpen()) {
+            handover.leaveIfAllEnded();
+        } else if (attempts.isEmpty()) {
             rejectQuarantined(content.quarantineMillis().orElse(0));
         } else {
             attempts.goOnWithSilent();
@@ -207,19 +239,12 @@
         }
     }
 
-    private OptionalLong admissionRetryMillis(Target target) {
-        return target.engineChoice()
-                .map(c -> EngineAdmission.retryAfterMillis(
-                        c, serviceRequest.route().limits().latencyTargetMillis(), timeLeftMillis()))
-                .orElse(OptionalLong.empty());
-    }
-
     ForwardingOptions forwardingOptions(Target target) {
         return new ForwardingOptions(
                 target.replica().entry().id(),
                 serviceRequest.owner().map(KeyOwner::customer),
                 Math.max(1, timeLeftMillis()),
-                serviceRequest.routed().priority(),
+                serviceRequest.enginePriority(),
                 target.engineOptions(),
                 progress.lastEventId());
     }
@@ -248,6 +273,7 @@
             if (!end.mayHaveExecuted()) {
                 forwarding.attemptGoesOn(1);
             }
+            handover.attemptEnded(end.mayHaveExecuted());
             return;
         }
         NextStep step = forwarding.nextStep(end, retryConditions());
@@ -278,6 +304,7 @@
         boolean unreached = dispatcher.paths().isLost(serviceRequest.service().name())
                 || (notConnected > 0 && notConnected == scope.triedCount());
         return unreached
+                && !handover.wasStarted()
                 && serviceRequest.routed().origin().isEmpty()
                 && (!forwarding.hasResponseStarted() || serviceRequest.route().repeatable())
                 && timeLeftMillis() >= MIN_TIME_LEFT_MILLIS
@@ -287,20 +314,32 @@
     }
 
     private void handOver() {
+        // The deadline is watched by the request at the other routers.
+        deadlineTimer.cancel();
+        handover.start(new RelayedRequest(
+                dispatcher,
+                serviceRequest.routed(),
+                serviceRequest.service().name(),
+                response,
+                forwarding.forHandOver(),
+                progress,
+                timings,
+                handover));
+    }
+
+    /** Ends the request here; other routers answer it and count it. */
+    private void leaveToOthers() {
         giveBackQuota();
         if (!serviceRequest.routed().isRepeat()) {
             dispatcher.retryBudgets().withdrawRequest(serviceRequest.service().name());
         }
         finish("HANDED_OVER", Optional.empty());
-        new RelayedRequest(
-                        dispatcher,
-                        serviceRequest.routed(),
-                        serviceRequest.service().name(),
-                        response,
-                        forwarding.forHandOver(),
-                        progress,
-                        timings)
-                .start();
+    }
+
+    /** Records that an attempt gives the answer: others are cancelled, also at other routers. */
+    void attemptAnswered(Attempt attempt) {
+        attempts.answered(attempt);
+        handover.attemptAnswered();
     }
 
     private void giveUp(
@@ -339,8 +378,9 @@
             return;
         }
         FinalResponse finalAnswer = forwarding.responseAtDeadline(attempts.anySent());
+        RefusalReason refusal = shortage.isWaiting() ? RefusalReason.DEFERRED : RefusalReason.DEADLINE;
         stopAttempts();
-        sendFinalAnswer(finalAnswer, RefusalReason.DEADLINE, "its time is over", Optional.empty(), RETRY_AFTER_MILLIS);
+        sendFinalAnswer(finalAnswer, refusal, "its time is over", Optional.empty(), RETRY_AFTER_MILLIS);
     }
 
     private void callerDisconnected() {
@@ -423,6 +463,7 @@
         deadlineTimer.cancel();
         log.requestEnded(outcome, served, timings);
         stopAttempts();
+        shortage.requestEnded();
     }
 
     private Duration elapsed() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.NextStep;
 import org.hornbeamhead.core.forward.ServedOutcome;
@@ -85,7 +86,10 @@
                 .callerRequest()
                 .prompt()
                 .map(p -> " tokens=" + p.sharedTokens() + "+" + (p.tokens() - p.sharedTokens()) + ">"
-                        + p.maxOutputTokens())
+                        + p.maxOutputTokens()
+                        + p.expectedOutputTokens().stream()
+                                .mapToObj(t -> " expected=" + t)
+                                .collect(Collectors.joining()))
                 .orElse("");
         return "route=" + serviceRequest.route().name() + tokens + timings + " millis=" + elapsed.toMillis() + " tried="
                 + scope;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OwnAnswers.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/OwnAnswers.java
@@ -102,7 +102,14 @@
                 retryAfter(decision.retryAfterMillis()));
     }
 
-    private static Headers retryAfter(long millis) {
+    /** Rejects a request that has not run; the caller is told to return after exactly the delay that was booked. */
+    void rejectUntil(
+            CallerRequest request, CallerResponse response, Refusal refusal, String reason, long returnMillis) {
+        refusal.count(metrics);
+        respond(request, response, FinalResponse.NOT_RUN.status(), reason, retryAfter(returnMillis));
+    }
+
+    static Headers retryAfter(long millis) {
         return Headers.NONE.with("Retry-After", String.format(Locale.ROOT, "%.3f", millis / 1000.0));
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -25,7 +25,8 @@
  *
  * <p>The other router does everything for the request as if the caller had connected there; its answer is passed on
  * unchanged. It never hands the request on. If it breaks off a stream that may be resumed, a third router goes on after
- * the last event that the caller got. If it sends nothing for long, a third router is tried beside it.
+ * the last event that the caller got. If it sends nothing for long, a third router is tried beside it. A silent attempt
+ * of this router stays open meanwhile; the first that answers is delivered.
  */
 final class RelayedRequest {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -44,11 +45,40 @@
     private final long deadline;
     private final StreamProgress progress;
     private final StreamTimings timings;
+    private final SilentAttempt silentAttempt;
+    private final int executionsBefore;
     private final Set<String> tried = new HashSet<>();
     private final OpenAttempts<RelayHop> hops;
     private ScheduledRunnable deadlineTimer;
     private boolean finished;
 
+    /** An attempt of this router that fell silent before the request was handed over, and may still answer. */
+    interface SilentAttempt {
+        /** No attempt. */
+        SilentAttempt NONE = new SilentAttempt() {
+            @Override
+            public boolean goOn(int executions) {
+                return false;
+            }
+
+            @Override
+            public void close() {
+                // Nothing is open.
+            }
+        };
+
+        /**
+         * Waits for it alone, since no other router has an answer for the caller.
+         *
+         * @param executions how many executions the request may stand for at other routers
+         * @return false if the attempt is not open
+         */
+        boolean goOn(int executions);
+
+        /** Closes it, since the request ends elsewhere. */
+        void close();
+    }
+
     /**
      * Creates a request that is not handed over yet.
      *
@@ -59,6 +89,7 @@
      * @param forwarding what attempts of this router may have been executed, and whether the response has begun
      * @param progress the last event that was relayed to the caller
      * @param timings the timings of the events that were relayed to the caller
+     * @param silentAttempt the attempt of this router that may still answer
      */
     RelayedRequest(
             Dispatcher dispatcher,
@@ -67,7 +98,8 @@
             CallerResponse response,
             ForwardingState forwarding,
             StreamProgress progress,
-            StreamTimings timings) {
+            StreamTimings timings,
+            SilentAttempt silentAttempt) {
         this.dispatcher = dispatcher;
         this.routed = routed;
         this.service = service;
@@ -75,6 +107,8 @@
         this.forwarding = forwarding;
         this.progress = progress;
         this.timings = timings;
+        this.silentAttempt = silentAttempt;
+        this.executionsBefore = forwarding.possibleExecutions();
         this.deadline = routed.deadline();
         this.hops = new OpenAttempts<>(
                 dispatcher.reactor(),
@@ -104,7 +138,7 @@
                 ? Optional.empty()
                 : dispatcher.relayRouters().select(service, tried);
         if (peer.isEmpty()) {
-            if (!hops.goOnWithSilent()) {
+            if (!goOnWithSilent()) {
                 sendOwnAnswer(
                         forwarding.responseWithoutRetry(), RefusalReason.NO_PATH, "no router has a path to " + service);
             }
@@ -186,11 +220,38 @@
         log("handover " + outcome, reason, hop, "next=" + step);
         if (!(step instanceof NextStep.GiveUp giveUp)) {
             sendToNext();
-        } else if (!hops.goOnWithSilent()) {
+        } else if (!goOnWithSilent()) {
             answer.ifPresentOrElse(this::passOn, () -> sendOwnAnswer(giveUp.answer(), RefusalReason.NO_PATH, reason));
         }
     }
 
+    private boolean goOnWithSilent() {
+        if (hops.goOnWithSilent()) {
+            return true;
+        }
+        if (!silentAttempt.goOn(forwarding.possibleExecutions() - executionsBefore)) {
+            return false;
+        }
+        release("RETURNED");
+        return true;
+    }
+
+    /**
+     * Cancels the request at other routers, since the silent attempt of this router has answered.
+     *
+     * @return how many executions the request may stand for there
+     */
+    int withdraw() {
+        hops.cancelAll();
+        release("WITHDRAWN");
+        return forwarding.possibleExecutions() - executionsBefore;
+    }
+
+    /** Records that the silent attempt of this router has not run after all. */
+    void silentAttemptRefused() {
+        forwarding.attemptGoesOn(1);
+    }
+
     /** Handles a complete answer of another router. */
     void answered(RelayHop hop, RelayAnswer answer) {
         String reason = "the router answered " + answer.head().status();
@@ -251,6 +312,7 @@
             return false;
         }
         hops.answered(hop);
+        silentAttempt.close();
         if (!forwarding.hasResponseStarted()) {
             forwarding.responseStarted();
             timings.recordFirst(elapsedMillis());
@@ -307,8 +369,14 @@
     }
 
     private void finish(String outcome, Optional<ServedOutcome> served) {
-        finished = true;
         served.ifPresent(s -> routed.countServed(s, dispatcher.metrics()));
+        release(outcome);
+        silentAttempt.close();
+    }
+
+    /** Ends the request at other routers; it is counted by whoever answers the caller. */
+    private void release(String outcome) {
+        finished = true;
         deadlineTimer.cancel();
         hops.removeAll().forEach(RelayHop::cancel);
         dispatcher.metrics().count("hornbeam_requests_handed_over", "outcome", outcome);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
@@ -1,9 +1,12 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.util.Optional;
+import java.util.OptionalInt;
+import org.hornbeamhead.core.route.EnginePriority;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.route.ServiceLevels;
 import org.hornbeamhead.core.route.ServiceSpec;
 
 /**
@@ -25,6 +28,33 @@
         return routed.owner();
     }
 
+    /** Returns what the streaming routes of the service ask of its replicas. */
+    ServiceLevels levels() {
+        return config().serviceLevels(service.name());
+    }
+
+    /** Returns the priority that engines are told. */
+    int enginePriority() {
+        OptionalInt customer = owner().map(KeyOwner::priority).orElse(OptionalInt.empty());
+        return levels().isMixed()
+                ? EnginePriority.ofCustomerThenRoute(customer, route().priority())
+                : EnginePriority.ofCustomerElseRoute(customer, route().priority());
+    }
+
+    /** Returns whether requests of the service may have to wait for more urgent ones. */
+    boolean hasDeferrable() {
+        return service.engine().isPresent() && levels().hasDeferrable();
+    }
+
+    /** Returns whether the request may have to wait for more urgent ones. */
+    boolean isDeferrable() {
+        return hasDeferrable() && levels().isDeferrable(route().priority());
+    }
+
+    long urgentTargetMillis() {
+        return config().urgentTargetMillis(service.name());
+    }
+
     CallerRequest callerRequest() {
         return routed.callerRequest();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.hornbeamhead.core.engine.EngineCandidate;
@@ -15,9 +17,12 @@
 import org.hornbeamhead.core.engine.EngineEvaluation;
 import org.hornbeamhead.core.engine.KvTransferLinks;
 import org.hornbeamhead.core.engine.Prompt;
+import org.hornbeamhead.core.engine.RequestLevel;
+import org.hornbeamhead.core.load.PlainReplica;
 import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RoutingConfig;
+import org.hornbeamhead.core.route.ServiceLevels;
 import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.gateway.availability.ReplicaAvailability;
@@ -60,10 +65,21 @@
     }
 
     Optional<Target> select(ServiceRequest request, ReplicaScope scope) {
+        return select(request, scope, UnaryOperator.identity());
+    }
+
+    /**
+     * Selects a replica among some of the engines.
+     *
+     * @param request the request
+     * @param scope the replicas that may get it
+     * @param eligible selects the engines that should get it from all that are usable; if none of them can, all may
+     */
+    Optional<Target> select(ServiceRequest request, ReplicaScope scope, UnaryOperator<List<EngineCandidate>> eligible) {
         List<LiveReplica> replicas = usableReplicas(scope);
         Optional<Prompt> prompt = request.callerRequest().prompt();
         return request.service().engine().isPresent() && prompt.isPresent()
-                ? selectEngine(request.config(), request.service(), prompt.get(), request.owner(), replicas)
+                ? selectEngine(request, prompt.get(), replicas, eligible)
                 : selectLeastLoaded(replicas);
     }
 
@@ -103,8 +119,9 @@
                 .orElseGet(() -> new EngineChooser(priorTraffic));
         List<EngineEvaluation> evaluations = chooser.evaluations(
                 prompt,
+                level(request, now),
                 c -> salt(prompt, customer, c.weights()).hashCode(),
-                candidates(spec, prompt, replicas, now),
+                candidates(spec, prompt, replicas),
                 links(spec, request.config()),
                 now);
         return evaluations.stream()
@@ -117,6 +134,15 @@
         return availability.peekReturnMillis(registry.replicas(service));
     }
 
+    /** Returns the engines that a request could be sent to; none for a request that engines do not serve. */
+    List<EngineCandidate> engines(ServiceRequest request, ReplicaScope scope) {
+        Optional<Prompt> prompt = request.callerRequest().prompt();
+        return request.service()
+                .engine()
+                .flatMap(spec -> prompt.map(p -> candidates(spec, p, usableReplicas(scope))))
+                .orElse(List.of());
+    }
+
     boolean hasUntried(ReplicaScope scope) {
         return scope.untried(registry).anyMatch(availability::accepts);
     }
@@ -146,9 +172,7 @@
     }
 
     private Comparator<LiveReplica> byLoad(long now) {
-        return Comparator.comparingInt((LiveReplica r) -> r.load().runningRequests(now))
-                .thenComparing(r -> !r.entry().dataCentre().equals(dataCentre))
-                .thenComparingInt(r -> r.connections().openCount());
+        return Comparator.comparing(r -> toPlain(r, now), PlainReplica.byExpectedWork(now));
     }
 
     private Optional<Target> selectLeastLoaded(List<LiveReplica> replicas) {
@@ -158,21 +182,36 @@
                 .map(r -> new Target(r, Optional.empty(), Optional.empty(), "least load"));
     }
 
+    private PlainReplica toPlain(LiveReplica replica, long now) {
+        return new PlainReplica(
+                replica.load().runningRequests(now),
+                replica.statedLoad(),
+                replica.entry().dataCentre().equals(dataCentre),
+                replica.connections().openCount());
+    }
+
     private Optional<Target> selectEngine(
-            RoutingConfig config,
-            ServiceSpec service,
+            ServiceRequest request,
             Prompt prompt,
-            Optional<KeyOwner> owner,
-            List<LiveReplica> replicas) {
+            List<LiveReplica> replicas,
+            UnaryOperator<List<EngineCandidate>> eligible) {
+        ServiceSpec service = request.service();
         long now = clock.monotonicMillis();
         Map<String, LiveReplica> replicasByRun = new HashMap<>();
         replicas.forEach(r -> replicasByRun.put(r.entry().run(), r));
         EngineSpec spec = service.engine().orElseThrow();
-        KvTransferLinks links = links(spec, config);
-        List<EngineCandidate> candidates = candidates(spec, prompt, replicas, now);
-        String isolatedCustomer = isolatedCustomer(owner);
-        return chooser(service.name())
-                .choose(prompt, c -> salt(prompt, isolatedCustomer, c.weights()).hashCode(), candidates, links, now)
+        KvTransferLinks links = links(spec, request.config());
+        List<EngineCandidate> all = candidates(spec, prompt, replicas);
+        String isolatedCustomer = isolatedCustomer(request.owner());
+        ToLongFunction<EngineCandidate> salt =
+                c -> salt(prompt, isolatedCustomer, c.weights()).hashCode();
+        RequestLevel level = level(request, now);
+        EngineChooser chooser = chooser(service.name());
+        List<EngineCandidate> preferred = eligible.apply(all);
+        return chooser.choose(prompt, level, salt, preferred, links, now)
+                .or(() -> preferred.size() < all.size()
+                        ? chooser.choose(prompt, level, salt, all, links, now)
+                        : Optional.empty())
                 .map(choice -> toTarget(
                         links,
                         prompt,
@@ -181,7 +220,8 @@
                         replicasByRun.get(choice.engine().id())));
     }
 
-    private List<EngineCandidate> candidates(EngineSpec spec, Prompt prompt, List<LiveReplica> replicas, long now) {
+    private List<EngineCandidate> candidates(EngineSpec spec, Prompt prompt, List<LiveReplica> replicas) {
+        long now = clock.monotonicMillis();
         return replicas.stream()
                 .map(r -> new EngineCandidate(
                         r.entry().run(),
@@ -193,7 +233,8 @@
                         r.entry().slots(),
                         weights.isPenalized(prompt.model(), r.weightsVersion(prompt.model()), now),
                         weights.usableMillis(prompt.model(), r.weightsVersion(prompt.model()), now),
-                        weights.isWeightChangePending(r.entry().run(), now)))
+                        weights.isWeightChangePending(r.entry().run(), now),
+                        r.statedLoad().pace(now)))
                 .toList();
     }
 
@@ -201,6 +242,16 @@
         return owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
     }
 
+    private static RequestLevel level(ServiceRequest request, long now) {
+        ServiceLevels levels = request.levels();
+        return new RequestLevel(
+                levels.isMixed(),
+                request.route().priority(),
+                request.route().limits().latencyTargetMillis(),
+                levels.shortestGapMillis(),
+                request.routed().deadline() - now);
+    }
+
     private static KvTransferLinks links(EngineSpec engine, RoutingConfig config) {
         return new KvTransferLinks(
                 KvTransferLinks.tokensPerMilli(engine.linkMbps(), engine.kvTokenBytes()),
--- a/gateway/src/main/java/org/hornbeamhead/gateway/explain/Explanation.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/explain/Explanation.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.quota.QuotaDecision;
@@ -35,9 +36,11 @@
      * @param route the route's name
      * @param service the service's name
      * @param customer the customer's name; empty if there is none
-     * @param priority the priority, 0 is the highest
+     * @param priority the priority of the route, 0 is the highest
+     * @param enginePriority the priority that engines are told; empty if the service is not configured
      */
-    public record Routing(String route, String service, Optional<String> customer, int priority) {}
+    public record Routing(
+            String route, String service, Optional<String> customer, int priority, OptionalInt enginePriority) {}
 
     /**
      * A replica of the service.
@@ -115,6 +118,7 @@
             json.put("route", r.route()).put("service", r.service());
             r.customer().ifPresent(c -> json.put("customer", c));
             json.put("priority", r.priority());
+            r.enginePriority().ifPresent(p -> json.put("engine_priority", p));
         });
         quota.ifPresent(q -> json.putObject("quota")
                 .put("admitted", q.admitted())
