--- a/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
+++ b/core/src/main/java/org/hornbeamhead/core/engine/EngineChooser.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
@@ -89,6 +90,117 @@
         this.tracker = new PrefixCacheTracker(storeFilled);
     }
 
+    private EngineChooser(PrefixCacheTracker tracker) {
+        this.tracker = tracker;
+    }
+
+    /**
+     * Evaluates all engines as {@link #choose} would, and changes nothing. The first engine without an exclusion is the
+     * one that would be chosen.
+     *
+     * @param prompt the prompt
+     * @param level what the request asks of placement
+     * @param salt returns the salt of an engine's cached blocks
+     * @param candidates the usable engines
+     * @param links the links over which cached blocks are transferred
+     * @param nowMillis the monotonic time
+     * @return the evaluations, the lowest cost first
+     */
+    public List<EngineEvaluation> evaluations(
+            Prompt prompt,
+            RequestLevel level,
+            ToLongFunction<EngineCandidate> salt,
+            List<EngineCandidate> candidates,
+            KvTransferLinks links,
+            long nowMillis) {
+        if (candidates.isEmpty()) {
+            return List.of();
+        }
+        long prefixHash = hash(prompt.sharedKey());
+        Set<Long> prefixes =
+                candidates.stream().map(c -> prefixHash ^ salt.applyAsLong(c)).collect(Collectors.toSet());
+        EngineChooser reader = new EngineChooser(tracker.copyOf(prefixes));
+        Placement placement = placement(prompt, level, reader.tracker, candidates, links, nowMillis);
+        Function<EngineCandidate, EngineChoice> evaluate =
+                c -> reader.evaluate(placement, prefixHash ^ salt.applyAsLong(c), c);
+        PlacementExclusions exclusions = exclusions(level, placement, candidates, evaluate);
+        // The sort is stable, so that of equal costs the same engine comes first as in the choice.
+        return Stream.concat(
+                        exclusions.compared().stream(),
+                        candidates.stream().filter(c -> !exclusions.compared().contains(c)))
+                .map(evaluate)
+                .sorted(Comparator.comparingDouble(EngineChoice::cost))
+                .map(choice -> new EngineEvaluation(choice, exclusions.of(choice)))
+                .toList();
+    }
+
+    /**
+     * Which engines are not chosen whatever their cost.
+     *
+     * @param compared the engines whose costs are compared
+     * @param unchanging the engines that are not about to change their weights
+     * @param condition the condition for a choice
+     */
+    private record PlacementExclusions(
+            List<EngineCandidate> compared, List<EngineCandidate> unchanging, Predicate<EngineChoice> condition) {
+        Optional<PlacementExclusion> of(EngineChoice choice) {
+            if (!compared.contains(choice.engine())) {
+                return Optional.of(
+                        unchanging.contains(choice.engine())
+                                ? PlacementExclusion.NOT_CONSIDERED
+                                : PlacementExclusion.WEIGHT_CHANGE_PENDING);
+            }
+            if (!startsInTime(choice)) {
+                return Optional.of(PlacementExclusion.WEIGHTS_EXPIRE);
+            }
+            return condition.test(choice) ? Optional.empty() : Optional.of(PlacementExclusion.LATE);
+        }
+    }
+
+    /** Returns the exclusions that follow from the steps of {@link #choose}. */
+    private static PlacementExclusions exclusions(
+            RequestLevel level,
+            Placement placement,
+            List<EngineCandidate> candidates,
+            Function<EngineCandidate, EngineChoice> evaluate) {
+        List<EngineCandidate> considered = considered(placement, candidates);
+        List<EngineCandidate> unchanging = withoutPendingChange(candidates);
+        Optional<List<EngineCandidate>> accepting = level.mixed()
+                ? groups(considered, inRankOrder(placement.prompt().sharedKey(), candidates))
+                        .filter(group ->
+                                best(group.stream(), evaluate, level::accepts).isPresent())
+                        .findFirst()
+                : Optional.empty();
+        return accepting
+                .map(group -> new PlacementExclusions(group, unchanging, level::accepts))
+                .orElseGet(() -> new PlacementExclusions(
+                        best(considered.stream(), evaluate).isPresent() ? considered : unchanging,
+                        unchanging,
+                        choice -> true));
+    }
+
+    /** Returns what is the same for all engines; records nothing. */
+    private Placement placement(
+            Prompt prompt,
+            RequestLevel level,
+            PrefixCacheTracker prefixes,
+            List<EngineCandidate> candidates,
+            KvTransferLinks links,
+            long nowMillis) {
+        Map<String, EngineCandidate> byId =
+                candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
+        PrefixSources sources = new PrefixSources(prefixes, links, id -> Optional.ofNullable(byId.get(id)), nowMillis);
+        LongAnswerEngines longAnswerEngines = LongAnswerEngines.of(
+                candidates, id -> rank(LONG_ANSWERS_KEY, id), packing(level, candidates), nowMillis);
+        boolean longAnswer = level.isLongAnswer(prompt);
+        boolean prevails = level.mixed() && !longAnswer && answerPriority.isBelow(level.priority(), nowMillis);
+        Stream<String> homeCandidates = longAnswer ? longAnswerEngines.preferred().stream() : byId.keySet().stream();
+        String home = homeCandidates
+                .max(Comparator.comparingLong(id -> rank(prompt.sharedKey(), id)))
+                .orElseThrow();
+        return new Placement(prompt, longAnswer, prevails, home, longAnswerEngines, sources, nowMillis);
+    }
+
     /**
      * Chooses the engine for a prompt of which nothing else is regarded.
      *
@@ -133,25 +245,13 @@
         }
         String sharedKey = prompt.sharedKey();
         long prefixHash = hash(sharedKey);
-        Map<String, EngineCandidate> byId =
-                candidates.stream().collect(Collectors.toMap(EngineCandidate::id, Function.identity()));
-        PrefixSources sources = new PrefixSources(tracker, links, id -> Optional.ofNullable(byId.get(id)), nowMillis);
-        LongAnswerEngines longAnswerEngines = LongAnswerEngines.of(
-                candidates, id -> rank(LONG_ANSWERS_KEY, id), packing(level, candidates), nowMillis);
-        boolean longAnswer = level.isLongAnswer(prompt);
-        if (longAnswer) {
+        Placement placement = placement(prompt, level, tracker, candidates, links, nowMillis);
+        if (placement.longAnswer()) {
             answerPriority.record(level.priority(), nowMillis);
         }
-        boolean prevails = level.mixed() && !longAnswer && answerPriority.isBelow(level.priority(), nowMillis);
-        Stream<String> homeCandidates = longAnswer ? longAnswerEngines.preferred().stream() : byId.keySet().stream();
-        String home = homeCandidates
-                .max(Comparator.comparingLong(id -> rank(sharedKey, id)))
-                .orElseThrow();
-        Placement placement = new Placement(prompt, longAnswer, prevails, home, longAnswerEngines, sources, nowMillis);
         Function<EngineCandidate, EngineChoice> evaluate =
                 candidate -> evaluate(placement, prefixHash ^ salt.applyAsLong(candidate), candidate);
-        List<EngineCandidate> considered =
-                considered(longAnswer, sharedKey, candidates, longAnswerEngines).toList();
+        List<EngineCandidate> considered = considered(placement, candidates);
         Optional<EngineChoice> accepted = level.mixed()
                 ? firstAccepting(level, considered, inRankOrder(sharedKey, candidates), evaluate)
                 : Optional.empty();
@@ -174,16 +274,22 @@
             List<EngineCandidate> considered,
             List<EngineCandidate> ranked,
             Function<EngineCandidate, EngineChoice> evaluate) {
+        return groups(considered, ranked)
+                .flatMap(group -> best(group.stream(), evaluate, level::accepts).stream())
+                .findFirst();
+    }
+
+    /** Returns the considered engines, then the groups of further ones in rank. */
+    private static Stream<List<EngineCandidate>> groups(
+            List<EngineCandidate> considered, List<EngineCandidate> ranked) {
         List<EngineCandidate> others =
                 ranked.stream().filter(c -> !considered.contains(c)).toList();
-        Stream<List<EngineCandidate>> groups = IntStream.range(0, MAX_FURTHER_GROUPS)
+        Stream<List<EngineCandidate>> further = IntStream.range(0, MAX_FURTHER_GROUPS)
                 .mapToObj(i -> others.stream()
                         .skip((long) i * MAX_CONSIDERED)
                         .limit(MAX_CONSIDERED)
                         .toList());
-        return Stream.concat(Stream.of(considered), groups)
-                .flatMap(group -> best(group.stream(), evaluate, level::accepts).stream())
-                .findFirst();
+        return Stream.concat(Stream.of(considered), further);
     }
 
     private static Optional<EngineChoice> best(
@@ -218,16 +324,15 @@
      * none of them can start a request in time, all engines are evaluated, since few may have the new weights when the
      * superseded ones are about to expire.
      */
-    private static Stream<EngineCandidate> considered(
-            boolean longAnswer,
-            String sharedKey,
-            List<EngineCandidate> candidates,
-            LongAnswerEngines longAnswerEngines) {
-        if (longAnswer) {
-            return candidates.stream().filter(longAnswerEngines::isEligible);
+    private static List<EngineCandidate> considered(Placement placement, List<EngineCandidate> candidates) {
+        if (placement.longAnswer()) {
+            return candidates.stream()
+                    .filter(placement.longAnswerEngines()::isEligible)
+                    .toList();
         }
-        return inRankOrder(sharedKey, candidates).stream()
-                .limit(Math.max(MAX_CONSIDERED, candidates.size() / CONSIDERED_DIVISOR));
+        return inRankOrder(placement.prompt().sharedKey(), candidates).stream()
+                .limit(Math.max(MAX_CONSIDERED, candidates.size() / CONSIDERED_DIVISOR))
+                .toList();
     }
 
     private static List<EngineCandidate> inRankOrder(String sharedKey, List<EngineCandidate> candidates) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -10,6 +10,8 @@
 import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.forward.ForwardingState;
 import org.hornbeamhead.core.forward.NextStep;
+import org.hornbeamhead.core.forward.RefusalReason;
+import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.resume.SoftwareVersion;
@@ -30,7 +32,7 @@
      * The retry delay given to callers whose request no replica could take, about the time in which the queue of a
      * replica turns over.
      */
-    private static final long RETRY_AFTER_MILLIS = 300;
+    static final long RETRY_AFTER_MILLIS = 300;
 
     private final Dispatcher dispatcher;
     private final ServiceRequest serviceRequest;
@@ -104,7 +106,7 @@
 
                         @Override
                         public void refuse(String reason, long returnMillis) {
-                            refuseForLoad(reason, returnMillis);
+                            refuseForLoad(RefusalReason.DEFERRED, reason, returnMillis);
                         }
                     });
         } else {
@@ -139,7 +141,8 @@
         OptionalLong retryMillis =
                 isNew() ? shortage.refusalMillis(target.get(), timeLeftMillis()) : OptionalLong.empty();
         if (retryMillis.isPresent()) {
-            refuseForLoad("the engines are behind: " + target.get(), retryMillis.getAsLong());
+            refuseForLoad(
+                    RefusalReason.ENGINES_BUSY, "the engines are behind: " + target.get(), retryMillis.getAsLong());
             return;
         }
         scope.recordTried(target.get().replica());
@@ -149,13 +152,14 @@
     }
 
     /** Refuses a new request, which no replica has run. */
-    private void refuseForLoad(String reason, long retryMillis) {
+    private void refuseForLoad(RefusalReason why, String reason, long retryMillis) {
         giveBackQuota();
-        finish("REFUSED_FOR_LOAD");
+        finish("REFUSED_FOR_LOAD", Optional.of(ServedOutcome.REFUSED));
+        CallerRequest request = serviceRequest.callerRequest();
         if (shortage.booksReturns()) {
-            dispatcher.answers().rejectUntil(serviceRequest.callerRequest(), response, reason, retryMillis);
+            dispatcher.answers().rejectUntil(request, response, refusal(why), reason, retryMillis);
         } else {
-            dispatcher.answers().rejectNotExecuted(serviceRequest.callerRequest(), response, reason, retryMillis);
+            dispatcher.answers().rejectNotExecuted(request, response, refusal(why), reason, retryMillis);
         }
     }
 
@@ -164,10 +168,22 @@
         if (canHandOver()) {
             handOver();
         } else {
-            giveUp(forwarding.responseAtDeadline(false), "no replica can take it", Optional.empty());
+            giveUp(
+                    forwarding.responseAtDeadline(false),
+                    unlessOutOfTime(RefusalReason.NO_REPLICA),
+                    "no replica can take it",
+                    Optional.empty());
         }
     }
 
+    private Refusal refusal(RefusalReason reason) {
+        return Refusal.of(serviceRequest.routed(), reason);
+    }
+
+    private RefusalReason unlessOutOfTime(RefusalReason reason) {
+        return timeLeftMillis() < MIN_TIME_LEFT_MILLIS ? RefusalReason.DEADLINE : reason;
+    }
+
     /** Returns whether nothing of the request was sent yet, and its caller has no part of the response. */
     private boolean isNew() {
         return scope.triedCount() == 0 && progress.software().isEmpty();
@@ -176,7 +192,7 @@
     /** Rejects a quarantined request. It is answered at once, since waiting does not change its effect on replicas. */
     private void rejectQuarantined(long millis) {
         String reason = "replicas ended under requests with " + content.describe();
-        sendFinalAnswer(forwarding.responseWithoutRetry(), reason, Optional.empty(), millis);
+        sendFinalAnswer(forwarding.responseWithoutRetry(), RefusalReason.QUARANTINED, reason, Optional.empty(), millis);
     }
 
     /**
@@ -266,7 +282,7 @@
             if (giveUp.answer() == FinalResponse.NOT_RUN && !forwarding.wasSent() && canHandOver()) {
                 handOver();
             } else {
-                giveUp(giveUp.answer(), reason, failure);
+                giveUp(giveUp.answer(), unlessOutOfTime(RefusalReason.REPLICAS_REFUSED), reason, failure);
             }
         } else {
             startNextAttempt();
@@ -307,6 +323,7 @@
                 response,
                 forwarding.forHandOver(),
                 progress,
+                timings,
                 handover));
     }
 
@@ -316,7 +333,7 @@
         if (!serviceRequest.routed().isRepeat()) {
             dispatcher.retryBudgets().withdrawRequest(serviceRequest.service().name());
         }
-        finish("HANDED_OVER");
+        finish("HANDED_OVER", Optional.empty());
     }
 
     /** Records that an attempt gives the answer: others are cancelled, also at other routers. */
@@ -325,7 +342,8 @@
         handover.attemptAnswered();
     }
 
-    private void giveUp(FinalResponse finalAnswer, String reason, Optional<BufferedResponse> failure) {
+    private void giveUp(
+            FinalResponse finalAnswer, RefusalReason refusal, String reason, Optional<BufferedResponse> failure) {
         if (attempts.goOnWithSilent()) {
             return;
         }
@@ -336,18 +354,23 @@
                 : OptionalLong.empty();
         sendFinalAnswer(
                 finalAnswer,
+                returnMillis.isPresent() ? RefusalReason.NO_REPLICA : refusal,
                 returnMillis.isPresent() ? "no replica takes requests now" : reason,
                 failure,
                 returnMillis.orElse(RETRY_AFTER_MILLIS));
     }
 
     private void sendFinalAnswer(
-            FinalResponse finalAnswer, String reason, Optional<BufferedResponse> failure, long retryAfterMillis) {
+            FinalResponse finalAnswer,
+            RefusalReason refusal,
+            String reason,
+            Optional<BufferedResponse> failure,
+            long retryAfterMillis) {
         if (finalAnswer == FinalResponse.NOT_RUN) {
             giveBackQuota();
         }
-        finish(finalAnswer.name());
-        answer.send(finalAnswer, reason, failure, retryAfterMillis);
+        finish(finalAnswer.name(), Optional.of(ServedOutcome.of(finalAnswer)));
+        answer.send(finalAnswer, refusal(refusal), reason, failure, retryAfterMillis);
     }
 
     private void deadlineExpired() {
@@ -355,8 +378,9 @@
             return;
         }
         FinalResponse finalAnswer = forwarding.responseAtDeadline(attempts.anySent());
+        RefusalReason refusal = shortage.isWaiting() ? RefusalReason.DEFERRED : RefusalReason.DEADLINE;
         stopAttempts();
-        sendFinalAnswer(finalAnswer, "its time is over", Optional.empty(), RETRY_AFTER_MILLIS);
+        sendFinalAnswer(finalAnswer, refusal, "its time is over", Optional.empty(), RETRY_AFTER_MILLIS);
     }
 
     private void callerDisconnected() {
@@ -365,7 +389,7 @@
                 giveBackQuota();
             }
             stopAttempts();
-            finish("CALLER_GONE");
+            finish("CALLER_GONE", Optional.of(ServedOutcome.CALLER_GONE));
         }
     }
 
@@ -427,17 +451,17 @@
 
     void responseDelivered(String outcome) {
         attempts.removeAll();
-        finish(outcome);
+        finish(outcome, Optional.of(log.delivered(timings)));
     }
 
-    private void finish(String outcome) {
+    private void finish(String outcome, Optional<ServedOutcome> served) {
         finished = true;
         dispatcher.inFlight().remove(this);
         if (serviceRequest.route().resumable()) {
             dispatcher.resumptions().streamEnded(serviceRequest);
         }
         deadlineTimer.cancel();
-        log.requestEnded(outcome, timings);
+        log.requestEnded(outcome, served, timings);
         stopAttempts();
         shortage.requestEnded();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -10,6 +10,8 @@
 import org.hornbeamhead.core.forward.FinalResponse;
 import org.hornbeamhead.core.forward.ForwardingState;
 import org.hornbeamhead.core.forward.NextStep;
+import org.hornbeamhead.core.forward.RefusalReason;
+import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.route.Route;
@@ -42,6 +44,7 @@
     private final ForwardingState forwarding;
     private final long deadline;
     private final StreamProgress progress;
+    private final StreamTimings timings;
     private final SilentAttempt silentAttempt;
     private final int executionsBefore;
     private final Set<String> tried = new HashSet<>();
@@ -85,6 +88,7 @@
      * @param response receives the answer
      * @param forwarding what attempts of this router may have been executed, and whether the response has begun
      * @param progress the last event that was relayed to the caller
+     * @param timings the timings of the events that were relayed to the caller
      * @param silentAttempt the attempt of this router that may still answer
      */
     RelayedRequest(
@@ -94,6 +98,7 @@
             CallerResponse response,
             ForwardingState forwarding,
             StreamProgress progress,
+            StreamTimings timings,
             SilentAttempt silentAttempt) {
         this.dispatcher = dispatcher;
         this.routed = routed;
@@ -101,6 +106,7 @@
         this.response = response;
         this.forwarding = forwarding;
         this.progress = progress;
+        this.timings = timings;
         this.silentAttempt = silentAttempt;
         this.executionsBefore = forwarding.possibleExecutions();
         this.deadline = routed.deadline();
@@ -133,7 +139,8 @@
                 : dispatcher.relayRouters().select(service, tried);
         if (peer.isEmpty()) {
             if (!goOnWithSilent()) {
-                sendOwnAnswer(forwarding.responseWithoutRetry(), "no router has a path to " + service);
+                sendOwnAnswer(
+                        forwarding.responseWithoutRetry(), RefusalReason.NO_PATH, "no router has a path to " + service);
             }
             return;
         }
@@ -214,7 +221,7 @@
         if (!(step instanceof NextStep.GiveUp giveUp)) {
             sendToNext();
         } else if (!goOnWithSilent()) {
-            answer.ifPresentOrElse(this::passOn, () -> sendOwnAnswer(giveUp.answer(), reason));
+            answer.ifPresentOrElse(this::passOn, () -> sendOwnAnswer(giveUp.answer(), RefusalReason.NO_PATH, reason));
         }
     }
 
@@ -250,7 +257,7 @@
         String reason = "the router answered " + answer.head().status();
         if (answer.streaming()) {
             hops.remove(hop);
-            finish("DELIVERED");
+            finish("DELIVERED", Optional.of(delivered()));
             response.end();
         } else if (answer.kind() == RelayAnswer.Kind.DECLINED) {
             hopEnded(hop, AttemptOutcome.NOT_SENT, "the router declined it", Optional.empty());
@@ -267,13 +274,30 @@
 
     private void passOn(RelayAnswer answer) {
         if (answer.promisesNotRun() && forwarding.possibleExecutions() > 0) {
-            sendOwnAnswer(FinalResponse.OUTCOME_UNKNOWN, "another router may have run it");
+            sendOwnAnswer(FinalResponse.OUTCOME_UNKNOWN, RefusalReason.NO_PATH, "another router may have run it");
             return;
         }
-        finish("DELIVERED");
+        finish("DELIVERED", servedBy(answer));
         answer.body().sendTo(response);
     }
 
+    /** Returns the outcome of a request with an answer that is passed on; empty if it is an error of the caller. */
+    private Optional<ServedOutcome> servedBy(RelayAnswer answer) {
+        return switch (answer.kind()) {
+            case DELIVERABLE -> Optional.of(delivered());
+            case REJECTED, DECLINED -> answer.promisesNotRun() ? Optional.of(ServedOutcome.REFUSED) : Optional.empty();
+            case REPLICA_FAILED, LOST -> Optional.of(ServedOutcome.FAILED);
+        };
+    }
+
+    private ServedOutcome delivered() {
+        return ServedOutcome.delivered(routed.route(), timings.times(elapsedMillis()));
+    }
+
+    private long elapsedMillis() {
+        return dispatcher.clock().monotonicMillis() - routed.arrivedAt();
+    }
+
     /**
      * Begins to relay a stream.
      *
@@ -291,6 +315,7 @@
         silentAttempt.close();
         if (!forwarding.hasResponseStarted()) {
             forwarding.responseStarted();
+            timings.recordFirst(elapsedMillis());
             response.begin(answer.head().status(), answer.callerHeaders());
         }
         software.ifPresent(progress::recordSoftware);
@@ -303,6 +328,7 @@
             return Promise.complete();
         }
         hops.answered(hop);
+        timings.recordEvents(dispatcher.clock().monotonicMillis());
         return response.write(newEvents);
     }
 
@@ -310,12 +336,14 @@
         return progress;
     }
 
-    private void sendOwnAnswer(FinalResponse answer, String reason) {
-        finish(answer.name());
+    private void sendOwnAnswer(FinalResponse answer, RefusalReason refusal, String reason) {
+        finish(answer.name(), Optional.of(ServedOutcome.of(answer)));
         CallerRequest request = routed.callerRequest();
         switch (answer) {
             case BROKEN_OFF -> response.abort();
-            case NOT_RUN -> dispatcher.answers().rejectNotExecuted(request, response, reason, RETRY_AFTER_MILLIS);
+            case NOT_RUN -> dispatcher
+                    .answers()
+                    .rejectNotExecuted(request, response, Refusal.of(routed, refusal), reason, RETRY_AFTER_MILLIS);
             default -> dispatcher
                     .answers()
                     .respond(
@@ -330,21 +358,23 @@
     private void deadlineExpired() {
         if (!finished) {
             FinalResponse answer = forwarding.responseAtDeadline(hops.anySent());
-            sendOwnAnswer(answer, "its time is over");
+            sendOwnAnswer(answer, RefusalReason.DEADLINE, "its time is over");
         }
     }
 
     private void callerDisconnected() {
         if (!finished) {
-            finish("CALLER_GONE");
+            finish("CALLER_GONE", Optional.of(ServedOutcome.CALLER_GONE));
         }
     }
 
-    private void finish(String outcome) {
+    private void finish(String outcome, Optional<ServedOutcome> served) {
+        served.ifPresent(s -> routed.countServed(s, dispatcher.metrics()));
         release(outcome);
         silentAttempt.close();
     }
 
+    /** Ends the request at other routers; it is counted by whoever answers the caller. */
     private void release(String outcome) {
         finished = true;
         deadlineTimer.cancel();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ShortageGate.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ShortageGate.java
@@ -114,6 +114,13 @@
         return request.hasDeferrable();
     }
 
+    /**
+     * Returns whether the request, which has not ended, still waits: once admitted, it is tried at a replica at once.
+     */
+    boolean isWaiting() {
+        return asked.isPresent() && scope.triedCount() == 0;
+    }
+
     /** Takes the request out of the queue if it waits, and lets others use what it occupied. */
     void requestEnded() {
         asked.ifPresent(deferred::leave);
