--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/DecisionExplainer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/DecisionExplainer.java
@@ -65,10 +65,10 @@
             return unrouted(version, deny(Dispatcher.UNAUTHORIZED, "UNKNOWN_KEY"));
         }
         RoutedRequest routed = new RoutedRequest(config, route.get(), owner, request, now(), Optional.empty());
-        Optional<ServiceSpec> service = config.findService(Dispatcher.serviceOf(routed));
+        Optional<ServiceSpec> service = config.findService(routed.service());
         Optional<Explanation.Routing> routing = Optional.of(new Explanation.Routing(
                 route.get().name(),
-                Dispatcher.serviceOf(routed),
+                routed.service(),
                 owner.map(KeyOwner::customer),
                 route.get().priority(),
                 service.map(s -> OptionalInt.of(new ServiceRequest(routed, s).enginePriority()))
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/DeferrableRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/DeferrableRequest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.hornbeamhead.core.engine.EngineCandidate;
 import org.hornbeamhead.core.shortage.EngineRoom;
@@ -65,6 +66,21 @@
          * @param returnMillis when the caller may return, in milliseconds from now
          */
         void refuse(String reason, long returnMillis);
+
+        /** Creates an outcome of its two actions. */
+        static Outcome of(Runnable send, BiConsumer<String, Long> refuse) {
+            return new Outcome() {
+                @Override
+                public void send() {
+                    send.run();
+                }
+
+                @Override
+                public void refuse(String reason, long returnMillis) {
+                    refuse.accept(reason, returnMillis);
+                }
+            };
+        }
     }
 
     /** Returns the engines' room, described for the log. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -59,7 +59,6 @@
      * caller return that router.
      */
     static final long OTHER_ROUTER_RETRY_MILLIS = 20;
-
     /** Retry delay when nobody knows which software began a stream; other routers may be back in touch by then. */
     private static final long UNKNOWN_ORIGIN_RETRY_MILLIS = 300;
 
@@ -278,7 +277,7 @@
     }
 
     private void forward(RoutedRequest routed, CallerResponse response) {
-        String name = serviceOf(routed);
+        String name = routed.service();
         Optional<ServiceSpec> service = routed.config().findService(name);
         if (service.isEmpty()) {
             answers.refuse(
@@ -362,10 +361,6 @@
         new Exchange(this, request, response, software).start();
     }
 
-    static String serviceOf(RoutedRequest routed) {
-        return routed.route().selectService(hash(routed.firstAttempt()));
-    }
-
     /**
      * Explains what would be done with a new request now, and changes nothing.
      *
@@ -377,11 +372,6 @@
         return new DecisionExplainer(this, state).explain(query, stopping);
     }
 
-    /** Returns a hash that is spread over all values, since the ids themselves may come from a counter. */
-    private static long hash(String id) {
-        return id.chars().asLongStream().reduce(17, (hash, c) -> hash * 1_000_003 + c) >>> 8;
-    }
-
     void recordEngineSend(LiveReplica replica, EngineChoice choice) {
         recordSend(replica, choice.prefixHash(), choice.storeMillis());
         loadHints.recordSent(replica, choice);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -69,11 +69,7 @@
         this.dispatcher = dispatcher;
         this.serviceRequest = serviceRequest;
         this.response = response;
-        this.forwarding = serviceRequest
-                .routed()
-                .origin()
-                .map(o -> new ForwardingState(serviceRequest.route(), o.possibleExecutions(), o.allowedExecutions()))
-                .orElseGet(() -> new ForwardingState(serviceRequest.route()));
+        this.forwarding = serviceRequest.routed().forwardingState();
         this.content = new RequestContent(serviceRequest, dispatcher.quarantine(), dispatcher.brittleReplicas());
         this.arrivedAt = serviceRequest.routed().arrivedAt();
         this.deadline = serviceRequest.routed().deadline();
@@ -98,17 +94,9 @@
             shortage.ask(
                     serviceRequest.routed().origin().isEmpty()
                             && content.quarantineMillis().isEmpty(),
-                    new DeferrableRequest.Outcome() {
-                        @Override
-                        public void send() {
-                            startNextAttempt();
-                        }
-
-                        @Override
-                        public void refuse(String reason, long returnMillis) {
-                            refuseForLoad(RefusalReason.DEFERRED, reason, returnMillis);
-                        }
-                    });
+                    DeferrableRequest.Outcome.of(
+                            this::startNextAttempt,
+                            (reason, millis) -> refuseForLoad(RefusalReason.DEFERRED, reason, millis)));
         } else {
             startNextAttempt();
         }
@@ -155,12 +143,7 @@
     private void refuseForLoad(RefusalReason why, String reason, long retryMillis) {
         giveBackQuota();
         finish("REFUSED_FOR_LOAD", Optional.of(ServedOutcome.REFUSED));
-        CallerRequest request = serviceRequest.callerRequest();
-        if (shortage.booksReturns()) {
-            dispatcher.answers().rejectUntil(request, response, refusal(why), reason, retryMillis);
-        } else {
-            dispatcher.answers().rejectNotExecuted(request, response, refusal(why), reason, retryMillis);
-        }
+        shortage.reject(dispatcher.answers(), response, refusal(why), reason, retryMillis);
     }
 
     /** Ends a request that no replica can take here. */
@@ -395,11 +378,7 @@
 
     /** Takes back what the request counts in its customer's quota, since no replica has run it. */
     private void giveBackQuota() {
-        dispatcher
-                .quotas()
-                .giveBack(
-                        serviceRequest.routed().quotaOwner(),
-                        serviceRequest.callerRequest().tokenCount());
+        serviceRequest.giveBackQuota(dispatcher.quotas());
     }
 
     private void stopAttempts() {
@@ -415,13 +394,7 @@
             forwarding.responseStarted();
             timings.recordFirst(elapsed().toMillis());
             response.begin(head.status(), responseHeaders(head, replica));
-            dispatcher
-                    .metrics()
-                    .time(
-                            "hornbeam_first_event",
-                            elapsed(),
-                            "route",
-                            serviceRequest.route().name());
+            log.responseBegan(elapsed());
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
@@ -98,4 +98,15 @@
     private long now() {
         return dispatcher.clock().monotonicMillis();
     }
+
+    /** Records when the response to the caller began. */
+    void responseBegan(Duration elapsed) {
+        dispatcher
+                .metrics()
+                .time(
+                        "hornbeam_first_event",
+                        elapsed,
+                        "route",
+                        serviceRequest.route().name());
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RoutedRequest.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.util.Optional;
+import org.hornbeamhead.core.forward.ForwardingState;
 import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RequestKind;
@@ -70,4 +71,20 @@
     Optional<KeyOwner> quotaOwner() {
         return route.allowsAnonymous() ? Optional.empty() : owner;
     }
+
+    /** Returns the state of a request of which this router has sent nothing yet. */
+    ForwardingState forwardingState() {
+        return origin.map(o -> new ForwardingState(route, o.possibleExecutions(), o.allowedExecutions()))
+                .orElseGet(() -> new ForwardingState(route));
+    }
+
+    /** Returns the name of the service that handles the request, the same for all attempts at one stream. */
+    String service() {
+        return route.selectService(hash(firstAttempt()));
+    }
+
+    /** Returns a hash that is spread over all values, since the ids themselves may come from a counter. */
+    private static long hash(String id) {
+        return id.chars().asLongStream().reduce(17, (hash, c) -> hash * 1_000_003 + c) >>> 8;
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
@@ -8,6 +8,7 @@
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.route.ServiceLevels;
 import org.hornbeamhead.core.route.ServiceSpec;
+import org.hornbeamhead.gateway.quota.QuotaGate;
 
 /**
  * A routed request and the service that handles it.
@@ -58,4 +59,9 @@
     CallerRequest callerRequest() {
         return routed.callerRequest();
     }
+
+    /** Takes back what the request counts in its customer's quota, since no replica has run it. */
+    void giveBackQuota(QuotaGate quotas) {
+        quotas.giveBack(routed.quotaOwner(), callerRequest().tokenCount());
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ShortageGate.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ShortageGate.java
@@ -7,6 +7,7 @@
 import org.hornbeamhead.core.engine.EngineCandidate;
 import org.hornbeamhead.core.engine.Prompt;
 import org.hornbeamhead.core.route.KeyOwner;
+import org.hornbeamhead.gateway.caller.CallerResponse;
 
 /**
  * The part of one exchange that regards shortage: whether its request waits, which engines it may get, and when its
@@ -109,9 +110,13 @@
         return retryMillis;
     }
 
-    /** Returns whether the delays of refused callers are booked, so that they must be told as they are. */
-    boolean booksReturns() {
-        return request.hasDeferrable();
+    /** Rejects the request, which no replica has run; a booked return is told as it is. */
+    void reject(OwnAnswers answers, CallerResponse response, Refusal refusal, String reason, long retryMillis) {
+        if (request.hasDeferrable()) {
+            answers.rejectUntil(request.callerRequest(), response, refusal, reason, retryMillis);
+        } else {
+            answers.rejectNotExecuted(request.callerRequest(), response, refusal, reason, retryMillis);
+        }
     }
 
     /**
