Deferrable requests: the target counts from the arrival, whatever the caller's deadline

Cause: the time of a caller's first attempt was inferred from its deadline and the route's timeout. Change: the target counts from the arrival at this router.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/DeferrableRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/DeferrableRequest.java
@@ -48,6 +48,14 @@
      * @param urgentTargetMillis the shortest latency target of the urgent routes of its service
      */
     record Times(long arrivedAt, long latestStartAt, long deadline, long targetMillis, long urgentTargetMillis) {
+        /**
+         * Creates the times of a request. When its caller sent its first attempt is not known: callers choose their
+         * deadlines freely, so the time left does not tell.
+         */
+        static Times of(long arrivedAt, long deadline, long targetMillis, long urgentTargetMillis) {
+            return new Times(arrivedAt, arrivedAt + targetMillis, deadline, targetMillis, urgentTargetMillis);
+        }
+
         /** A longer wait leaves too little of the target for the engine. */
         long waitUntilMillis() {
             return Math.min(arrivedAt + targetMillis / 2, deadline);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ShortageGate.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ShortageGate.java
@@ -59,28 +59,15 @@
                 new DeferrableRequest.Size(
                         (int) Math.min(tokens, Integer.MAX_VALUE),
                         caller.message().body().length),
-                times(),
+                DeferrableRequest.Times.of(
+                        request.routed().arrivedAt(),
+                        request.routed().deadline(),
+                        request.route().limits().latencyTargetMillis(),
+                        request.urgentTargetMillis()),
                 () -> selector.engines(request, scope),
                 outcome);
     }
 
-    /**
-     * Returns the times of the request. The target counts from the caller's first attempt, which was sent as long
-     * before the deadline as the timeout of the route.
-     */
-    private DeferrableRequest.Times times() {
-        RoutedRequest routed = request.routed();
-        long timeoutMillis = request.route().limits().timeoutMillis();
-        long targetMillis = request.route().limits().latencyTargetMillis();
-        long firstAttemptAt = timeoutMillis > 0 ? routed.deadline() - timeoutMillis : routed.arrivedAt();
-        return new DeferrableRequest.Times(
-                routed.arrivedAt(),
-                firstAttemptAt + targetMillis,
-                routed.deadline(),
-                targetMillis,
-                request.urgentTargetMillis());
-    }
-
     /** Returns the engines that the request should get: those with room if it is deferrable. */
     List<EngineCandidate> eligible(List<EngineCandidate> engines) {
         return request.isDeferrable()
--- a/gateway/src/test/java/org/hornbeamhead/gateway/dispatch/DeferredRequestsTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/dispatch/DeferredRequestsTest.java
@@ -12,6 +12,7 @@
 import org.hornbeamhead.core.time.ManualTimers;
 import org.hornbeamhead.daemon.Metrics;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests requests that wait in a router before one engine, in virtual time. */
@@ -75,6 +76,19 @@
         return request;
     }
 
+    @DataProvider
+    public Object[][] deadlines() {
+        return new Object[][] {{400L}, {2_000L}, {15_000L}};
+    }
+
+    /** Guards against new requests that are refused as late since their callers wait for less than the route allows. */
+    @Test(dataProvider = "deadlines")
+    public void targetCountsFromTheArrivalWhateverTheDeadline(long timeLeftMillis) {
+        DeferrableRequest.Times times = DeferrableRequest.Times.of(1_000, 1_000 + timeLeftMillis, 1_500, 500);
+        assertEquals(times.latestStartAt(), 2_500);
+        assertEquals(times.waitUntilMillis(), 1_000 + Math.min(750, timeLeftMillis));
+    }
+
     /** Guards against a wait where there is no shortage, and against timers that then run for nothing. */
     @Test
     public void sendsAtOnceWithoutShortage() {
