Explanations regard the length hint

Cause: the hint was parsed and not passed on, so that a request on a mixed service was explained as one without a hint. Change: the explained prompt carries it. Measured: ExplainQueryTest, with one more assertion, passes.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/explain/ExplainQuery.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/explain/ExplainQuery.java
@@ -133,7 +133,7 @@
      * @return the prompt; empty if the query names no model
      */
     public Optional<Prompt> prompt() {
-        return model.map(m -> new Prompt(m, parts, maxOutputTokens.orElse(0)));
+        return model.map(m -> new Prompt(m, parts, maxOutputTokens.orElse(0), expectedOutputTokens));
     }
 
     /**
--- a/gateway/src/test/java/org/hornbeamhead/gateway/explain/ExplainQueryTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/explain/ExplainQueryTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.control.Either;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -56,6 +57,7 @@
                 .get();
         assertEquals(query.prompt().orElseThrow().sharedTokens(), 100);
         assertEquals(query.prompt().orElseThrow().maxOutputTokens(), 9);
+        assertEquals(query.prompt().orElseThrow().expectedOutputTokens(), OptionalInt.of(4));
         assertEquals(query.tokenCount(), OptionalLong.of(129));
         assertEquals(query.expectedOutputTokens().getAsInt(), 4);
     }
