--- /dev/null
+++ b/review/standins/Unusable.java
@@ -0,0 +1,6 @@
+/** The case could not run. */
+final class Unusable extends RuntimeException {
+    Unusable(String message) {
+        super(message);
+    }
+}
