Review: case 3, a lost write of the store lets two machines order one replica

The record that nobody holds the duty is written on the condition that the key is absent, which holds again after a later leader.

--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -32,6 +32,8 @@
     private final Record record;
     private long revision = 1;
     private long nextLease = 100;
+    private long lateMillis;
+    private int windowWrites;
 
     Store(Record record) throws IOException {
         this.record = record;
@@ -58,6 +60,25 @@
         notifyAll();
     }
 
+    /**
+     * From now on the first conditional write for an absent key is carried out late and never answered, as a store may
+     * do that loses answers. All other calls are served.
+     */
+    synchronized void loseOneWrite(long millis) {
+        lateMillis = millis;
+        windowWrites = 0;
+    }
+
+    /** Returns the writing calls of the routers since the loss began. */
+    synchronized int writesSinceLoss() {
+        return windowWrites;
+    }
+
+    /** Returns whether the write that is lost has come. */
+    synchronized boolean hasLost() {
+        return lateMillis < 0;
+    }
+
     /** Returns the value of a key, or null. */
     synchronized String value(String key) {
         expire();
@@ -205,7 +226,35 @@
     }
 
     private void transaction(HttpExchange exchange, JsonNode transaction) throws IOException {
+        if (isLost(transaction)) {
+            return;
+        }
         ObjectNode reply = JSON.createObjectNode();
+        int status = execute(transaction, reply);
+        send(exchange, status, reply);
+    }
+
+    private synchronized boolean isLost(JsonNode transaction) {
+        windowWrites++;
+        if (lateMillis <= 0 || transaction.path("expected").path(0).path("rev").asLong(-1) != 0) {
+            return false;
+        }
+        long millis = lateMillis;
+        lateMillis = -1;
+        record.line("store: a write is not answered, and is carried out %d ms later: %s", millis, transaction);
+        threads.execute(() -> {
+            try {
+                Thread.sleep(millis);
+                int status = execute(transaction, JSON.createObjectNode());
+                record.line("store: the late write is carried out: %d", status);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        return true;
+    }
+
+    private int execute(JsonNode transaction, ObjectNode reply) {
         int status;
         synchronized (this) {
             expire();
@@ -223,7 +272,7 @@
                 reply.put("rev", revision);
             }
         }
-        send(exchange, status, reply);
+        return status;
     }
 
     private int check(JsonNode transaction, ObjectNode reply) {
@@ -259,6 +308,7 @@
         long ttl = Math.max(TTL_MIN_MILLIS, wanted);
         ObjectNode reply = JSON.createObjectNode();
         synchronized (this) {
+            windowWrites++;
             leases.put(++nextLease, new Lease(ttl, System.nanoTime() / 1_000_000 + ttl));
             reply.put("lease", nextLease).put("ttl_ms", ttl);
         }
