Logs: which leader's end a router saw, and from what a new leader counts the pause

Change: a line with the revision when the leader's record vanishes with its lease, one with the store's reply when a router records that nobody leads, and one when a leader has acquired the lease: the record that it found with its wait, or how long the record was absent.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderElection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderElection.java
@@ -1,13 +1,16 @@
 package org.hornbeamhead.gateway.duty;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.function.IntSupplier;
 import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Logs;
 
 /**
  * Acquires the leader lease when it is needed and free, and computes when the new leader may send its first order.
  * Routers try one after the other, in the order of their rank.
  */
 final class LeaderElection {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** The delay per rank before a router tries to acquire the lease, so that only one router tries at a time. */
     private static final long RANK_DELAY_MILLIS = 250;
 
@@ -69,9 +72,13 @@
     }
 
     private void acquire(long earliestOrder) {
+        String basis = lease.record()
+                .map(r -> "releasedBy=" + r.holder() + " waitMillis=" + r.waitMillis())
+                .orElseGet(() -> "absentMillis=" + (now() - recordAbsentSince));
         lease.tryAcquire().subscribe((acquired, e) -> {
             if (e == null && acquired) {
                 earliestOrderAt = earliestOrder;
+                logPause(basis);
                 onAcquired.run();
             } else {
                 neededSince = now();
@@ -79,6 +86,13 @@
         });
     }
 
+    private void logPause(String basis) {
+        logger.atInfo()
+                .with(Logs.DECISION, "pause of new leader")
+                .with(Logs.INPUTS, basis + " firstOrderInMillis=" + Math.max(0, earliestOrderAt - now()))
+                .log("orders may be sent after the rest of the pause");
+    }
+
     private long now() {
         return clock.monotonicMillis();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderLease.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderLease.java
@@ -76,11 +76,24 @@
 
     private void onStoreChange(StoreItem item) {
         if (item.key().equals(KEY)) {
+            logEndOfLeader(item);
             record = parse(item);
             recordReceivedAt = clock.monotonicMillis();
         }
     }
 
+    private void logEndOfLeader(StoreItem item) {
+        if (item.removed()) {
+            logger.atInfo()
+                    .with(Logs.DECISION, "duty vacant")
+                    .with(
+                            Logs.INPUTS,
+                            "revision=" + item.revision() + " holder="
+                                    + record.map(LeaderRecord::holder).orElse("unknown"))
+                    .log("the leader's record vanished with its lease");
+        }
+    }
+
     private static Optional<LeaderRecord> parse(StoreItem item) {
         return item.removed()
                 ? Optional.empty()
@@ -232,6 +245,10 @@
                         OptionalLong.of(0),
                         LeaderRecord.releasedBy(self, 0).toJson(),
                         Optional.empty())
+                .whenComplete((reply, e) -> logger.atInfo()
+                        .with(Logs.DECISION, "duty marked free")
+                        .with(Logs.INPUTS, "reply=" + (e == null ? reply : e.getMessage()))
+                        .log("recording that no router holds the leader lease"))
                 .toVoid();
     }
 }
