A vacancy of the leader lease is counted within one term

Cause: the pause after a leader that ended without a release counts from when a router finds the leader's record absent. The record vanishes with the lease, so that an absence looks the same before and after another leader, and 'the key does not exist' holds in both. A router that was suspended, whose mirror lagged, or that stood back because it reached no replica, missed a leader and counted from the vacancy before, or recorded that no wait was left.

Why it works: each leader writes the term, a key without a lease, in the transaction in which it acquires the lease. While the term keeps its revision nobody else has acquired the lease. Both writes that rely on a vacancy, the acquisition and the record that nobody leads, expect the revisions from which it was counted; the store refuses them when a leader was missed. The port of the store takes transactions for this; the number of calls is unchanged.

The fake store is read once at the start now, as a real router's mirror is before it counts.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderElection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderElection.java
@@ -19,9 +19,9 @@
     private final IntSupplier rank;
     private final long handoverPauseMillis;
     private final Runnable onAcquired;
-    private long recordAbsentSince = -1;
     private long neededSince = -1;
     private long earliestOrderAt;
+    private long nextMarkFreeAt;
 
     /**
      * Creates an election in which this router does not take part yet.
@@ -51,19 +51,21 @@
     }
 
     void tryAcquire(boolean needed) {
-        if (lease.record().isPresent()) {
-            recordAbsentSince = -1;
-            if (needed && isOwnTurn(neededSince)) {
-                lease.availableFrom().ifPresent(this::acquire);
-            }
-            return;
+        LeaderLeaseView view = lease.view();
+        if (view.record().isEmpty()) {
+            view.observeVacancy().ifPresent(since -> endVacancy(needed, since));
+        } else if (needed && isOwnTurn(neededSince)) {
+            view.availableFrom().ifPresent(this::acquire);
         }
-        recordAbsentSince = recordAbsentSince < 0 ? now() : recordAbsentSince;
-        boolean longAbsent = now() - recordAbsentSince > handoverPauseMillis;
-        if (needed && isOwnTurn(Math.max(neededSince, recordAbsentSince))) {
-            acquire(recordAbsentSince + handoverPauseMillis - LeaderLease.SAFETY_MARGIN_MILLIS);
-        } else if (!needed && longAbsent && isOwnTurn(recordAbsentSince + handoverPauseMillis)) {
-            lease.markFree().subscribe((v, e) -> recordAbsentSince = -1);
+    }
+
+    private void endVacancy(boolean needed, long since) {
+        long pauseEnd = since + handoverPauseMillis;
+        if (needed && isOwnTurn(Math.max(neededSince, since))) {
+            acquire(pauseEnd - LeaderLease.SAFETY_MARGIN_MILLIS);
+        } else if (!needed && isOwnTurn(Math.max(pauseEnd, nextMarkFreeAt))) {
+            nextMarkFreeAt = now() + handoverPauseMillis;
+            lease.markFree();
         }
     }
 
@@ -72,9 +74,7 @@
     }
 
     private void acquire(long earliestOrder) {
-        String basis = lease.record()
-                .map(r -> "releasedBy=" + r.holder() + " waitMillis=" + r.waitMillis())
-                .orElseGet(() -> "absentMillis=" + (now() - recordAbsentSince));
+        String basis = describeBasis();
         lease.tryAcquire().subscribe((acquired, e) -> {
             if (e == null && acquired) {
                 earliestOrderAt = earliestOrder;
@@ -86,6 +86,16 @@
         });
     }
 
+    /** Returns from what this router counts the pause before its first order. */
+    private String describeBasis() {
+        LeaderLeaseView view = lease.view();
+        return view.record()
+                .map(r -> "releasedBy=" + r.holder() + " waitMillis=" + r.waitMillis())
+                .orElseGet(
+                        () -> "vacantMillis=" + (now() - view.observeVacancy().orElse(now())) + " term="
+                                + view.revisions().term());
+    }
+
     private void logPause(String basis) {
         logger.atInfo()
                 .with(Logs.DECISION, "pause of new leader")
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderLease.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderLease.java
@@ -3,15 +3,16 @@
 import com.google.common.flogger.FluentLogger;
 import io.activej.promise.Promise;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.time.Clock;
-import org.hornbeamhead.daemon.Json;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.state.PlatformStore;
 import org.hornbeamhead.gateway.state.PlatformStore.WriteReply;
+import org.hornbeamhead.gateway.state.StoreTransaction;
+import org.hornbeamhead.gateway.state.StoreTransaction.KeyWrite;
 
 /**
  * The right to send orders, held by one router at a time under a lease in the store.
@@ -19,7 +20,7 @@
  * <p>The fencing token is the revision of the store at which the lease was acquired. It rises with each leader and
  * needs no counter of its own. A leader that releases the lease writes this to the store, together with the rest of the
  * pause since its last order; the next leader waits for that time. When the record vanished with its lease, the last
- * order may have been sent a moment ago, so the next leader waits for the whole pause.
+ * order may have been sent a moment ago, so the next leader waits for the whole pause, within one term.
  *
  * <p>The remaining pause is long enough whatever the clocks show: the old leader subtracts the time that has passed on
  * its monotonic clock before it writes and sends no order from then on, and the new leader counts the rest on its own
@@ -28,7 +29,6 @@
  */
 final class LeaderLease {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    static final String KEY = "hornbeam/duty/weights";
     /**
      * Short, so that another router takes over soon after the leader was killed. Renewals are cheap and are made only
      * while the lease is held.
@@ -44,12 +44,10 @@
 
     private final Clock clock;
     private final PlatformStore store;
-    private final StoreMirror mirror;
+    private final LeaderLeaseView view;
     private final String self;
     private Optional<Holding> holding = Optional.empty();
     private boolean callPending;
-    private Optional<LeaderRecord> record = Optional.empty();
-    private long recordReceivedAt;
 
     private static final class Holding {
         private final String leaseId;
@@ -67,49 +65,13 @@
     LeaderLease(Clock clock, PlatformStore store, StoreMirror mirror, String self) {
         this.clock = clock;
         this.store = store;
-        this.mirror = mirror;
+        this.view = new LeaderLeaseView(clock, mirror);
         this.self = self;
-        this.recordReceivedAt = clock.monotonicMillis();
-        this.record = mirror.get(KEY).flatMap(LeaderLease::parse);
-        mirror.addListener(this::onStoreChange);
     }
 
-    private void onStoreChange(StoreItem item) {
-        if (item.key().equals(KEY)) {
-            logEndOfLeader(item);
-            record = parse(item);
-            recordReceivedAt = clock.monotonicMillis();
-        }
-    }
-
-    private void logEndOfLeader(StoreItem item) {
-        if (item.removed()) {
-            logger.atInfo()
-                    .with(Logs.DECISION, "duty vacant")
-                    .with(
-                            Logs.INPUTS,
-                            "revision=" + item.revision() + " holder="
-                                    + record.map(LeaderRecord::holder).orElse("unknown"))
-                    .log("the leader's record vanished with its lease");
-        }
-    }
-
-    private static Optional<LeaderRecord> parse(StoreItem item) {
-        return item.removed()
-                ? Optional.empty()
-                : Json.read(item.value(), LeaderRecord.class).toJavaOptional();
-    }
-
-    /** Returns the record in the store, as far as this router knows it. */
-    Optional<LeaderRecord> record() {
-        return record;
-    }
-
-    /** Returns the time from which a released lease may be used, empty when it is held or absent. */
-    OptionalLong availableFrom() {
-        return record().filter(LeaderRecord::released)
-                .map(r -> OptionalLong.of(recordReceivedAt + r.waitMillis()))
-                .orElse(OptionalLong.empty());
+    /** Returns what this router knows of the lease, whoever holds it. */
+    LeaderLeaseView view() {
+        return view;
     }
 
     /**
@@ -130,26 +92,36 @@
         return holding.isPresent();
     }
 
-    /** Acquires the lease if no router holds it. */
+    /** Acquires the lease, unless another router has acquired or released it since this router's view. */
     Promise<Boolean> tryAcquire() {
         if (callPending) {
             return Promise.of(false);
         }
         callPending = true;
-        Optional<StoreItem> currentItem = mirror.get(KEY);
+        LeaderLeaseView.Revisions seen = view.revisions();
         long requestedAt = clock.monotonicMillis();
         long requestedAtWall = clock.wallMillis();
         return store.grant(LEASE_TTL)
-                .then(leaseId -> {
-                    OptionalLong expected =
-                            OptionalLong.of(currentItem.map(StoreItem::revision).orElse(0L));
-                    String text = LeaderRecord.heldBy(self).toJson();
-                    return store.write(KEY, expected, text, Optional.of(leaseId))
-                            .then(reply -> onWriteReply(reply, leaseId, requestedAt, requestedAtWall));
-                })
+                .then(leaseId -> store.commit(acquisition(seen, leaseId))
+                        .then(reply -> onWriteReply(reply, leaseId, requestedAt, requestedAtWall)))
                 .whenComplete((v, e) -> callPending = false);
     }
 
+    /**
+     * Writes the term and the record. The record is last because the reply has the revision of the last key, and the
+     * release expects the revision of the record.
+     */
+    private StoreTransaction acquisition(LeaderLeaseView.Revisions seen, String leaseId) {
+        return new StoreTransaction(
+                seen.toExpected(),
+                List.of(
+                        new KeyWrite(LeaderLeaseView.TERM_KEY, self, Optional.empty()),
+                        new KeyWrite(
+                                LeaderLeaseView.RECORD_KEY,
+                                LeaderRecord.heldBy(self).toJson(),
+                                Optional.of(leaseId))));
+    }
+
     private Promise<Boolean> onWriteReply(WriteReply reply, String leaseId, long requestedAt, long requestedAtWall) {
         if (reply instanceof WriteReply.Written written) {
             Holding h = new Holding(leaseId, written.revision());
@@ -222,7 +194,7 @@
         holding = Optional.empty();
         callPending = true;
         String text = LeaderRecord.releasedBy(self, waitMillis).toJson();
-        store.write(KEY, OptionalLong.of(h.fencingToken), text, Optional.empty())
+        store.write(LeaderLeaseView.RECORD_KEY, OptionalLong.of(h.fencingToken), text, Optional.empty())
                 .subscribe((reply, e) -> {
                     callPending = false;
                     store.revoke(h.leaseId);
@@ -236,19 +208,18 @@
     }
 
     /**
-     * Records that no router holds the lease, after the record was found absent: it was never written or vanished with
-     * its lease.
+     * Records that no router holds the lease and that the pause is over.
+     *
+     * <p>The write may be executed late. It expects the term in which the pause was counted, so that it cannot take
+     * effect after a later leader.
      */
-    Promise<Void> markFree() {
-        return store.write(
-                        KEY,
-                        OptionalLong.of(0),
-                        LeaderRecord.releasedBy(self, 0).toJson(),
-                        Optional.empty())
-                .whenComplete((reply, e) -> logger.atInfo()
+    void markFree() {
+        String text = LeaderRecord.releasedBy(self, 0).toJson();
+        KeyWrite write = new KeyWrite(LeaderLeaseView.RECORD_KEY, text, Optional.empty());
+        store.commit(new StoreTransaction(view.revisions().toExpected(), List.of(write)))
+                .subscribe((reply, e) -> logger.atInfo()
                         .with(Logs.DECISION, "duty marked free")
                         .with(Logs.INPUTS, "reply=" + (e == null ? reply : e.getMessage()))
-                        .log("recording that no router holds the leader lease"))
-                .toVoid();
+                        .log("recording that no router holds the leader lease"));
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/PlatformStore.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PlatformStore.java
@@ -38,7 +38,17 @@
      * @param lease the lease to which the key is attached
      * @return the result of the write
      */
-    Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease);
+    default Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
+        return commit(StoreTransaction.ofKey(key, expected, value, lease));
+    }
+
+    /**
+     * Executes a transaction.
+     *
+     * @param transaction the transaction
+     * @return the result of the transaction
+     */
+    Promise<WriteReply> commit(StoreTransaction transaction);
 
     /**
      * Grants a lease.
@@ -67,16 +77,16 @@
     /** The result of a write. */
     sealed interface WriteReply {
         /**
-         * The key was written.
+         * The keys were written.
          *
-         * @param revision the new revision of the key
+         * @param revision the new revision of the key that was written last
          */
         record Written(long revision) implements WriteReply {}
 
         /**
-         * The key had another revision; nothing was written.
+         * A key had another revision; nothing was written.
          *
-         * @param current the current item, or empty if the key is absent
+         * @param current the current item of the first expected key, or empty if that key is absent
          */
         record Conflict(Optional<StoreItem> current) implements WriteReply {}
 
@@ -84,7 +94,7 @@
         record LeaseExpired() implements WriteReply {}
 
         /**
-         * The key may have been written, or may be written later if its condition still holds.
+         * The keys may have been written, or may be written later if the conditions still hold.
          *
          * @param reason the reason, for the log
          */
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
@@ -9,30 +9,69 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.hornbeamhead.core.mirror.StoreChanges;
 import org.hornbeamhead.core.mirror.StoreItem;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.gateway.state.PlatformStore;
+import org.hornbeamhead.gateway.state.StoreTransaction;
+import org.hornbeamhead.gateway.state.StoreTransaction.KeyWrite;
 
-/** A store behind one mirror that answers at once. Its leases expire when the test says so. */
+/**
+ * A store behind one mirror that answers at once. Its leases expire when the test says so, and it may lose a call and
+ * execute it later.
+ */
 final class FakePlatformStore implements PlatformStore {
     private final StoreMirror mirror;
     private final Set<String> leases = new HashSet<>();
     private final Map<String, String> leaseByKey = new HashMap<>();
     private final List<Runnable> delayedWrites = new ArrayList<>();
+    private final List<Runnable> lostCalls = new ArrayList<>();
+    private Optional<Call> callToLose = Optional.empty();
     boolean delayWrites;
     private long revision = 1;
     private int nextLease = 1;
 
+    /** The calls by which routers change the leader's record. */
+    enum Call {
+        ACQUIRE,
+        RENEW,
+        RELEASE,
+        MARK_FREE,
+        REVOKE
+    }
+
     FakePlatformStore(StoreMirror mirror) {
         this.mirror = mirror;
+        mirror.apply(new StoreChanges(List.of(), revision, true));
+    }
+
+    /** Loses the next call of a kind: it is not answered, and not executed until {@link #executeLostCall}. */
+    void loseNext(Call call) {
+        callToLose = Optional.of(call);
+    }
+
+    boolean hasLostCall() {
+        return !lostCalls.isEmpty();
+    }
+
+    void executeLostCall() {
+        lostCalls.forEach(Runnable::run);
+        lostCalls.clear();
+    }
+
+    private boolean isLost(Call call, Runnable execution) {
+        boolean lost = callToLose.filter(call::equals).isPresent();
+        if (lost) {
+            callToLose = Optional.empty();
+            lostCalls.add(execution);
+        }
+        return lost;
     }
 
     /** Expires the lease that a key was written with, if there is one. */
     void expireLeaseOf(String key) {
-        Optional.ofNullable(leaseByKey.get(key)).ifPresent(this::revoke);
+        Optional.ofNullable(leaseByKey.get(key)).ifPresent(this::end);
     }
 
     @Override
@@ -57,25 +96,46 @@
     }
 
     @Override
-    public Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
+    public Promise<WriteReply> commit(StoreTransaction transaction) {
+        if (isLost(kindOf(transaction), () -> execute(transaction))) {
+            return Promise.of(new WriteReply.InDoubt("no answer"));
+        }
         if (!delayWrites) {
-            return writeNow(key, expected, value, lease);
+            return Promise.of(execute(transaction));
         }
         SettablePromise<WriteReply> reply = new SettablePromise<>();
-        delayedWrites.add(() -> writeNow(key, expected, value, lease).subscribe(reply::set));
+        delayedWrites.add(() -> reply.set(execute(transaction)));
         return reply;
     }
 
-    private Promise<WriteReply> writeNow(String key, OptionalLong expected, String value, Optional<String> lease) {
-        long current = mirror.get(key).map(StoreItem::revision).orElse(0L);
-        if (expected.isPresent() && expected.getAsLong() != current) {
-            return Promise.of(new WriteReply.Conflict(mirror.get(key)));
+    private static Call kindOf(StoreTransaction transaction) {
+        if (transaction.writes().stream().anyMatch(w -> w.lease().isPresent())) {
+            return Call.ACQUIRE;
         }
-        StoreItem item = new StoreItem(key, ++revision, value, false);
-        leaseByKey.remove(key);
-        lease.ifPresent(id -> leaseByKey.put(key, id));
+        return transaction.expected().stream().allMatch(e -> e.revision() > 0) ? Call.RELEASE : Call.MARK_FREE;
+    }
+
+    private WriteReply execute(StoreTransaction transaction) {
+        if (transaction.expected().stream().anyMatch(e -> e.revision() != revisionOf(e.key()))) {
+            return new WriteReply.Conflict(
+                    mirror.get(transaction.expected().get(0).key()));
+        }
+        if (!transaction.writes().stream().flatMap(w -> w.lease().stream()).allMatch(leases::contains)) {
+            return new WriteReply.LeaseExpired();
+        }
+        transaction.writes().forEach(this::put);
+        return new WriteReply.Written(revision);
+    }
+
+    private long revisionOf(String key) {
+        return mirror.get(key).map(StoreItem::revision).orElse(0L);
+    }
+
+    private void put(KeyWrite write) {
+        leaseByKey.remove(write.key());
+        write.lease().ifPresent(id -> leaseByKey.put(write.key(), id));
+        StoreItem item = new StoreItem(write.key(), ++revision, write.value(), false);
         mirror.apply(new StoreChanges(List.of(item), revision, false));
-        return Promise.of(new WriteReply.Written(revision));
     }
 
     @Override
@@ -87,17 +147,27 @@
 
     @Override
     public Promise<Boolean> renew(String lease) {
+        if (isLost(Call.RENEW, () -> {})) {
+            return Promise.ofException(new IllegalStateException("no answer"));
+        }
         return Promise.of(leases.contains(lease));
     }
 
     @Override
     public Promise<Void> revoke(String lease) {
+        if (isLost(Call.REVOKE, () -> end(lease))) {
+            return Promise.ofException(new IllegalStateException("no answer"));
+        }
+        end(lease);
+        return Promise.complete();
+    }
+
+    private void end(String lease) {
         leases.remove(lease);
         List<String> expiredKeys = leaseByKey.keySet().stream()
                 .filter(key -> leaseByKey.get(key).equals(lease))
                 .toList();
         expiredKeys.forEach(this::remove);
-        return Promise.complete();
     }
 
     private void remove(String key) {
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutCoordinatorTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutCoordinatorTest.java
@@ -99,7 +99,7 @@
         long killedAt = testBed.clock.monotonicMillis();
         firstLeader.kill();
         replicas.sentOrders.clear();
-        testBed.store.expireLeaseOf(LeaderLease.KEY);
+        testBed.store.expireLeaseOf(LeaderLeaseView.RECORD_KEY);
         testBed.startRouter("b", 0);
         testBed.timers.advance(6_000);
         assertTrue(
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
@@ -41,10 +41,15 @@
     static final class Router {
         final RolloutCoordinator coordinator;
         final ReplicaRegistry registry;
+        private final List<Runnable> suspendedActions = new ArrayList<>();
+        private final StoreMirror mirror;
         private boolean killed;
+        private boolean suspended;
+        private boolean hearsStore = true;
         private boolean reachesReplicas = true;
 
         private Router(RolloutTestBed testBed, String name, int rank, StoreMirror routerMirror) {
+            mirror = routerMirror;
             registry =
                     new ReplicaRegistry(Eventloop.builder().withCurrentThread().build(), testBed.clock);
             testBed.replicas.register(testBed.replicaCount, registry);
@@ -68,12 +73,36 @@
 
         private Timers timers(Timers shared) {
             return (delay, action) -> shared.schedule(delay, () -> {
-                if (!killed) {
+                if (suspended) {
+                    suspendedActions.add(action);
+                } else if (!killed) {
                     action.run();
                 }
             });
         }
 
+        /** Suspends the router; its due timers run when it resumes. */
+        void suspend() {
+            suspended = true;
+        }
+
+        void resume() {
+            suspended = false;
+            suspendedActions.forEach(Runnable::run);
+            suspendedActions.clear();
+        }
+
+        /** Keeps the changes of the store from the router. */
+        void stopHearingStore() {
+            hearsStore = false;
+        }
+
+        /** Applies all that the router has missed, as changes or as a snapshot, which lacks what was removed. */
+        void catchUp(StoreMirror store, boolean asSnapshot) {
+            hearsStore = true;
+            mirror.apply(store.changesSince(asSnapshot ? 0 : mirror.revision()));
+        }
+
         /** Takes the path to all replicas from the router, or gives it back. */
         void setReachesReplicas(boolean reaches) {
             reachesReplicas = reaches;
@@ -89,6 +118,31 @@
         return new Router(this, name, rank, mirror);
     }
 
+    /** Starts a router with a mirror of its own, which receives each change of the store at once while it hears it. */
+    Router startRouterWithMirror(String name, int rank) {
+        StoreMirror routerMirror = new StoreMirror();
+        routerMirror.apply(mirror.changesSince(0));
+        Router router = new Router(this, name, rank, routerMirror);
+        mirror.addListener(item -> {
+            if (router.hearsStore) {
+                routerMirror.apply(new StoreChanges(List.of(item), item.revision(), false));
+            }
+        });
+        return router;
+    }
+
+    /** Lets all routers learn at intervals which versions the replicas serve, as from the list of replicas. */
+    void startHeartbeats(long intervalMillis) {
+        timers.schedule(intervalMillis, () -> {
+            routers.stream()
+                    .filter(r -> r.hearsStore)
+                    .flatMap(r -> r.registry.all().stream())
+                    .forEach(replica -> replica.observeVersion(
+                            replicas.version(replica.entry().id())));
+            startHeartbeats(intervalMillis);
+        });
+    }
+
     /** Starts a router that receives each change of the store with a delay. */
     Router startDelayedRouter(String name, int rank, long storeDelayMillis) {
         StoreMirror routerMirror = new StoreMirror();
@@ -100,10 +154,14 @@
 
     /** Expires the lease of a router that was killed. A record that was written without a lease stays. */
     void expireLeaseOf(String holder) {
-        new LeaderLease(clock, store, mirror, "")
+        new LeaderLeaseView(clock, mirror)
                 .record()
                 .filter(r -> r.holder().equals(holder))
-                .ifPresent(r -> store.expireLeaseOf(LeaderLease.KEY));
+                .ifPresent(r -> store.expireLeaseOf(LeaderLeaseView.RECORD_KEY));
+    }
+
+    int replicaCount() {
+        return replicaCount;
     }
 
     /** Publishes a target version and notifies the routers. */
--- a/gateway/src/test/java/org/hornbeamhead/gateway/state/ReadOnlyStore.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/state/ReadOnlyStore.java
@@ -2,13 +2,11 @@
 
 import io.activej.promise.Promise;
 import java.time.Duration;
-import java.util.Optional;
-import java.util.OptionalLong;
 
 /** A store that supports only reads. */
 interface ReadOnlyStore extends PlatformStore {
     @Override
-    default Promise<WriteReply> write(String key, OptionalLong expected, String value, Optional<String> lease) {
+    default Promise<WriteReply> commit(StoreTransaction transaction) {
         throw new UnsupportedOperationException();
     }
 
