Late writes of the leader lease: regression test

Cause: a router records that nobody leads and that no wait is left on the condition that the record is absent. The store may execute a write seconds later without an answer; after a later leader's end the condition holds again, and the next leader finds a released record without a wait.

It is one condition with two uses, a stale view and a late execution; a mend of the local count alone would have left this case red.

--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/LeaderVacancyTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/LeaderVacancyTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.hornbeamhead.gateway.duty.FakePlatformStore.Call;
 import org.hornbeamhead.gateway.duty.FakeReplicas.SentOrder;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -20,6 +22,8 @@
     private static final long HEARTBEAT_MILLIS = 100;
     private static final long STEP_MILLIS = 50;
     private static final long ROLLOUT_MILLIS = 12_000;
+    /** The allowance for ticks, ranks, the announcement before an order, and reports. */
+    private static final long TOLERANCE_MILLIS = 700;
 
     private RolloutTestBed testBed;
 
@@ -141,4 +145,91 @@
         advanceUntilAllServe(4);
         assertPausesKept();
     }
+
+    @DataProvider
+    public Object[][] lateCalls() {
+        return new Object[][] {
+            {Call.MARK_FREE, true, false},
+            {Call.ACQUIRE, true, true},
+            {Call.ACQUIRE, true, false},
+            {Call.ACQUIRE, false, true},
+            {Call.ACQUIRE, false, false},
+            {Call.RENEW, true, true},
+            {Call.RENEW, false, true},
+            {Call.RELEASE, false, true},
+            {Call.REVOKE, false, true},
+        };
+    }
+
+    /**
+     * Guards against a call of one vacancy that the store executes in the next one, where its condition holds again.
+     *
+     * @param call the call that gets no answer and is executed after the end of the second leader
+     * @param killed whether the first leader is killed, or releases the lease
+     * @param atFirst whether the call is one of the first leader, or one after it
+     */
+    @Test(dataProvider = "lateCalls")
+    public void lateCallDoesNotShortenPause(Call call, boolean killed, boolean atFirst) {
+        RolloutTestBed.Router first = start(2);
+        Map<String, RolloutTestBed.Router> others =
+                Map.of("b", testBed.startRouter("b", 1), "c", testBed.startRouter("c", 2));
+        if (atFirst) {
+            testBed.store.loseNext(call);
+        }
+        testBed.setTargetVersion(2);
+        advanceUntilAllServe(2);
+        if (!killed) {
+            testBed.timers.advance(2 * PAUSE_MILLIS);
+        }
+        String firstLeader = lastOrder().order().holder();
+        first.kill();
+        testBed.timers.advance(LEASE_TTL_MILLIS);
+        testBed.expireLeaseOf("a");
+        assertEquals(firstLeader, "a");
+        if (!atFirst) {
+            testBed.store.loseNext(call);
+        }
+        testBed.timers.advance(2 * PAUSE_MILLIS);
+        testBed.setTargetVersion(3);
+        advanceUntilAllServe(3);
+        assertTrue(testBed.store.hasLostCall());
+        String secondLeader = lastOrder().order().holder();
+        rollOutAndKill(3, others.get(secondLeader), secondLeader);
+        testBed.store.executeLostCall();
+        testBed.setTargetVersion(4);
+        advanceUntilAllServe(4);
+        assertPausesKept();
+    }
+
+    @DataProvider
+    public Object[][] vacancies() {
+        return new Object[][] {{1, false}, {1, true}, {3, false}, {3, true}};
+    }
+
+    /**
+     * Guards against a router that waits for the pause although it has seen the whole of it pass.
+     *
+     * @param routers how many routers are left
+     * @param markFreeIsLost whether the record that nobody leads is lost
+     */
+    @Test(dataProvider = "vacancies")
+    public void orderIsSentAtOnceAfterPauseHasPassed(int routers, boolean markFreeIsLost) {
+        RolloutTestBed.Router first = start(2);
+        IntStream.range(1, routers + 1).forEach(rank -> testBed.startRouter("b" + rank, rank));
+        rollOutAndKill(2, first, "a");
+        if (markFreeIsLost) {
+            testBed.store.loseNext(Call.MARK_FREE);
+        }
+        testBed.timers.advance(PAUSE_MILLIS + 3 * TOLERANCE_MILLIS);
+        long targetSetAt = testBed.clock.monotonicMillis();
+        testBed.setTargetVersion(3);
+        advanceUntilAllServe(3);
+        long firstOrderAt = testBed.replicas.sentOrders.stream()
+                .filter(o -> o.order().version() == 3)
+                .mapToLong(SentOrder::sentAt)
+                .min()
+                .orElseThrow();
+        assertEquals(testBed.store.hasLostCall(), markFreeIsLost);
+        assertTrue(firstOrderAt - targetSetAt <= TOLERANCE_MILLIS, "after " + (firstOrderAt - targetSetAt) + " ms");
+    }
 }
