--- a/core/src/test/java/org/hornbeamhead/core/lease/LeaseManagerTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/lease/LeaseManagerTest.java
@@ -160,4 +160,48 @@
         a.renewOrAcquire();
         assertFalse(a.validLease().isPresent());
     }
+
+    /** Acquires the lease with a manager whose process then ends, and returns its fencing number. */
+    private long acquireAndExpire(String holder) {
+        LeaseManager manager = manager(holder);
+        manager.renewOrAcquire();
+        LeaseState acquired = manager.validLease().orElseThrow();
+        store.expireLease(acquired.lease());
+        return acquired.fence();
+    }
+
+    /** Guards against an acquisition that was suspended while another holder came and went, and that then succeeds. */
+    @Test
+    public void acquisitionSuspendedAcrossAnotherHolderFails() {
+        LeaseManager suspended = manager("a");
+        store.holdLeaseReplies();
+        suspended.renewOrAcquire();
+        store.stopHoldingReplies();
+        long fence = acquireAndExpire("b");
+        store.releaseHeldReplies();
+        assertFalse(suspended.validLease().isPresent());
+        suspended.renewOrAcquire();
+        assertTrue(suspended.validLease().orElseThrow().fence() > fence);
+    }
+
+    @DataProvider
+    public Object[][] writesOfAnAcquisition() {
+        return new Object[][] {{"lease", 0}, {"fence", 1}};
+    }
+
+    /**
+     * Guards against a write of an acquisition that the store executes after the end of a later holder, when its key is
+     * absent again, and that blocks the lease or lets the fencing number fall.
+     */
+    @Test(dataProvider = "writesOfAnAcquisition")
+    public void writeExecutedAfterLaterHolderHasNoEffect(String write, int writesBefore) {
+        LeaseManager a = manager("a");
+        store.delayWriteAfter(writesBefore);
+        a.renewOrAcquire();
+        assertFalse(a.validLease().isPresent(), write);
+        long fence = acquireAndExpire("b");
+        store.executeLateWrite();
+        assertFalse(a.validLease().isPresent(), write);
+        assertTrue(acquireAndExpire("c") > fence, write);
+    }
 }
--- a/core/src/test/java/org/hornbeamhead/core/store/FakeStore.java
+++ b/core/src/test/java/org/hornbeamhead/core/store/FakeStore.java
@@ -30,6 +30,8 @@
     private final Deque<Fault> writeFaults = new ArrayDeque<>();
     private long nextVersion = 1;
     private final Deque<Runnable> heldReplies = new ArrayDeque<>();
+    private Optional<Runnable> lateWrite = Optional.empty();
+    private int writesBeforeLateOne = -1;
     private boolean outage;
     private boolean holdingReplies;
     private int writes;
@@ -42,6 +44,16 @@
         }
     }
 
+    /** Delays a write after some others: it is in doubt, and takes effect at {@link #executeLateWrite}. */
+    public void delayWriteAfter(int otherWrites) {
+        writesBeforeLateOne = otherWrites;
+    }
+
+    /** Executes the delayed write, if its condition still holds. */
+    public void executeLateWrite() {
+        lateWrite.orElseThrow().run();
+    }
+
     /** Starts or ends an outage, during which every call except a revocation fails. */
     public void setOutage(boolean active) {
         outage = active;
@@ -52,6 +64,11 @@
         holdingReplies = true;
     }
 
+    /** Answers subsequent grants and renewals again; earlier replies stay held back. */
+    public void stopHoldingReplies() {
+        holdingReplies = false;
+    }
+
     /** Sends the replies that were held back, oldest first, and stops holding replies. */
     public void releaseHeldReplies() {
         holdingReplies = false;
@@ -104,6 +121,10 @@
         if (fault == Fault.LOST_REQUEST) {
             return completed(new StoreReply.InDoubt("lost"));
         }
+        if (writesBeforeLateOne-- == 0) {
+            lateWrite = Optional.of(() -> swap(key, expectedVersion, value, lease));
+            return completed(new StoreReply.InDoubt("late"));
+        }
         StoreReply reply = swap(key, expectedVersion, value, lease);
         return completed(fault == Fault.LOST_ANSWER ? new StoreReply.InDoubt("lost") : reply);
     }
