Soak: leaders that end one after the other, writes executed late, and the pause between leaders

What it lacked: its plans set versions, kill and suspend routers, but hardly ever two leaders in a row; its store lost answers and executed no write late; and it checked that fencing tokens rise, not that the orders of two routers are a pause apart.

--- a/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
@@ -2,21 +2,22 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.hornbeamhead.platform.StandinLink;
 import org.hornbeamhead.platform.StandinLink.Mode;
 import org.hornbeamhead.platform.StandinStore.FaultMode;
 import org.hornbeamhead.soak.fault.FaultPlan.Fault;
 import org.hornbeamhead.soak.history.History;
 import org.hornbeamhead.soak.history.History.Disturbed;
+import org.hornbeamhead.soak.history.History.Ordered;
 
 /** Carries faults out, each on a thread of its own, and notes them. */
 final class FaultDriver {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** A router that was told to stop ends within its grace of 8 s. */
     private static final long GRACE_MILLIS = 8_500;
-    /** What was disturbed is not yet itself for this long: a process starts, connections are opened anew. */
-    private static final long START_MILLIS = 2_000;
 
     private final SoakFleet fleet;
     private final History history;
@@ -33,9 +34,10 @@
         logger.atInfo().log("%d ms: %s %d for %d ms", clock.millis(), f.kind(), f.index(), f.lasting());
         try {
             switch (f.kind().target()) {
-                case ROUTER -> router(f);
+                case ROUTER -> router(f, routerOf(f));
+                case LEADER -> router(f, leader().orElseGet(() -> routerOf(f)));
                 case ALL_ROUTERS -> noted(f, History.ALL_ROUTERS, () -> killAll(f));
-                case STORE -> noted(f, History.STORE, () -> store(f));
+                case STORE, STORE_WRITES -> noted(f, History.STORE, () -> store(f));
                 case STORE_LINK -> noted(f, routerOf(f).name(), () -> link(fleet.storeLink(f.index()), f));
                 case PATH -> noted(f, routerOf(f).name(), () -> path(f));
                 case REPLICA, FROZEN_REPLICA -> replica(f);
@@ -58,8 +60,8 @@
         try {
             step.run();
         } finally {
-            Disturbed d =
-                    new Disturbed(f.kind().name(), subject, f.kind().planned(), from, clock.millis() + START_MILLIS);
+            Disturbed d = new Disturbed(
+                    f.kind().name(), subject, f.kind().planned(), from, clock.millis() + Disturbed.SETTLING_MILLIS);
             history.add(d);
         }
     }
@@ -68,11 +70,19 @@
         return fleet.routers().get(f.index());
     }
 
-    private void router(Fault f) throws IOException, InterruptedException {
-        RouterHandle r = routerOf(f);
+    /** Returns the router that gave the latest order. */
+    private Optional<RouterHandle> leader() {
+        return history.ordered().stream()
+                .max(Comparator.comparingLong(Ordered::at))
+                .flatMap(o -> fleet.routers().stream()
+                        .filter(r -> r.name().equals(o.holder()))
+                        .findFirst());
+    }
+
+    private void router(Fault f, RouterHandle r) throws IOException, InterruptedException {
         noted(f, r.name(), () -> {
             switch (f.kind()) {
-                case ROUTER_KILLED -> {
+                case ROUTER_KILLED, LEADER_KILLED -> {
                     r.kill();
                     Thread.sleep(f.lasting());
                 }
@@ -107,6 +117,7 @@
                         switch (f.kind()) {
                             case STORE_BUSY -> FaultMode.BUSY;
                             case STORE_SILENT -> FaultMode.SILENT;
+                            case STORE_WRITES_LATE -> FaultMode.EXECUTING_LATE;
                             default -> FaultMode.DROPPING_REPLIES;
                         });
         Thread.sleep(f.lasting());
@@ -153,7 +164,7 @@
                     Thread.sleep(f.lasting());
                     r.freeze(false);
                 }
-                case REPLICA_LEAVES -> fleet.replace(r, f.lasting() + START_MILLIS);
+                case REPLICA_LEAVES -> fleet.replace(r, f.lasting() + Disturbed.SETTLING_MILLIS);
                 default -> link(r.link(), f);
             }
         });
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
@@ -42,6 +42,8 @@
             number("endless", "replicas at a time that send bytes without end instead of answers", 1);
     private final OptionSpec<Integer> resuming = number(
             "resuming", "callers that resume streams, while engines of two software versions are rolled; 0: none", 2);
+    private final OptionSpec<Integer> handovers =
+            number("handovers", "how often leaders of the rollout of weights end one after the other", 0);
     private final OptionSpec<String> json =
             parser.accepts("json", "file for the results, a JSON line a run").withRequiredArg();
 
@@ -102,7 +104,8 @@
                 options.valueOf(pausing),
                 options.valueOf(brittle) > 0,
                 options.valueOf(endless),
-                options.valueOf(resuming));
+                options.valueOf(resuming),
+                options.valueOf(handovers));
         Path directory = Files.createTempDirectory("hornbeam-soak-" + runSeed + "-");
         try {
             SoakReport report = new SoakRun(settings, directory).play();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -40,7 +40,8 @@
                 settings.routers(),
                 settings.replicas(),
                 settings.lostPaths(),
-                settings.pausing());
+                settings.pausing(),
+                settings.handovers());
         History history = new History();
         Stopwatch clock = new Stopwatch();
         ExecutorService threads = Executors.newCachedThreadPool();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakSettings.java
@@ -18,6 +18,7 @@
  * @param brittle whether the replicas of one service at a time are brittle
  * @param endless replicas at a time that send bytes without end instead of answers
  * @param resuming callers that leave streams and resume them, while engines of two software versions are rolled
+ * @param handovers how often leaders of the rollout of weights end one after the other
  */
 record SoakSettings(
         long seed,
@@ -32,7 +33,8 @@
         int pausing,
         boolean brittle,
         int endless,
-        int resuming) {
+        int resuming,
+        int handovers) {
     SoakSettings {
         if (seconds < 1 || routers < 1 || replicas < 6 || callers < 1) {
             throw new IllegalArgumentException("a run needs a second, a router, six replicas and a caller at least");
@@ -42,9 +44,9 @@
                     + announcing + " announce anything, " + pausing + " pause and " + endless
                     + " send without end");
         }
-        if (IntStream.of(crashing, lostPaths, resuming).anyMatch(n -> n < 0)) {
+        if (IntStream.of(crashing, lostPaths, resuming, handovers).anyMatch(n -> n < 0)) {
             throw new IllegalArgumentException("a run cannot have " + crashing + " requests that end replicas, "
-                    + lostPaths + " lost paths and " + resuming + " resuming callers");
+                    + lostPaths + " lost paths, " + resuming + " resuming callers and " + handovers + " handovers");
         }
     }
 }
--- a/soak/src/main/java/org/hornbeamhead/soak/fault/FaultKind.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultKind.java
@@ -4,6 +4,8 @@
 public enum FaultKind {
     /** A router is killed and started again. */
     ROUTER_KILLED(Target.ROUTER, false),
+    /** The router that gave the latest order is killed and started again. */
+    LEADER_KILLED(Target.LEADER, false),
     /** A router stands still and goes on. */
     ROUTER_FROZEN(Target.ROUTER, false),
     /** A router is told to stop, ends, and is started again. */
@@ -18,6 +20,8 @@
     STORE_SILENT(Target.STORE, false),
     /** The store does what it is told and does not answer. */
     STORE_LOSES_ANSWERS(Target.STORE, false),
+    /** The store executes writes seconds later and does not answer them. */
+    STORE_WRITES_LATE(Target.STORE_WRITES, false),
     /** One router's connections to the store are silent; new ones too. */
     STORE_LINK_SILENT(Target.STORE_LINK, false),
     /** One router's connections to the store are reset. */
@@ -55,10 +59,14 @@
     public enum Target {
         /** One router. */
         ROUTER,
+        /** The router that gave the latest order to an engine. */
+        LEADER,
         /** All routers. */
         ALL_ROUTERS,
         /** The platform's store. */
         STORE,
+        /** What routers write to the store. */
+        STORE_WRITES,
         /** The way of one router to the store. */
         STORE_LINK,
         /** The way of one router to all replicas. */
--- a/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.hornbeamhead.soak.fault.FaultKind.Target;
@@ -29,6 +31,14 @@
     private static final long PATH_MILLIS = 6_000;
 
     private static final int MAX_FROZEN_MILLIS = 2_000;
+    /** A series that ends one leader after the other lasts this long. */
+    private static final long HANDOVER_MILLIS = 11_000;
+
+    private static final int MAX_HANDOVER_START_MILLIS = 2_000;
+    private static final int MAX_HANDOVER_JITTER_MILLIS = 500;
+    /** Faults that are drawn by themselves. */
+    private static final Set<Target> DRAWN_APART =
+            EnumSet.of(Target.PATH, Target.FROZEN_REPLICA, Target.LEADER, Target.STORE_WRITES);
 
     /**
      * One fault.
@@ -54,13 +64,18 @@
      * @param replicas the replicas
      * @param lostPaths how often a router loses its path to all replicas, beside the other faults
      * @param pausing sound replicas at a time that stand still and go on, beside the other faults
+     * @param handovers how often leaders end one after the other, beside the other faults
      * @return the plan
      */
-    public static FaultPlan draw(long seed, long untilMillis, int routers, int replicas, int lostPaths, int pausing) {
+    public static FaultPlan draw(
+            long seed, long untilMillis, int routers, int replicas, int lostPaths, int pausing, int handovers) {
         List<Fault> faults = new ArrayList<>(drawOthers(seed, untilMillis, routers, replicas));
         faults.addAll(drawLostPaths(new Random(~seed), untilMillis, routers, lostPaths));
         IntStream.range(0, pausing)
                 .forEach(i -> faults.addAll(drawPauses(new Random(seed * 31 + i), untilMillis, replicas)));
+        IntStream.range(0, handovers)
+                .forEach(i -> faults.addAll(
+                        drawHandover(new Random(seed * 17 + i), i * HANDOVER_MILLIS, untilMillis, routers)));
         faults.sort(Comparator.comparingLong(Fault::at));
         return new FaultPlan(faults);
     }
@@ -90,13 +105,26 @@
         return pauses;
     }
 
+    /** Draws two leaders that end one after the other, and what another router may mistake the second end for. */
+    private static List<Fault> drawHandover(Random random, long fromMillis, long untilMillis, int routers) {
+        long start = QUIET_START_MILLIS + fromMillis + random.nextInt(MAX_HANDOVER_START_MILLIS);
+        return Handover.ALL.get(random.nextInt(Handover.ALL.size())).steps().stream()
+                .map(s -> new Fault(
+                        s.kind(),
+                        random.nextInt(routers),
+                        start + s.afterMillis() + random.nextInt(MAX_HANDOVER_JITTER_MILLIS),
+                        s.lastingMillis()))
+                .filter(f -> f.at() < untilMillis)
+                .toList();
+    }
+
     private static List<FaultKind> kinds(Predicate<FaultKind> condition) {
         return Arrays.stream(FaultKind.values()).filter(condition).toList();
     }
 
     private static List<Fault> drawOthers(long seed, long untilMillis, int routers, int replicas) {
         Random random = new Random(seed);
-        List<FaultKind> kinds = kinds(k -> k.target() != Target.PATH && k.target() != Target.FROZEN_REPLICA);
+        List<FaultKind> kinds = kinds(k -> !DRAWN_APART.contains(k.target()));
         List<Fault> faults = new ArrayList<>();
         long at = QUIET_START_MILLIS;
         while (at < untilMillis) {
@@ -116,7 +144,7 @@
                 switch (kind.target()) {
                     case ROUTER, STORE_LINK, PATH -> random.nextInt(routers);
                     case REPLICA, FROZEN_REPLICA -> random.nextInt(replicas);
-                    case ALL_ROUTERS, STORE, OPERATORS -> 0;
+                    case LEADER, ALL_ROUTERS, STORE, STORE_WRITES, OPERATORS -> 0;
                 };
         long lasting = MIN_LASTING_MILLIS + (long) random.nextInt(MAX_LASTING_MILLIS - MIN_LASTING_MILLIS);
         return new Fault(kind, index, at, kind.target() == Target.PATH ? lasting + PATH_MILLIS : lasting);
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -187,9 +187,11 @@
      * @param subject the router, the replica, or {@link #STORE}
      * @param planned whether it is planned work
      * @param from when it began
-     * @param to when it was over
+     * @param to when it was over, and what it struck had settled
      */
     public record Disturbed(String kind, String subject, boolean planned, long from, long to) {
+        /** How long something counts as disturbed after it goes on, in milliseconds. */
+        public static final long SETTLING_MILLIS = 2_000;
         /** The kind of the end of a replica's process, after which another one starts. */
         public static final String REPLICA_ENDED = "REPLICA_ENDED";
         /** The kind of a replica that sends bytes without end instead of answers. */
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/Promises.java
@@ -32,6 +32,7 @@
         checks.put("never back", StateChecks::neverBack);
         checks.put("leaving replicas", StateChecks::leavingReplicas);
         checks.put("one holder", StateChecks::oneHolder);
+        checks.put("pauses between leaders", LeaderChecks::pausesBetweenLeaders);
         checks.put("isolation", h -> StateChecks.isolation(h, isolated));
         checks.put("budget", LoadChecks::budget);
         checks.put("request limits", LimitChecks::requestLimits);
--- a/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
+++ b/soak/src/test/java/org/hornbeamhead/soak/promise/PromisesTest.java
@@ -170,6 +170,7 @@
                         answerHistories(),
                         silenceHistories(),
                         EndlessHistories.rows(),
+                        LeaderHistories.rows(),
                         resumeHistories(),
                         stateHistories(),
                         loadHistories(),
