Leader lease: names and comments after a second reading

The tests of vacancies named a step that set a version, waited and killed the leader at once, and set a version a second time only to kill its leader; they are two steps now. The class comment of the lease points to where the pause is counted from.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderElection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderElection.java
@@ -50,6 +50,11 @@
         return earliestOrderAt;
     }
 
+    /**
+     * Acquires the lease if it is needed, or records that it is free, when this router's turn has come.
+     *
+     * @param needed whether there are orders to send
+     */
     void tryAcquire(boolean needed) {
         LeaderLeaseView view = lease.view();
         if (view.record().isEmpty()) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderLease.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderLease.java
@@ -20,7 +20,8 @@
  * <p>The fencing token is the revision of the store at which the lease was acquired. It rises with each leader and
  * needs no counter of its own. A leader that releases the lease writes this to the store, together with the rest of the
  * pause since its last order; the next leader waits for that time. When the record vanished with its lease, the last
- * order may have been sent a moment ago, so the next leader waits for the whole pause, within one term.
+ * order may have been sent a moment ago, so the next leader waits for the whole pause. {@link LeaderLeaseView} tells
+ * from when it counts.
  *
  * <p>The remaining pause is long enough whatever the clocks show: the old leader subtracts the time that has passed on
  * its monotonic clock before it writes and sends no order from then on, and the new leader counts the rest on its own
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/LeaderVacancyTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/LeaderVacancyTest.java
@@ -51,20 +51,23 @@
         return router;
     }
 
-    /** Sets a target version, and kills the leader once all replicas serve it; its record vanishes with its lease. */
-    private void rollOutAndKill(long version, RolloutTestBed.Router leader, String name) {
+    private void rollOut(long version) {
         testBed.setTargetVersion(version);
         advanceUntilAllServe(version);
-        assertEquals(lastOrder().order().holder(), name);
         testBed.timers.advance(HEARTBEAT_MILLIS);
+    }
+
+    /** Kills the router that sent the last order. If it still holds the lease, its record vanishes with it. */
+    private void killLeader(RolloutTestBed.Router leader, String name) {
+        assertEquals(lastLeader(), name);
         leader.kill();
         testBed.timers.advance(LEASE_TTL_MILLIS);
         testBed.expireLeaseOf(name);
     }
 
-    private SentOrder lastOrder() {
+    private String lastLeader() {
         List<SentOrder> orders = testBed.replicas.sentOrders;
-        return orders.get(orders.size() - 1);
+        return orders.get(orders.size() - 1).order().holder();
     }
 
     private void advanceUntilAllServe(long version) {
@@ -126,11 +129,13 @@
         RolloutTestBed.Router first = start(2);
         RolloutTestBed.Router absent = testBed.startRouterWithMirror("b", 1);
         RolloutTestBed.Router second = testBed.startRouter("c", 0);
-        rollOutAndKill(2, first, "a");
+        rollOut(2);
+        killLeader(first, "a");
         testBed.timers.advance(2_300);
         absence.begin.accept(absent);
         absent.stopHearingStore();
-        rollOutAndKill(3, second, "c");
+        rollOut(3);
+        killLeader(second, "c");
         if (targetMillis < 0) {
             testBed.setTargetVersion(4);
         }
@@ -165,7 +170,7 @@
      * Guards against a call of one vacancy that the store executes in the next one, where its condition holds again.
      *
      * @param call the call that gets no answer and is executed after the end of the second leader
-     * @param killed whether the first leader is killed, or releases the lease
+     * @param killed whether the first leader is killed while it holds the lease, or after it has released it
      * @param atFirst whether the call is one of the first leader, or one after it
      */
     @Test(dataProvider = "lateCalls")
@@ -176,25 +181,18 @@
         if (atFirst) {
             testBed.store.loseNext(call);
         }
-        testBed.setTargetVersion(2);
-        advanceUntilAllServe(2);
+        rollOut(2);
         if (!killed) {
             testBed.timers.advance(2 * PAUSE_MILLIS);
         }
-        String firstLeader = lastOrder().order().holder();
-        first.kill();
-        testBed.timers.advance(LEASE_TTL_MILLIS);
-        testBed.expireLeaseOf("a");
-        assertEquals(firstLeader, "a");
+        killLeader(first, "a");
         if (!atFirst) {
             testBed.store.loseNext(call);
         }
         testBed.timers.advance(2 * PAUSE_MILLIS);
-        testBed.setTargetVersion(3);
-        advanceUntilAllServe(3);
+        rollOut(3);
         assertTrue(testBed.store.hasLostCall());
-        String secondLeader = lastOrder().order().holder();
-        rollOutAndKill(3, others.get(secondLeader), secondLeader);
+        killLeader(others.get(lastLeader()), lastLeader());
         testBed.store.executeLostCall();
         testBed.setTargetVersion(4);
         advanceUntilAllServe(4);
@@ -216,7 +214,8 @@
     public void orderIsSentAtOnceAfterPauseHasPassed(int routers, boolean markFreeIsLost) {
         RolloutTestBed.Router first = start(2);
         IntStream.range(1, routers + 1).forEach(rank -> testBed.startRouter("b" + rank, rank));
-        rollOutAndKill(2, first, "a");
+        rollOut(2);
+        killLeader(first, "a");
         if (markFreeIsLost) {
             testBed.store.loseNext(Call.MARK_FREE);
         }
