Logs: by which evidence a resumed stream's version was found, and how streams go on and end

The hypotheses of the incident could not be told apart: a lookup of a stream's software left only a counter, nothing showed whether a replica went on with the next event, and nothing that an answer ended with its connection.

A lookup now logs how many of the asked routers answered and how old the list was; the first event of a replica that goes on with a stream is counted as the next one, one beyond it, or one that the caller has; an answer without a length that ends with its connection is counted by what was found of its replica. No behaviour changes.

Tested: OriginExchangeTest, RouterStreamSoftwareTest, RouterStreamsTest.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -315,6 +315,7 @@
                 routers,
                 datagrams,
                 this::isListCurrent,
+                state::confirmedAt,
                 metrics));
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -152,6 +152,7 @@
         sentAt = now();
         exchange.dispatcher().replicaLimits().recordSend(replica);
         ForwardingOptions options = exchange.forwardingOptions(target);
+        streamBody.requested();
         request.logSent(options);
         silence.start(request.silenceTimeouts());
         request.modelVersion()
@@ -220,6 +221,7 @@
     }
 
     private Promise<Void> relay(byte[] bytes) {
+        boolean continued = streamBody.continuation().isPresent();
         byte[] newEvents;
         try {
             newEvents = streamBody.feed(bytes);
@@ -227,6 +229,10 @@
             closeAndEnd(AttemptOutcome.BROKEN, e.getMessage());
             return Promise.complete();
         }
+        if (!continued) {
+            streamBody.continuation().ifPresent(c -> exchange.log()
+                    .streamContinued(replica, c, exchange.progress().lastEventId()));
+        }
         if (newEvents.length == 0) {
             return Promise.complete();
         }
@@ -258,11 +264,17 @@
 
     @Override
     public void onEndOfConnection() {
-        if (ended || !head.ok() || replica.isLeaving()) {
+        if (ended || !head.ok()) {
+            onComplete();
+            return;
+        }
+        if (replica.isLeaving()) {
+            exchange.log().endedWithConnection(replica, "LEAVING");
             onComplete();
             return;
         }
         replica.connections().checkRunning().whenResult(check -> {
+            exchange.log().endedWithConnection(replica, check.name());
             if (check == Check.REFUSED) {
                 onFailure("the replica ended together with its answer");
             } else {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -1,7 +1,6 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import io.activej.reactor.schedule.ScheduledRunnable;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -392,9 +391,9 @@
     void beginResponse(ResponseHead head, LiveReplica replica) {
         if (!forwarding.hasResponseStarted()) {
             forwarding.responseStarted();
-            timings.recordFirst(elapsed().toMillis());
+            timings.recordFirst(dispatcher.clock().monotonicMillis() - arrivedAt);
             response.begin(head.status(), responseHeaders(head, replica));
-            log.responseBegan(elapsed());
+            log.responseBegan();
         }
     }
 
@@ -418,6 +417,10 @@
         timings.recordEvents(dispatcher.clock().monotonicMillis());
     }
 
+    ExchangeLog log() {
+        return log;
+    }
+
     RequestContent content() {
         return content;
     }
@@ -439,10 +442,6 @@
         shortage.requestEnded();
     }
 
-    private Duration elapsed() {
-        return Duration.ofMillis(dispatcher.clock().monotonicMillis() - arrivedAt);
-    }
-
     boolean hasResponseStarted() {
         return forwarding.hasResponseStarted();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
@@ -3,11 +3,13 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.NextStep;
 import org.hornbeamhead.core.forward.ServedOutcome;
 import org.hornbeamhead.daemon.Logs;
+import org.hornbeamhead.gateway.replica.LiveReplica;
 
 /** Logs and counts the attempts at one request and its end. */
 final class ExchangeLog {
@@ -99,13 +101,38 @@
         return dispatcher.clock().monotonicMillis();
     }
 
+    /** Logs and counts how a replica goes on with a stream that another one began. */
+    void streamContinued(LiveReplica replica, StreamBody.Continuation continuation, OptionalLong last) {
+        dispatcher.metrics().count("hornbeam_streams_continued", "with", continuation.name());
+        logger.atInfo()
+                .with(Logs.REQUEST, serviceRequest.callerRequest().id())
+                .with(Logs.REPLICA, replica.entry().id())
+                .with(Logs.DECISION, "stream continued " + continuation)
+                .with(
+                        Logs.INPUTS,
+                        "route=" + serviceRequest.route().name() + " last="
+                                + last.stream().mapToObj(Long::toString).collect(Collectors.joining()))
+                .log("another replica goes on with the stream");
+    }
+
+    /** Logs and counts an answer without a length whose connection the replica closed in order. */
+    void endedWithConnection(LiveReplica replica, String replicaState) {
+        dispatcher.metrics().count("hornbeam_answers_ended_with_connection", "replica", replicaState);
+        logger.atInfo()
+                .with(Logs.REQUEST, serviceRequest.callerRequest().id())
+                .with(Logs.REPLICA, replica.entry().id())
+                .with(Logs.DECISION, "answer ended with its connection")
+                .with(Logs.INPUTS, "replica=" + replicaState)
+                .log("the connection ended, and with it an answer without a length");
+    }
+
     /** Records when the response to the caller began. */
-    void responseBegan(Duration elapsed) {
+    void responseBegan() {
         dispatcher
                 .metrics()
                 .time(
                         "hornbeam_first_event",
-                        elapsed,
+                        elapsed(),
                         "route",
                         serviceRequest.route().name());
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
@@ -1,6 +1,8 @@
 package org.hornbeamhead.gateway.dispatch;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.hornbeamhead.core.stream.CorruptStreamException;
 import org.hornbeamhead.core.stream.EventSplitter;
 
@@ -17,12 +19,38 @@
     private final EventSplitter splitter = new EventSplitter();
     private final StreamProgress progress;
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private OptionalLong resumedAfter = OptionalLong.empty();
+    private Optional<Continuation> continuation = Optional.empty();
     private int unproductiveBytes;
 
+    /** How the first numbered event of a replica follows the last one that the caller has. */
+    enum Continuation {
+        /** It has the next number. */
+        NEXT,
+        /** It has a number beyond the next one. */
+        AHEAD,
+        /** The caller has an event with its number. */
+        REPEATED;
+
+        private static Continuation of(long number, long last) {
+            return number <= last ? REPEATED : number == last + 1 ? NEXT : AHEAD;
+        }
+    }
+
     StreamBody(StreamProgress progress) {
         this.progress = progress;
     }
 
+    /** Records after which event the replica was asked to go on, when it is asked. */
+    void requested() {
+        resumedAfter = progress.lastEventId();
+    }
+
+    /** Returns how the replica went on with the stream; empty before its first numbered event, or if it began it. */
+    Optional<Continuation> continuation() {
+        return continuation;
+    }
+
     /**
      * Consumes bytes of the body and records the new events among them.
      *
@@ -48,6 +76,9 @@
 
     /** Returns whether the event is new; those without a number are new as long as the stream has no numbers. */
     private boolean add(EventSplitter.Event event) {
+        if (continuation.isEmpty() && resumedAfter.isPresent() && event.id().isPresent()) {
+            continuation = Optional.of(Continuation.of(event.id().getAsLong(), resumedAfter.getAsLong()));
+        }
         if (!progress.advance(event.id())) {
             return false;
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/OriginExchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/OriginExchange.java
@@ -44,13 +44,28 @@
     private final StreamOrigins origins = new StreamOrigins();
     private final Map<StreamKey, Search> searches = new HashMap<>();
 
+    /**
+     * The result of a search.
+     *
+     * @param software the version that began the stream, empty if nobody who answered knows it
+     * @param asked how many routers were asked; 0 if this one knows the stream
+     * @param answered how many of them answered before the search ended
+     */
+    public record Result(Optional<SoftwareVersion> software, int asked, int answered) {}
+
     /** A search for the origin of one stream. */
     private static final class Search {
+        private final int asked;
         private final Set<String> unanswered;
-        private final List<Consumer<Optional<SoftwareVersion>>> listeners = new ArrayList<>();
+        private final List<Consumer<Result>> listeners = new ArrayList<>();
+
+        Search(List<String> routers) {
+            this.asked = routers.size();
+            this.unanswered = new HashSet<>(routers);
+        }
 
-        Search(List<String> asked) {
-            this.unanswered = new HashSet<>(asked);
+        private Result result(Optional<SoftwareVersion> software) {
+            return new Result(software, asked, asked - unanswered.size());
         }
     }
 
@@ -109,15 +124,14 @@
      * Finds the software that began a stream, here or at the routers that may know it.
      *
      * @param key the stream
-     * @param listener receives the version, empty if nobody who answers knows it; called before this method returns if
-     *     no other router is asked
+     * @param listener receives the result; called before this method returns if no other router is asked
      */
-    public void find(StreamKey key, Consumer<Optional<SoftwareVersion>> listener) {
+    public void find(StreamKey key, Consumer<Result> listener) {
         Optional<SoftwareVersion> known = origins.find(key, clock.monotonicMillis());
         List<String> asked = known.isPresent() ? List.of() : choose(key, ASKED);
         if (asked.isEmpty()) {
             known.ifPresent(software -> announce(List.of(new StreamOrigin(key, software))));
-            listener.accept(known);
+            listener.accept(new Result(known, 0, 0));
             return;
         }
         Search running = searches.get(key);
@@ -140,9 +154,10 @@
 
     private void end(StreamKey key, Search search, Optional<SoftwareVersion> software) {
         if (searches.remove(key, search)) {
+            Result result = search.result(software);
             search.unanswered.clear();
             software.ifPresent(s -> announce(List.of(new StreamOrigin(key, s))));
-            search.listeners.forEach(l -> l.accept(software));
+            search.listeners.forEach(l -> l.accept(result));
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/SoftwareTracking.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/SoftwareTracking.java
@@ -1,6 +1,7 @@
 package org.hornbeamhead.gateway.resume;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.resume.SoftwareHistory;
 import org.hornbeamhead.core.time.Clock;
@@ -29,6 +30,7 @@
      * @param routers the routers
      * @param datagrams the socket for datagrams between routers
      * @param listCurrent whether the lists of replicas and routers are current
+     * @param listConfirmedAt when they were last confirmed
      * @param metrics the metrics of the process
      */
     public record Dependencies(
@@ -41,6 +43,7 @@
             RouterList routers,
             PeerDatagrams datagrams,
             BooleanSupplier listCurrent,
+            LongSupplier listConfirmedAt,
             Metrics metrics) {}
 
     /**
@@ -66,8 +69,13 @@
                 dependencies.routers()::hintAddresses,
                 dependencies.datagrams()::send);
         dependencies.datagrams().addListener(exchange::receive);
-        directory =
-                new StreamOriginDirectory(clock, history, exchange, dependencies.listCurrent(), dependencies.metrics());
+        directory = new StreamOriginDirectory(
+                clock,
+                history,
+                exchange,
+                dependencies.listCurrent(),
+                dependencies.listConfirmedAt(),
+                dependencies.metrics());
         directory.follow(dependencies.registry());
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
@@ -1,16 +1,19 @@
 package org.hornbeamhead.gateway.resume;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.hornbeamhead.core.resume.SoftwareHistory;
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.resume.StreamKey;
 import org.hornbeamhead.core.resume.StreamOrigin;
 import org.hornbeamhead.core.time.Clock;
+import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
@@ -20,10 +23,13 @@
  * single version there is nothing to remember.
  */
 public final class StreamOriginDirectory {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final Clock clock;
     private final SoftwareHistory history;
     private final OriginExchange exchange;
     private final BooleanSupplier listCurrent;
+    private final LongSupplier listConfirmedAt;
     private final Metrics metrics;
     private final Map<StreamKey, RunningStream> unannounced = new LinkedHashMap<>();
 
@@ -45,6 +51,7 @@
      * @param history the software versions of replicas
      * @param exchange the memory of this router and others
      * @param listCurrent whether the list of replicas is current
+     * @param listConfirmedAt when it was last confirmed, for the log
      * @param metrics the metrics of the process
      */
     public StreamOriginDirectory(
@@ -52,11 +59,13 @@
             SoftwareHistory history,
             OriginExchange exchange,
             BooleanSupplier listCurrent,
+            LongSupplier listConfirmedAt,
             Metrics metrics) {
         this.clock = clock;
         this.history = history;
         this.exchange = exchange;
         this.listCurrent = listCurrent;
+        this.listConfirmedAt = listConfirmedAt;
         this.metrics = metrics;
     }
 
@@ -124,16 +133,28 @@
      * @param listener receives the version, empty if it is not known; called once, possibly before this method returns
      */
     public void find(Stream stream, Consumer<Optional<SoftwareVersion>> listener) {
+        Consumer<OriginExchange.Result> onResult = result -> listener.accept(orSole(stream, result));
         stream.key()
                 .ifPresentOrElse(
-                        key -> exchange.find(key, found -> listener.accept(orSole(stream, found))),
-                        () -> listener.accept(orSole(stream, Optional.empty())));
+                        key -> exchange.find(key, onResult),
+                        () -> onResult.accept(new OriginExchange.Result(Optional.empty(), 0, 0)));
     }
 
-    private Optional<SoftwareVersion> orSole(Stream stream, Optional<SoftwareVersion> remembered) {
+    private Optional<SoftwareVersion> orSole(Stream stream, OriginExchange.Result result) {
+        Optional<SoftwareVersion> remembered = result.software();
         Optional<SoftwareVersion> software = remembered.or(() -> soleVersion(stream.service(), stream.windowMillis()));
         String source = remembered.isPresent() ? "remembered" : software.isPresent() ? "sole version" : "unknown";
         metrics.count("hornbeam_stream_origins_looked_up", "source", source);
+        logger.atInfo()
+                .with(Logs.DECISION, "stream origin " + source)
+                .with(
+                        Logs.INPUTS,
+                        "service=" + stream.service()
+                                + " software="
+                                + software.map(SoftwareVersion::toString).orElse("unknown") + " asked=" + result.asked()
+                                + " answered=" + result.answered() + " listMillisOld="
+                                + (clock.monotonicMillis() - listConfirmedAt.getAsLong()))
+                .log("looked up which software began a stream");
         return software;
     }
 }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/resume/OriginExchangeTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/resume/OriginExchangeTest.java
@@ -74,7 +74,7 @@
 
     private Optional<SoftwareVersion> find(int router, int stream) {
         List<Optional<SoftwareVersion>> found = new ArrayList<>();
-        running.get(address(router)).find(key(stream), found::add);
+        running.get(address(router)).find(key(stream), r -> found.add(r.software()));
         timers.advance(AT_ONCE_MILLIS);
         assertEquals(found.size(), 1, "answered once and at once");
         return found.get(0);
@@ -139,7 +139,7 @@
         running.get(address(0)).announce(List.of(new StreamOrigin(key(1), V1)));
         List<Optional<SoftwareVersion>> found = new ArrayList<>();
         running.remove(address(0));
-        IntStream.range(0, 3).forEach(i -> running.get(address(6)).find(key(1), found::add));
+        IntStream.range(0, 3).forEach(i -> running.get(address(6)).find(key(1), r -> found.add(r.software())));
         timers.advance(AT_ONCE_MILLIS);
         assertEquals(found, List.of(Optional.of(V1), Optional.of(V1), Optional.of(V1)));
     }
