The only version of a list decides about a resumed stream only once the store confirms the list

What callers saw: while replicas of a new software version join, a stream that began on one of them goes on at a replica of the old version, at a router that has not heard of the new one.

Cause: where no router remembers a stream, the only version of the list counted as its origin for 2.6 s after the list's last confirmation. The stream may have begun after it, and a router that does not answer counts like one that does not know the stream. Class: what was seen last decides, and silence counts as no.

Fix: without memory, the router reads the store once more after the request: the latest revision, then the changes up to it, since a watch may be late. A replica that began the stream was listed before, so the list that includes it decides. If the store does not answer within 0.4 s, or is known to be away, the stream is refused as not run. Questions at the same time share their reads; all routers together read at most 1,000 times a second. Routers keep the origins of their own streams now, and tell others of those that run once their list is out of date, so that streams from before an outage can go on during it.

Why it works: an origin is listed in the store before any router can send to it, and the confirmation begins after the request that resumes the stream.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -315,12 +315,13 @@
                 routers,
                 datagrams,
                 this::isListCurrent,
+                storeView::confirm,
                 state::confirmedAt,
                 metrics));
     }
 
     private boolean isListCurrent() {
-        return state.isFresh(clock.monotonicMillis());
+        return state.isFresh(clock.monotonicMillis()) && !storeView.isDisconnected();
     }
 
     private Quarantine.Dependencies quarantineDependencies(Ports ports, Random random) {
@@ -413,7 +414,7 @@
         storeView.start();
         registration.start();
         fleetSizeRecorder.start();
-        softwareTracking.recorder().start();
+        softwareTracking.start();
         suspensionDetector.start();
         leaderTasks.start();
         daemon.onSignal(shutdown::start);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/OriginExchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/OriginExchange.java
@@ -87,6 +87,15 @@
         this.sender = sender;
     }
 
+    /**
+     * Keeps an origin here only.
+     *
+     * @param origin the origin
+     */
+    public void remember(StreamOrigin origin) {
+        origins.record(origin, clock.monotonicMillis());
+    }
+
     /**
      * Keeps origins here and at the routers that others will ask.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/SoftwareTracking.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/SoftwareTracking.java
@@ -15,6 +15,9 @@
 
 /** Creates and connects what follows the software versions of replicas and the streams that they began. */
 public final class SoftwareTracking {
+    private static final long CHECK_MILLIS = 200;
+
+    private final Timers timers;
     private final SoftwareVersionRecorder recorder;
     private final StreamOriginDirectory directory;
 
@@ -30,6 +33,7 @@
      * @param routers the routers
      * @param datagrams the socket for datagrams between routers
      * @param listCurrent whether the lists of replicas and routers are current
+     * @param listConfirmation confirms the list of replicas
      * @param listConfirmedAt when they were last confirmed
      * @param metrics the metrics of the process
      */
@@ -43,6 +47,7 @@
             RouterList routers,
             PeerDatagrams datagrams,
             BooleanSupplier listCurrent,
+            ListConfirmation listConfirmation,
             LongSupplier listConfirmedAt,
             Metrics metrics) {}
 
@@ -53,6 +58,7 @@
      */
     public SoftwareTracking(Dependencies dependencies) {
         Clock clock = dependencies.clock();
+        timers = dependencies.timers();
         SoftwareHistory history = new SoftwareHistory(clock.monotonicMillis());
         recorder = new SoftwareVersionRecorder(
                 clock,
@@ -74,13 +80,25 @@
                 history,
                 exchange,
                 dependencies.listCurrent(),
+                dependencies.listConfirmation(),
                 dependencies.listConfirmedAt(),
                 dependencies.metrics());
         directory.follow(dependencies.registry());
     }
 
+    /** Starts to record the versions, and to announce streams when the list is out of date. */
+    public void start() {
+        recorder.start();
+        checkList();
+    }
+
+    private void checkList() {
+        directory.checkList();
+        timers.schedule(CHECK_MILLIS, this::checkList);
+    }
+
     /**
-     * Returns the recorder of software versions, which is not started yet.
+     * Returns the recorder of software versions, which receives what the store has recorded.
      *
      * @return the recorder
      */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.hornbeamhead.core.resume.SoftwareHistory;
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.resume.StreamKey;
@@ -19,8 +20,8 @@
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
 
 /**
- * Tells which software began a stream. Routers remember it for one another while a service has several versions; with a
- * single version there is nothing to remember.
+ * Tells which software began a stream. Routers remember it for one another while a service has several versions, or
+ * their lists are out of date; otherwise the only version of the service tells.
  */
 public final class StreamOriginDirectory {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -29,6 +30,7 @@
     private final SoftwareHistory history;
     private final OriginExchange exchange;
     private final BooleanSupplier listCurrent;
+    private final ListConfirmation listConfirmation;
     private final LongSupplier listConfirmedAt;
     private final Metrics metrics;
     private final Map<StreamKey, RunningStream> unannounced = new LinkedHashMap<>();
@@ -51,6 +53,7 @@
      * @param history the software versions of replicas
      * @param exchange the memory of this router and others
      * @param listCurrent whether the list of replicas is current
+     * @param listConfirmation confirms the list of replicas
      * @param listConfirmedAt when it was last confirmed, for the log
      * @param metrics the metrics of the process
      */
@@ -59,12 +62,14 @@
             SoftwareHistory history,
             OriginExchange exchange,
             BooleanSupplier listCurrent,
+            ListConfirmation listConfirmation,
             LongSupplier listConfirmedAt,
             Metrics metrics) {
         this.clock = clock;
         this.history = history;
         this.exchange = exchange;
         this.listCurrent = listCurrent;
+        this.listConfirmation = listConfirmation;
         this.listConfirmedAt = listConfirmedAt;
         this.metrics = metrics;
     }
@@ -84,11 +89,24 @@
     private void replicaListed(LiveReplica replica) {
         String service = replica.entry().service();
         history.replicaListed(service, replica.software());
-        if (soleVersion(service, 0).isPresent()) {
-            return;
+        if (soleVersion(service, 0).isEmpty()) {
+            announce(s -> s.service().equals(service));
         }
+    }
+
+    /**
+     * Announces the running streams once the list is out of date. A second version may be listed meanwhile, and callers
+     * that resume a stream elsewhere could not be told which version began it.
+     */
+    public void checkList() {
+        if (!listCurrent.getAsBoolean()) {
+            announce(s -> true);
+        }
+    }
+
+    private void announce(Predicate<RunningStream> condition) {
         List<StreamOrigin> running = unannounced.values().stream()
-                .filter(s -> s.service().equals(service))
+                .filter(condition)
                 .map(RunningStream::origin)
                 .toList();
         running.forEach(o -> unannounced.remove(o.key()));
@@ -110,6 +128,7 @@
     public void streamBegan(Stream stream, SoftwareVersion software) {
         stream.key().map(key -> new StreamOrigin(key, software)).ifPresent(origin -> {
             if (soleVersion(stream.service(), stream.windowMillis()).isPresent()) {
+                exchange.remember(origin);
                 unannounced.put(origin.key(), new RunningStream(stream.service(), origin));
             } else {
                 exchange.announce(List.of(origin));
@@ -133,28 +152,36 @@
      * @param listener receives the version, empty if it is not known; called once, possibly before this method returns
      */
     public void find(Stream stream, Consumer<Optional<SoftwareVersion>> listener) {
-        Consumer<OriginExchange.Result> onResult = result -> listener.accept(orSole(stream, result));
+        OriginLookup lookup = new OriginLookup(
+                () -> history.soleVersion(stream.service(), stream.windowMillis(), clock.monotonicMillis()),
+                finding -> {
+                    record(stream, finding);
+                    listener.accept(finding.software());
+                });
         stream.key()
                 .ifPresentOrElse(
-                        key -> exchange.find(key, onResult),
-                        () -> onResult.accept(new OriginExchange.Result(Optional.empty(), 0, 0)));
+                        key -> exchange.find(key, lookup::searched),
+                        () -> lookup.searched(new OriginExchange.Result(Optional.empty(), 0, 0)));
+        if (!lookup.hasEnded()) {
+            listConfirmation.confirm(lookup::confirmed);
+        }
     }
 
-    private Optional<SoftwareVersion> orSole(Stream stream, OriginExchange.Result result) {
-        Optional<SoftwareVersion> remembered = result.software();
-        Optional<SoftwareVersion> software = remembered.or(() -> soleVersion(stream.service(), stream.windowMillis()));
-        String source = remembered.isPresent() ? "remembered" : software.isPresent() ? "sole version" : "unknown";
-        metrics.count("hornbeam_stream_origins_looked_up", "source", source);
+    private void record(Stream stream, OriginLookup.Finding finding) {
+        metrics.count(
+                "hornbeam_stream_origins_looked_up", "source", finding.source().name());
+        OriginExchange.Result search = finding.search();
         logger.atInfo()
-                .with(Logs.DECISION, "stream origin " + source)
+                .with(Logs.DECISION, "stream origin " + finding.source())
                 .with(
                         Logs.INPUTS,
                         "service=" + stream.service()
                                 + " software="
-                                + software.map(SoftwareVersion::toString).orElse("unknown") + " asked=" + result.asked()
-                                + " answered=" + result.answered() + " listMillisOld="
+                                + finding.software()
+                                        .map(SoftwareVersion::toString)
+                                        .orElse("unknown") + " asked=" + search.asked()
+                                + " answered=" + search.answered() + " listMillisOld="
                                 + (clock.monotonicMillis() - listConfirmedAt.getAsLong()))
                 .log("looked up which software began a stream");
-        return software;
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/PlatformStore.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/PlatformStore.java
@@ -29,6 +29,13 @@
      */
     Promise<StoreChanges> watch(long after, Duration wait);
 
+    /**
+     * Reads the revision of the latest change. Unlike a watch, it is never behind.
+     *
+     * @return the revision
+     */
+    Promise<Long> readRevision();
+
     /**
      * Writes a key.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreView.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreView.java
@@ -4,6 +4,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.hornbeamhead.core.mirror.StoreItem;
@@ -16,6 +17,7 @@
     private final StoreFollower follower;
     private final PeerMirrorPoller peerPoller;
     private final MirrorServer server;
+    private final StoreConfirmation confirmation;
 
     /**
      * The dependencies of a view.
@@ -87,6 +89,15 @@
                 p.suspensionDetector(),
                 follower::readsStore,
                 follower::relistMillis);
+        confirmation = new StoreConfirmation(new StoreConfirmation.Dependencies(
+                p.timers(),
+                p.clock(),
+                p.store(),
+                p.mirror(),
+                p.state(),
+                p.suspensionDetector(),
+                p.routers()::count,
+                follower::isDisconnected));
     }
 
     /** Starts to read the store. */
@@ -95,6 +106,15 @@
         peerPoller.start();
     }
 
+    /**
+     * Confirms that this view contains everything that the store has accepted up to now.
+     *
+     * @param listener receives whether it does; false if the store does not answer
+     */
+    public void confirm(Consumer<Boolean> listener) {
+        confirmation.confirm(listener);
+    }
+
     /**
      * Collects initial answers of other routers again, as after a start, because the publication times known to this
      * router are unreliable.
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/FakePlatformStore.java
@@ -84,6 +84,11 @@
         throw new UnsupportedOperationException();
     }
 
+    @Override
+    public Promise<Long> readRevision() {
+        throw new UnsupportedOperationException();
+    }
+
     boolean hasDelayedWrites() {
         return !delayedWrites.isEmpty();
     }
