A replica that resumes a stream elsewhere than after its last event does not relay into it

What callers saw: a stream that breaks off at one replica and goes on at another lacks an event, or holds the events of two runs, and ends as complete.

Cause: of the events after a resumption only those were dropped whose number the caller had already. A replica that goes on too far leaves a gap; one that ignores Last-Event-Id begins another run, of which the first events are dropped and the rest is joined to the run before.

Fix: a replica that goes on with a stream is checked at its first numbered events. If it repeats events, the last one must be, byte for byte, the one that the caller has: then it is the same run. If the numbers have risen by one each time so far (two steps at least), one beyond the next is a gap. Otherwise the attempt ends as broken, and the stream goes on at another replica or ends incomplete. Numbers that rise by more are as good as before: increasing numbers alone do not show a gap, nor does a stream that the caller resumes.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -228,10 +228,10 @@
         } catch (CorruptStreamException e) {
             closeAndEnd(AttemptOutcome.BROKEN, e.getMessage());
             return Promise.complete();
-        }
-        if (!continued) {
-            streamBody.continuation().ifPresent(c -> exchange.log()
-                    .streamContinued(replica, c, exchange.progress().lastEventId()));
+        } finally {
+            if (!continued) {
+                streamBody.continuation().ifPresent(c -> exchange.log().streamContinued(replica, c));
+            }
         }
         if (newEvents.length == 0) {
             return Promise.complete();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ExchangeLog.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.hornbeamhead.core.forward.AttemptOutcome;
 import org.hornbeamhead.core.forward.NextStep;
@@ -102,16 +101,13 @@
     }
 
     /** Logs and counts how a replica goes on with a stream that another one began. */
-    void streamContinued(LiveReplica replica, StreamBody.Continuation continuation, OptionalLong last) {
+    void streamContinued(LiveReplica replica, StreamBody.Continuation continuation) {
         dispatcher.metrics().count("hornbeam_streams_continued", "with", continuation.name());
         logger.atInfo()
                 .with(Logs.REQUEST, serviceRequest.callerRequest().id())
                 .with(Logs.REPLICA, replica.entry().id())
                 .with(Logs.DECISION, "stream continued " + continuation)
-                .with(
-                        Logs.INPUTS,
-                        "route=" + serviceRequest.route().name() + " last="
-                                + last.stream().mapToObj(Long::toString).collect(Collectors.joining()))
+                .with(Logs.INPUTS, "route=" + serviceRequest.route().name())
                 .log("another replica goes on with the stream");
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayHop.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayHop.java
@@ -92,6 +92,7 @@
         if (request.route().repeatable()) {
             restartSilenceTimer(firstAnswerMillis());
         }
+        streamBody.requested();
         acquired.send(request.message(this), request.method(), head -> true, this);
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
@@ -21,6 +21,7 @@
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private OptionalLong resumedAfter = OptionalLong.empty();
     private Optional<Continuation> continuation = Optional.empty();
+    private boolean repeatedLast;
     private int unproductiveBytes;
 
     /** How the first numbered event of a replica follows the last one that the caller has. */
@@ -75,11 +76,11 @@
     }
 
     /** Returns whether the event is new; those without a number are new as long as the stream has no numbers. */
-    private boolean add(EventSplitter.Event event) {
-        if (continuation.isEmpty() && resumedAfter.isPresent() && event.id().isPresent()) {
-            continuation = Optional.of(Continuation.of(event.id().getAsLong(), resumedAfter.getAsLong()));
+    private boolean add(EventSplitter.Event event) throws CorruptStreamException {
+        if (resumedAfter.isPresent() && event.id().isPresent()) {
+            checkContinuation(event, event.id().getAsLong(), resumedAfter.getAsLong());
         }
-        if (!progress.advance(event.id())) {
+        if (!progress.advance(event)) {
             return false;
         }
         pending.writeBytes(event.bytes());
@@ -87,6 +88,22 @@
                 || (event.hasFields() && progress.lastEventId().isEmpty());
     }
 
+    /**
+     * Checks that a replica goes on with the stream that another one began. A replica that ignores where it has to go
+     * on begins another run, unless it repeats the last event as the caller has it.
+     */
+    private void checkContinuation(EventSplitter.Event event, long id, long last) throws CorruptStreamException {
+        boolean first = continuation.isEmpty();
+        continuation = continuation.or(() -> Optional.of(Continuation.of(id, last)));
+        if (first && progress.leavesOut(id)) {
+            throw new CorruptStreamException("the replica goes on at event " + id + " after " + last);
+        }
+        repeatedLast |= progress.isLast(event);
+        if (continuation.get() == Continuation.REPEATED && id >= last && !repeatedLast) {
+            throw new CorruptStreamException("the replica began the stream anew instead of going on after " + last);
+        }
+    }
+
     /** Returns what follows the last event, once the stream is complete. */
     byte[] takePending() {
         byte[] bytes = pending.toByteArray();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamProgress.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamProgress.java
@@ -1,12 +1,21 @@
 package org.hornbeamhead.gateway.dispatch;
 
+import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.hornbeamhead.core.resume.SoftwareVersion;
+import org.hornbeamhead.core.stream.EventSplitter;
 
-/** The last event of a stream that was relayed to the caller, and the software that wrote the first one. */
+/** The events of a stream that were relayed to the caller, and the software that wrote the first one. */
 final class StreamProgress {
+    /** From as many steps on, numbers that rose by one each time are taken to go on so. */
+    private static final int MIN_STEPS = 2;
+
     private OptionalLong lastId;
+    private OptionalInt lastContent = OptionalInt.empty();
+    private int steps;
+    private boolean skipping;
     private Optional<SoftwareVersion> software;
 
     /**
@@ -42,13 +51,31 @@
     }
 
     /** Records an event and returns whether it is new. Events without an id always count as new. */
-    boolean advance(OptionalLong id) {
+    boolean advance(EventSplitter.Event event) {
+        OptionalLong id = event.id();
         if (id.isPresent() && lastId.isPresent() && id.getAsLong() <= lastId.getAsLong()) {
             return false;
         }
         if (id.isPresent()) {
+            lastId.ifPresent(last -> recordStep(id.getAsLong() - last));
             lastId = id;
+            lastContent = OptionalInt.of(Arrays.hashCode(event.bytes()));
         }
         return true;
     }
+
+    private void recordStep(long step) {
+        steps++;
+        skipping |= step > 1;
+    }
+
+    /** Returns whether an event is certainly the last one that was relayed. */
+    boolean isLast(EventSplitter.Event event) {
+        return lastId.equals(event.id()) && lastContent.equals(OptionalInt.of(Arrays.hashCode(event.bytes())));
+    }
+
+    /** Returns whether the events up to now show that one with this id cannot be the next one. */
+    boolean leavesOut(long id) {
+        return steps >= MIN_STEPS && !skipping && id > lastId.getAsLong() + 1;
+    }
 }
