A slow store confirms a list in time, and a router that it does not answer tells others of its streams

What callers saw: resumed streams are refused while the store takes a tenth of a second for an answer and more, though it answers.

Cause: a confirmation waited for the one under way, and read the revision and the changes one after the other, so that it took up to four answers of the store, and 0.4 s are allowed.

Evidence: StoreConfirmationTest.slowStoreConfirmsInTime, one question every 10 ms with a change before each: 14 of 300 refused at 100 ms an answer, 209 at 150 ms, 300 at 250 ms.

Fix: confirmations overlap (50 at a time at most), paced as before, and ask for the revision and the changes at once; only if the changes do not reach the revision are they asked for once more. Without several versions to tell apart the store is not asked. A router that gets no confirmation announces its running streams, since its list may be out of date and callers may resume them elsewhere.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.hornbeamhead.core.resume.SoftwareHistory;
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.resume.StreamKey;
@@ -152,19 +153,27 @@
      * @param listener receives the version, empty if it is not known; called once, possibly before this method returns
      */
     public void find(Stream stream, Consumer<Optional<SoftwareVersion>> listener) {
-        OriginLookup lookup = new OriginLookup(
-                () -> history.soleVersion(stream.service(), stream.windowMillis(), clock.monotonicMillis()),
-                finding -> {
-                    record(stream, finding);
-                    listener.accept(finding.software());
-                });
+        Supplier<Optional<SoftwareVersion>> listed =
+                () -> history.soleVersion(stream.service(), stream.windowMillis(), clock.monotonicMillis());
+        OriginLookup lookup = new OriginLookup(listed, finding -> {
+            record(stream, finding);
+            listener.accept(finding.software());
+        });
         stream.key()
                 .ifPresentOrElse(
                         key -> exchange.find(key, lookup::searched),
                         () -> lookup.searched(new OriginExchange.Result(Optional.empty(), 0, 0)));
-        if (!lookup.hasEnded()) {
-            listConfirmation.confirm(lookup::confirmed);
+        if (!lookup.hasEnded() && listed.get().isPresent()) {
+            listConfirmation.confirm(confirmed -> listConfirmed(lookup, confirmed));
+        }
+    }
+
+    /** Ends a lookup. A list that could not be confirmed may be out of date. */
+    private void listConfirmed(OriginLookup lookup, boolean confirmed) {
+        if (!confirmed) {
+            announce(s -> true);
         }
+        lookup.confirmed(confirmed);
     }
 
     private void record(Stream stream, OriginLookup.Finding finding) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreConfirmation.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/StoreConfirmation.java
@@ -7,7 +7,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
-import org.hornbeamhead.core.mirror.StoreChanges;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
@@ -20,7 +19,10 @@
  * Confirmations that are asked for at the same time share their reads.
  */
 public final class StoreConfirmation {
-    /** Keeps the reads of all routers together, two a confirmation, at a thousand a second. */
+    /** So many confirmations of one router may be under way while the store is slow. */
+    private static final int MAX_READS = 50;
+
+    /** Keeps the reads of all routers together, mostly two a confirmation, at a thousand a second. */
     private static final long INTERVAL_MILLIS_PER_ROUTER = 2;
     /** A slow store takes some hundred milliseconds for its answers; one that takes longer counts as away. */
     private static final long TIMEOUT_MILLIS = 400;
@@ -33,7 +35,8 @@
     private final RoutingState state;
     private List<Waiter> waiting = new ArrayList<>();
     private long lastReadMillis = Long.MIN_VALUE / 2;
-    private boolean readPending;
+    private boolean readScheduled;
+    private int readsInProgress;
 
     /** One confirmation that was asked for, which ends once. */
     private static final class Waiter {
@@ -104,13 +107,13 @@
     }
 
     private void readLater() {
-        if (readPending || waiting.isEmpty()) {
+        if (readScheduled || readsInProgress == MAX_READS || waiting.isEmpty()) {
             return;
         }
-        readPending = true;
         long due = lastReadMillis + dependencies.routerCount().getAsInt() * INTERVAL_MILLIS_PER_ROUTER;
         long delay = due - clock.monotonicMillis();
         if (delay > 0) {
+            readScheduled = true;
             dependencies.timers().schedule(delay, this::read);
         } else {
             read();
@@ -118,35 +121,40 @@
     }
 
     private void read() {
+        readScheduled = false;
         List<Waiter> confirmed = waiting;
         waiting = new ArrayList<>();
         long sent = clock.monotonicMillis();
         lastReadMillis = sent;
+        readsInProgress++;
         catchUp(sent).subscribe((complete, e) -> {
-            readPending = false;
+            readsInProgress--;
             confirmed.forEach(w -> w.end(e == null && complete));
             readLater();
         });
     }
 
     /**
-     * Reads the changes that the mirror lacks. A watch may be late with changes although it answers, so what it has to
-     * reach is read first.
+     * Reads the changes that the mirror lacks, and up to which revision they have to reach: a watch may be late with
+     * changes although it answers.
      */
     private Promise<Boolean> catchUp(long sentMillis) {
-        return dependencies
-                .store()
-                .readRevision()
-                .then(revision -> mirror.revision() >= revision
-                        ? Promise.of(true)
-                        : dependencies.store().watch(mirror.revision(), WAIT).map(changes -> apply(changes, revision)))
+        Promise<Long> latest = dependencies.store().readRevision();
+        return watch().combine(
+                        latest,
+                        (reached, revision) ->
+                                reached >= revision ? Promise.of(true) : watch().map(later -> later >= revision))
+                .then(complete -> complete)
                 .map(complete -> complete && markConfirmed(sentMillis));
     }
 
-    private boolean apply(StoreChanges changes, long revision) {
-        dependencies.suspensionDetector().check();
-        mirror.apply(changes);
-        return changes.revision() >= revision;
+    /** Applies the changes that the mirror lacks, and returns the revision that it has reached. */
+    private Promise<Long> watch() {
+        return dependencies.store().watch(mirror.revision(), WAIT).map(changes -> {
+            dependencies.suspensionDetector().check();
+            mirror.apply(changes);
+            return mirror.revision();
+        });
     }
 
     private boolean markConfirmed(long sentMillis) {
