A router that stops refuses requests that must not be cut and may outlast it

What callers saw, in a planned stop of one router in calm: requests that came late in the grace period were taken and passed on, and cut at its end, among them some that may not be repeated.

Cause: requests were accepted for 2.7 s after the signal whatever their time limit, while 4.9 s remain after that until the process ends. A request whose limit is longer may still run then.

Evidence, on the code before: GracePeriodTest, a real process, calm, five kinds of requests at each tenth of a second of the grace period: 38 requests that may not be repeated (limit 12 s, work 7.5 and 8 s) were taken and cut.

Fix: from the signal on, a request that may not be repeated is refused at once as not run if its time limit is later than the end of the process; one that another router handed over is declined. Requests that may be repeated or resumed are taken for 2.7 s as before: the caller loses the time, not the request. At the end of the process a request of which nothing was sent to a replica is answered 503 instead of 502, since it has not run.

Why it works: an accepted request ends by its own limit before the process does.

--- a/core/src/main/java/org/hornbeamhead/core/forward/ForwardingState.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/ForwardingState.java
@@ -209,6 +209,17 @@
         return sent || possibleExecutions > 0 ? FinalResponse.TIMED_OUT : FinalResponse.NOT_RUN;
     }
 
+    /**
+     * Returns the response to the caller when the process of this router ends.
+     *
+     * @param sent whether an attempt is in progress at a replica
+     * @return the final response
+     */
+    public FinalResponse responseAtEndOfProcess(boolean sent) {
+        FinalResponse response = responseAtDeadline(sent);
+        return response == FinalResponse.TIMED_OUT ? FinalResponse.OUTCOME_UNKNOWN : response;
+    }
+
     /**
      * Returns how many attempts may have been executed.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -173,8 +173,7 @@
         dispatcher.setLoadHints(loadHints);
         callerServer = new CallerServer(
                 reactor, clock, this::handle, this::callerLimits, ports.headerCodec()::requestId, metrics);
-        shutdown = new Shutdown(
-                daemon, callerServer, registration, leaderTasks, dispatcher::stopDeferring, settings.grace());
+        shutdown = new Shutdown(daemon, callerServer, registration, leaderTasks, dispatcher::stop, settings.grace());
         explainEndpoint = new ExplainEndpoint(query -> dispatcher.explain(query, shutdown.rejectsNewRequests()));
         mirror.addListener(new StoreChanges(storeChangesDependencies())::apply);
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/Shutdown.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.function.LongConsumer;
 import org.hornbeamhead.daemon.Daemon;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.gateway.caller.CallerServer;
@@ -24,8 +25,8 @@
     /** Three times the second for which address responses may be kept, plus the time of their delivery. */
     private static final long MIN_LISTEN_MILLIS = 3_500;
     /**
-     * New requests are rejected after this time. The last address responses have expired by then, and requests that
-     * begin later may not finish within the grace period.
+     * New requests are rejected after this time, by which the last address responses have expired. Before it, those are
+     * rejected that must not be cut and whose time limit is later than the end of the process.
      */
     private static final long ACCEPT_MILLIS = 2_700;
     /** How long before the end of the grace period the process ends, whether or not requests are still in progress. */
@@ -44,7 +45,7 @@
     private final CallerServer callerServer;
     private final RouterRegistration registration;
     private final LeaderTasks leaderTasks;
-    private final Runnable refuseWaiting;
+    private final LongConsumer stopAccepting;
     private final long graceMillis;
     private long startedAt = -1;
 
@@ -53,13 +54,13 @@
             CallerServer callerServer,
             RouterRegistration registration,
             LeaderTasks leaderTasks,
-            Runnable refuseWaiting,
+            LongConsumer stopAccepting,
             Duration grace) {
         this.daemon = daemon;
         this.callerServer = callerServer;
         this.registration = registration;
         this.leaderTasks = leaderTasks;
-        this.refuseWaiting = refuseWaiting;
+        this.stopAccepting = stopAccepting;
         this.graceMillis = grace.toMillis();
     }
 
@@ -85,7 +86,7 @@
         startedAt = daemon.clock().monotonicMillis();
         logger.atInfo().with(Logs.DECISION, "stopping").log("shutdown started, requests in progress are finished");
         callerServer.drain();
-        refuseWaiting.run();
+        stopAccepting.accept(startedAt + graceMillis - EXIT_MARGIN_MILLIS);
         registration.deregister();
         leaderTasks.stop(
                 Math.max(0, Math.min(MIN_LISTEN_MILLIS, graceMillis - EXIT_MARGIN_MILLIS) - HANDOVER_MARGIN_MILLIS));
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerResponse.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerResponse.java
@@ -44,4 +44,12 @@
      * @param action the action, called at most once
      */
     void onDisconnect(Runnable action);
+
+    /**
+     * Registers what ends the response if the process ends before it is complete. Without it the caller is told that
+     * the request may have run.
+     *
+     * @param action the action, called at most once
+     */
+    void onProcessEnd(Runnable action);
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -79,7 +79,7 @@
      * @throws IOException if the address cannot be bound
      */
     public void listen(InetSocketAddress address) throws IOException {
-        listen(address, s -> accept(s, handler, limits, response -> response.fail("the router is about to end")));
+        listen(address, s -> accept(s, handler, limits, ResponseWriter::endWithProcess));
         stallDetector.start();
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/ResponseWriter.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/ResponseWriter.java
@@ -27,6 +27,7 @@
     private final boolean omitBody;
     private final CompletionListener listener;
     private Runnable onDisconnect = () -> {};
+    private Runnable onProcessEnd = () -> fail("the router is about to end");
     private boolean keepAlive;
     private boolean begun;
     private boolean failed;
@@ -107,6 +108,16 @@
         onDisconnect = action;
     }
 
+    @Override
+    public void onProcessEnd(Runnable action) {
+        onProcessEnd = action;
+    }
+
+    /** Ends the response since the process is about to end. */
+    void endWithProcess() {
+        onProcessEnd.run();
+    }
+
     void callerDisconnected() {
         if (!finished) {
             finished = true;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -159,7 +159,7 @@
                 .ifPresent(v -> timers.setWeightsWatch(
                         exchange.dispatcher().weightsExpiry().watch(v, this::cancelExpired)));
         acquired.send(request.message(options), request.method(), request::matchesResponse, this);
-        if (exchange.isStreaming()) {
+        if (exchange.serviceRequest().isStreaming()) {
             exchange.attempts().limitOverlap();
         }
     }
@@ -189,7 +189,7 @@
     }
 
     private void beginBody(ResponseHead received) {
-        streaming = exchange.isStreaming() && received.ok();
+        streaming = exchange.serviceRequest().isStreaming() && received.ok();
         if (!streaming) {
             buffered = new BufferedResponse(
                     received.status(),
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/AttemptRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/AttemptRequest.java
@@ -109,7 +109,7 @@
     SilenceTimeouts silenceTimeouts() {
         return new SilenceTimeouts(
                 exchange.serviceRequest().route().limits(),
-                exchange.isStreaming(),
+                exchange.serviceRequest().isStreaming(),
                 exchange.canRetry(),
                 target.predictedMillis());
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -8,7 +8,6 @@
 import org.hornbeamhead.core.engine.EngineChoice;
 import org.hornbeamhead.core.engine.LoadHint;
 import org.hornbeamhead.core.entry.ActiveRouters;
-import org.hornbeamhead.core.forward.ForwardingState;
 import org.hornbeamhead.core.forward.RefusalReason;
 import org.hornbeamhead.core.http.Headers;
 import org.hornbeamhead.core.http.WholeRequest;
@@ -83,6 +82,7 @@
     private final StreamResumptions resumptions;
     private final InFlightRequests inFlight = new InFlightRequests();
     private final DeferredRequests deferred;
+    private final StopAdmission stopAdmission;
     private LoadHints loadHints;
     private final RetryBudgets retryBudgets;
     private final OwnAnswers answers;
@@ -157,6 +157,7 @@
         this.routers = dependencies.routers();
         this.retryBudgets = new RetryBudgets(clock, dependencies.budgetLimits(), routers, dependencies.priorTraffic());
         this.answers = new OwnAnswers(clock, state, metrics, dependencies.random());
+        this.stopAdmission = new StopAdmission(answers);
         this.quarantine = dependencies.quarantine();
         this.quotas = dependencies.quotas();
         this.replicaLimits = dependencies.replicaLimits();
@@ -257,7 +258,12 @@
             answers.respond(request, response, BAD_REQUEST, "the request names no id", Headers.NONE);
             return;
         }
-        forward(new RoutedRequest(config, route.get(), owner, request, arrivedAt, origin), response);
+        RoutedRequest routed = new RoutedRequest(config, route.get(), owner, request, arrivedAt, origin);
+        if (stopAdmission.mayCut(routed)) {
+            stopAdmission.leave(routed, response);
+        } else {
+            forward(routed, response);
+        }
     }
 
     /**
@@ -268,12 +274,7 @@
      * @param reason the reason, sent to the caller
      */
     public void rejectForOtherRouter(WholeRequest message, CallerResponse response, String reason) {
-        answers.rejectNotExecuted(
-                headerCodec.decodeRequest(message),
-                response,
-                Refusal.beforeRouting(RefusalReason.STOPPING),
-                reason,
-                OTHER_ROUTER_RETRY_MILLIS);
+        stopAdmission.reject(headerCodec.decodeRequest(message), response, reason);
     }
 
     private void forward(RoutedRequest routed, CallerResponse response) {
@@ -340,17 +341,7 @@
         if (!relayRouters.isAvailable(service, Set.of())) {
             return false;
         }
-        StreamProgress progress = new StreamProgress(routed.callerRequest().lastEventId(), Optional.empty());
-        new RelayedRequest(
-                        this,
-                        routed,
-                        service,
-                        response,
-                        new ForwardingState(routed.route()),
-                        progress,
-                        new StreamTimings(),
-                        RelayedRequest.SilentAttempt.NONE)
-                .start();
+        RelayedRequest.ofUnsent(this, routed, service, response).start();
         return true;
     }
 
@@ -405,8 +396,14 @@
         deferred.retry();
     }
 
-    /** Refuses the deferred requests, which have not run, since the router stops. */
-    public void stopDeferring() {
+    /**
+     * Refuses the deferred requests, which have not run, and from now on those that must not be cut and may last longer
+     * than the process.
+     *
+     * @param processEndMillis when the process ends at the latest, on the monotonic clock
+     */
+    public void stop(long processEndMillis) {
+        stopAdmission.stop(processEndMillis);
         deferred.stop();
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -15,7 +15,6 @@
 import org.hornbeamhead.core.http.ResponseHead;
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.route.KeyOwner;
-import org.hornbeamhead.core.route.RequestKind;
 import org.hornbeamhead.gateway.caller.CallerResponse;
 import org.hornbeamhead.gateway.path.RelayHeaders;
 import org.hornbeamhead.gateway.replica.LiveReplica;
@@ -103,6 +102,7 @@
 
     private void watchCallerAndDeadline() {
         response.onDisconnect(this::callerDisconnected);
+        response.onProcessEnd(this::processEnds);
         deadlineTimer = dispatcher.reactor().delayBackground(Math.max(0, timeLeftMillis()), this::deadlineExpired);
     }
 
@@ -356,13 +356,23 @@
     }
 
     private void deadlineExpired() {
-        if (finished) {
-            return;
-        }
-        FinalResponse finalAnswer = forwarding.responseAtDeadline(attempts.anySent());
         RefusalReason refusal = shortage.isWaiting() ? RefusalReason.DEFERRED : RefusalReason.DEADLINE;
-        stopAttempts();
-        sendFinalAnswer(finalAnswer, refusal, "its time is over", Optional.empty(), RETRY_AFTER_MILLIS);
+        end(forwarding.responseAtDeadline(attempts.anySent()), refusal, "its time is over", RETRY_AFTER_MILLIS);
+    }
+
+    private void processEnds() {
+        end(
+                forwarding.responseAtEndOfProcess(attempts.anySent()),
+                RefusalReason.STOPPING,
+                "the router is about to end",
+                Dispatcher.OTHER_ROUTER_RETRY_MILLIS);
+    }
+
+    private void end(FinalResponse finalAnswer, RefusalReason refusal, String reason, long retryAfterMillis) {
+        if (!finished) {
+            stopAttempts();
+            sendFinalAnswer(finalAnswer, refusal, reason, Optional.empty(), retryAfterMillis);
+        }
     }
 
     private void callerDisconnected() {
@@ -446,14 +456,6 @@
         return forwarding.hasResponseStarted();
     }
 
-    boolean isFinished() {
-        return finished;
-    }
-
-    boolean isStreaming() {
-        return serviceRequest.route().kind() == RequestKind.STREAM;
-    }
-
     ServiceRequest serviceRequest() {
         return serviceRequest;
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -121,8 +121,23 @@
                         RelayHop::cancel));
     }
 
+    /** Creates the relay of a request of which this router has sent nothing. */
+    static RelayedRequest ofUnsent(
+            Dispatcher dispatcher, RoutedRequest routed, String service, CallerResponse response) {
+        return new RelayedRequest(
+                dispatcher,
+                routed,
+                service,
+                response,
+                new ForwardingState(routed.route()),
+                new StreamProgress(routed.callerRequest().lastEventId(), Optional.empty()),
+                new StreamTimings(),
+                SilentAttempt.NONE);
+    }
+
     void start() {
         response.onDisconnect(this::callerDisconnected);
+        response.onProcessEnd(this::processEnds);
         deadlineTimer = dispatcher
                 .reactor()
                 .delayBackground(Math.max(0, timeLeftMillis()) + DEADLINE_MARGIN_MILLIS, this::deadlineExpired);
@@ -362,6 +377,13 @@
         }
     }
 
+    private void processEnds() {
+        if (!finished) {
+            FinalResponse answer = forwarding.responseAtEndOfProcess(hops.anySent());
+            sendOwnAnswer(answer, RefusalReason.STOPPING, "the router is about to end");
+        }
+    }
+
     private void callerDisconnected() {
         if (!finished) {
             finish("CALLER_GONE", Optional.of(ServedOutcome.CALLER_GONE));
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ServiceRequest.java
@@ -4,6 +4,7 @@
 import java.util.OptionalInt;
 import org.hornbeamhead.core.route.EnginePriority;
 import org.hornbeamhead.core.route.KeyOwner;
+import org.hornbeamhead.core.route.RequestKind;
 import org.hornbeamhead.core.route.Route;
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.route.ServiceLevels;
@@ -64,4 +65,9 @@
     void giveBackQuota(QuotaGate quotas) {
         quotas.giveBack(routed.quotaOwner(), callerRequest().tokenCount());
     }
+
+    /** Returns whether the response is a stream of events. */
+    boolean isStreaming() {
+        return route().kind() == RequestKind.STREAM;
+    }
 }
