Streams whose lines end with a lone CR are split into events

What callers saw: nothing of a stream whose events end with CR CR. The standard of server-sent events lets a line end with LF, CR LF or CR; only LF ended one here, so that the stream stalled until 64 KiB and then broke off, and events with several kinds of line ends were taken for one.

Evidence, on the code before: EventSplitterTest red in 9 of its 24 rows (all with a lone CR, cut at each byte, in single bytes and at the last byte).

Fix: each CR ends a line, and an LF after it belongs to it. After a blank line an LF is awaited unless lone CRs have ended lines before, since the event would else be late by one.

Measured: EventSplitterTest green, 24 rows.

--- a/core/src/main/java/org/hornbeamhead/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/hornbeamhead/core/stream/EventSplitter.java
@@ -11,7 +11,7 @@
  *
  * <p>A replica can break off in the middle of an event and another replica can continue with the next one. Without this
  * filter, the caller would read two halves of different events as one. Only events terminated by a blank line are
- * returned.
+ * returned. A line ends with LF, CR LF or a lone CR.
  */
 public final class EventSplitter {
     /** Hundreds of times the length of a sound event, and small against the heap even if many streams hold one. */
@@ -22,6 +22,8 @@
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
     private int lineLength;
     private byte previous;
+    private boolean blankLine;
+    private boolean loneCarriageReturns;
 
     /** A complete event. */
     public static final class Event {
@@ -32,7 +34,8 @@
         }
 
         /**
-         * Returns the unmodified event, including its terminating blank line.
+         * Returns the unmodified event, including its terminating blank line. Where lone CRs end lines and an LF
+         * follows the last one, the LF is left out.
          *
          * @return the bytes; not copied
          */
@@ -71,29 +74,56 @@
     public List<Event> feed(byte[] bytes) throws CorruptStreamException {
         List<Event> events = new ArrayList<>();
         for (byte b : bytes) {
-            append(b);
-            if (b == '\n') {
-                endLine(events);
+            if (previous == '\r') {
+                afterCarriageReturn(b, events);
+            } else {
+                accept(b, events);
             }
             previous = b;
         }
         return events;
     }
 
+    /** Consumes a byte after CR. An LF there belongs to the line end, and is dropped if the event was returned. */
+    private void afterCarriageReturn(byte b, List<Event> events) throws CorruptStreamException {
+        loneCarriageReturns = b != '\n';
+        if (loneCarriageReturns) {
+            endEvent(events);
+            accept(b, events);
+        } else if (buffer.size() > 0) {
+            append(b);
+            endEvent(events);
+        }
+    }
+
+    private void accept(byte b, List<Event> events) throws CorruptStreamException {
+        append(b);
+        if (b != '\r' && b != '\n') {
+            lineLength++;
+            blankLine = false;
+            return;
+        }
+        blankLine = lineLength == 0;
+        lineLength = 0;
+        // An LF may follow a CR. It is not awaited where lines end with CR alone: an event would be late by one.
+        if (b == '\n' || loneCarriageReturns) {
+            endEvent(events);
+        }
+    }
+
     private void append(byte b) throws CorruptStreamException {
         if (buffer.size() >= MAX_EVENT_BYTES) {
             throw new CorruptStreamException("an event of the stream is longer than " + MAX_EVENT_BYTES + " bytes");
         }
         buffer.write(b);
-        lineLength++;
     }
 
-    private void endLine(List<Event> events) {
-        boolean blank = lineLength == 1 || (lineLength == 2 && previous == '\r');
-        lineLength = 0;
-        if (blank) {
+    /** Ends the event if its last line is blank. */
+    private void endEvent(List<Event> events) {
+        if (blankLine) {
             events.add(new Event(buffer.toByteArray()));
             buffer.reset();
+            blankLine = false;
         }
     }
 
--- a/core/src/test/java/org/hornbeamhead/core/stream/EventSplitterTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/stream/EventSplitterTest.java
@@ -19,9 +19,31 @@
             {"id: 1\r\ndata: a\r\n\r\nid: 7\r\ndata: b\r\n\r\n", List.of(1L, 7L)},
             {"data: a\n\n", List.of(-1L)},
             {"x-versions: 3\nid: 4\ndata: a\n\n", List.of(4L)},
+            {"id: 1\rdata: a\r\rid: 2\rdata: b\r\r", List.of(1L, 2L)},
+            {"data: a\r\rdata: b\r\r", List.of(-1L, -1L)},
+            {"id: 1\rdata: a\r\rid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n", List.of(1L, 2L, 3L)},
+            {"id: 1\ndata: a\r\n\r\nid: 2\r\ndata: b\n\n", List.of(1L, 2L)},
+            {": a comment\r\r\r", List.of(-1L, -1L)},
+            {"\r\n\r\nid: 1\r\n\r\n", List.of(-1L, -1L, 1L)},
+            {"id: 1\n: a comment\ndata: a\ndata: b\n\n", List.of(1L)},
         };
     }
 
+    private static EventSplitter.Event only(String text) throws CorruptStreamException {
+        List<EventSplitter.Event> events = new EventSplitter().feed(text.getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals(events.size(), 1);
+        return events.get(0);
+    }
+
+    /** Guards against holding back a complete event until the next one begins. */
+    @Test
+    public void returnsAnEventWithItsLastByte() throws CorruptStreamException {
+        assertEquals(only("id: 1\rdata: a\r\r").id().orElse(-1), 1);
+        assertEquals(only("id: 1\r\ndata: a\r\n\r\n").id().orElse(-1), 1);
+        assertEquals(only("id: 1\ndata: a\n\n").id().orElse(-1), 1);
+    }
+
+    /** Guards against a stream that stalls, or is cut within an event, since the end of a line is not seen. */
     @Test(dataProvider = "streams")
     public void returnsEventsUnchangedSplitAtAnyByte(String text, List<Long> ids) throws CorruptStreamException {
         byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
@@ -37,6 +59,17 @@
         }
     }
 
+    /** Guards against events that depend on how the network cut them. */
+    @Test(dataProvider = "streams")
+    public void returnsEventsUnchangedFromSingleBytes(String text, List<Long> ids) throws CorruptStreamException {
+        EventSplitter splitter = new EventSplitter();
+        List<EventSplitter.Event> events = new ArrayList<>();
+        for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
+            events.addAll(splitter.feed(new byte[] {b}));
+        }
+        assertEquals(events.stream().map(e -> e.id().orElse(-1)).toList(), ids);
+    }
+
     /**
      * A replica crashes in the middle of an event. The partial event must be withheld, since another replica resends
      * it.
