The number of an event is that of its last id, and a byte order mark is left out

What callers saw: a stream that goes on after another event than its caller has. The standard of server-sent events lets the last id field of an event count, also an empty one or one without a colon, and ignores an id that contains NUL. Of two fields the first counted here, and an id that ends or begins with NUL was taken for a number. The first event after a byte order mark had no number, and a mark that another replica sends where a stream goes on came to stand within the caller's stream, where it hides the event's first field.

Fix: the last id field without NUL decides; an id that is no number, is negative or longer than 18 digits counts as none, as before. The mark is taken off the first event of each body.

--- a/core/src/main/java/org/hornbeamhead/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/hornbeamhead/core/stream/EventSplitter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 
@@ -18,12 +19,14 @@
     private static final int MAX_EVENT_BYTES = 1 << 16;
 
     private static final int MAX_ID_DIGITS = 18;
+    private static final byte[] BYTE_ORDER_MARK = {(byte) 0xEF, (byte) 0xBB, (byte) 0xBF};
 
     private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
     private int lineLength;
     private byte previous;
     private boolean blankLine;
     private boolean loneCarriageReturns;
+    private boolean begun;
 
     /** A complete event. */
     public static final class Event {
@@ -44,7 +47,7 @@
         }
 
         /**
-         * Returns the event's number from its {@code id} field.
+         * Returns the event's number from its last {@code id} field.
          *
          * @return the number, empty when it has none
          */
@@ -121,12 +124,20 @@
     /** Ends the event if its last line is blank. */
     private void endEvent(List<Event> events) {
         if (blankLine) {
-            events.add(new Event(buffer.toByteArray()));
+            events.add(new Event(begun ? buffer.toByteArray() : withoutMark(buffer.toByteArray())));
+            begun = true;
             buffer.reset();
             blankLine = false;
         }
     }
 
+    /** Leaves out the mark that may begin a stream: where another replica goes on, it would be part of an event. */
+    private static byte[] withoutMark(byte[] event) {
+        int length = BYTE_ORDER_MARK.length;
+        boolean marked = event.length >= length && Arrays.equals(event, 0, length, BYTE_ORDER_MARK, 0, length);
+        return marked ? Arrays.copyOfRange(event, length, event.length) : event;
+    }
+
     /**
      * Returns whether an incomplete event is buffered.
      *
@@ -136,14 +147,17 @@
         return buffer.size() > 0;
     }
 
+    /** Reads the last id field. One that contains NUL is ignored, and an id that is no number counts as none. */
     private static OptionalLong idOf(byte[] event) {
         return new String(event, StandardCharsets.ISO_8859_1)
                 .lines()
-                .filter(l -> l.startsWith("id:"))
-                .map(l -> l.substring(3).trim())
+                .filter(l -> l.equals("id") || l.startsWith("id:"))
+                .filter(l -> l.indexOf('\0') < 0)
+                .reduce((earlier, last) -> last)
+                .map(l -> l.substring(Math.min(3, l.length())).trim())
                 .filter(v ->
                         !v.isEmpty() && v.length() <= MAX_ID_DIGITS && v.chars().allMatch(Character::isDigit))
-                .mapToLong(Long::parseLong)
-                .findFirst();
+                .map(v -> OptionalLong.of(Long.parseLong(v)))
+                .orElse(OptionalLong.empty());
     }
 }
--- a/core/src/test/java/org/hornbeamhead/core/stream/EventSplitterTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/stream/EventSplitterTest.java
@@ -29,12 +29,59 @@
         };
     }
 
+    /** Returns an event's lines, and its number by the rules for server-sent events; -1 if it has none. */
+    @DataProvider
+    public Object[][] ids() {
+        return new Object[][] {
+            {"id:7", 7},
+            {"id: 7", 7},
+            {"id: 007", 7},
+            {"id: 7\nid: 9", 9},
+            {"id: 7\rid: 9", 9},
+            {"id: 7\nid", -1},
+            {"id: 7\nid:", -1},
+            {"id: 7\nid: x", -1},
+            {"id: 7\nid: 9\0", 7},
+            {"id: 9\0", -1},
+            {"id: \0009", -1},
+            {"id", -1},
+            {"id: -7", -1},
+            {"id: 7a", -1},
+            {"id: 999999999999999999", 999_999_999_999_999_999L},
+            {"id: 1000000000000000000", -1},
+            {"ID: 7", -1},
+            {"identity: 7", -1},
+            {" id: 7", -1},
+            {": id: 7", -1},
+            {"data: id: 7", -1},
+        };
+    }
+
+    /** Guards against a stream that goes on after another event than its caller has, since an id was misread. */
+    @Test(dataProvider = "ids")
+    public void readsTheLastIdOfAnEvent(String lines, long id) throws CorruptStreamException {
+        assertEquals(only(lines + "\ndata: a\n\n").id().orElse(-1), id);
+    }
+
     private static EventSplitter.Event only(String text) throws CorruptStreamException {
         List<EventSplitter.Event> events = new EventSplitter().feed(text.getBytes(StandardCharsets.ISO_8859_1));
         assertEquals(events.size(), 1);
         return events.get(0);
     }
 
+    /** Guards against an event that is lost to callers since a byte order mark came to stand within their stream. */
+    @Test
+    public void leavesOutAByteOrderMarkCutAtAnyByte() throws CorruptStreamException {
+        byte[] bytes = "\u00ef\u00bb\u00bfid: 3\ndata: a\n\nid: 4\n\n".getBytes(StandardCharsets.ISO_8859_1);
+        for (int split = 0; split <= bytes.length; split++) {
+            EventSplitter splitter = new EventSplitter();
+            List<EventSplitter.Event> events = new ArrayList<>(splitter.feed(Arrays.copyOf(bytes, split)));
+            events.addAll(splitter.feed(Arrays.copyOfRange(bytes, split, bytes.length)));
+            assertEquals(events.stream().map(e -> e.id().orElse(-1)).toList(), List.of(3L, 4L));
+            assertEquals(new String(events.get(0).bytes(), StandardCharsets.ISO_8859_1), "id: 3\ndata: a\n\n");
+        }
+    }
+
     /** Guards against holding back a complete event until the next one begins. */
     @Test
     public void returnsAnEventWithItsLastByte() throws CorruptStreamException {
