A stream whose relayed events have no number does not go on at another replica

What callers saw: events twice. A resumable stream whose events have no id, or ids that are no numbers, negative or longer than 18 digits, broke off or paused after events had been relayed; without a number to go on after, another replica got the whole request and its events were joined to those before.

Fix: StreamProgress records that events with data were relayed and none had a number yet. Such a stream is tried nowhere else, here or by way of another router: it breaks off with its replica, and a replica that pauses is waited for. From the first number on it may go on as others do. An event without data, of which callers are not told, waits for the next one, as comments do, so that a leading retry field alone does not bind a stream.

--- a/core/src/main/java/org/hornbeamhead/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/hornbeamhead/core/stream/EventSplitter.java
@@ -56,14 +56,14 @@
         }
 
         /**
-         * Returns whether the event has any field.
+         * Returns whether the event has data. Callers are told only of such events.
          *
-         * @return false for one that consists of comments
+         * @return false for one that consists of comments and other fields
          */
-        public boolean hasFields() {
+        public boolean hasData() {
             return new String(bytes, StandardCharsets.ISO_8859_1)
                     .lines()
-                    .anyMatch(l -> !l.isEmpty() && !l.startsWith(":"));
+                    .anyMatch(l -> l.equals("data") || l.startsWith("data:"));
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Exchange.java
@@ -274,7 +274,7 @@
     private ForwardingState.RetryConditions retryConditions() {
         return new ForwardingState.RetryConditions(
                 timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
-                dispatcher.targetSelector().hasUntried(scope) || canHandOver(),
+                progress.mayGoOnElsewhere() && (dispatcher.targetSelector().hasUntried(scope) || canHandOver()),
                 () -> dispatcher.retryBudgets().take(serviceRequest.service().name()));
     }
 
@@ -478,7 +478,7 @@
 
     /** Returns whether another replica may run the request if this attempt stays silent, now or once one is listed. */
     boolean canRetry() {
-        return forwarding.allowsAttemptAfterThis();
+        return forwarding.allowsAttemptAfterThis() && progress.mayGoOnElsewhere();
     }
 
     /** Returns whether the request could be sent to another replica at this moment. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -187,7 +187,9 @@
     private ForwardingState.RetryConditions retryConditions(boolean mayGoOn) {
         return new ForwardingState.RetryConditions(
                 timeLeftMillis() >= MIN_TIME_LEFT_MILLIS,
-                mayGoOn && dispatcher.relayRouters().isAvailable(service, tried),
+                mayGoOn
+                        && progress.mayGoOnElsewhere()
+                        && dispatcher.relayRouters().isAvailable(service, tried),
                 () -> dispatcher.retryBudgets().take(service));
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
@@ -85,7 +85,7 @@
         }
         pending.writeBytes(event.bytes());
         return event.id().isPresent()
-                || (event.hasFields() && progress.lastEventId().isEmpty());
+                || (event.hasData() && progress.lastEventId().isEmpty());
     }
 
     /**
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamProgress.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamProgress.java
@@ -16,6 +16,7 @@
     private OptionalInt lastContent = OptionalInt.empty();
     private int steps;
     private boolean skipping;
+    private boolean unnumbered;
     private Optional<SoftwareVersion> software;
 
     /**
@@ -43,6 +44,11 @@
         return software.isEmpty() || software.get().equals(version);
     }
 
+    /** Returns whether the events that were relayed say where another replica has to go on. */
+    boolean mayGoOnElsewhere() {
+        return !unnumbered;
+    }
+
     /** Records which software wrote events that are relayed, and returns whether they are the first ones. */
     boolean recordSoftware(SoftwareVersion writer) {
         boolean first = software.isEmpty();
@@ -56,6 +62,7 @@
         if (id.isPresent() && lastId.isPresent() && id.getAsLong() <= lastId.getAsLong()) {
             return false;
         }
+        unnumbered = id.isEmpty() && lastId.isEmpty() && (unnumbered || event.hasData());
         if (id.isPresent()) {
             lastId.ifPresent(last -> recordStep(id.getAsLong() - last));
             lastId = id;
