Events without a number come once when a stream goes on after the number before them

What callers saw: an event without an id twice. If it arrived in one piece with the numbered event before it, it was relayed at once; another replica that goes on after that number sends it again. One that repeats events from the start repeats those without a number too, and only the numbered ones were dropped.

Evidence, on the code before: StreamNumberingTest, rows ENDS_EARLY and REPEATED_WITH_GAPS red, all four (4 events instead of 3, 5 instead of 4).

Fix: once events have numbers, those without one always wait for the next number or the end, however the network cut them, and those before a repeated event are dropped.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
@@ -10,7 +10,8 @@
  * The body of one replica's stream, of which whole and new events are passed on.
  *
  * <p>Comments prove nothing about the request, and are withheld until an event follows them: a stream that sends only
- * comments, or events that the caller has already, is no more alive than a silent one.
+ * comments, or events that the caller has already, is no more alive than a silent one. Once events have numbers, those
+ * without one are withheld until a number follows, since another replica that goes on sends them again.
  */
 final class StreamBody {
     /** A stream whose replica sends more than this without a new event is broken; one event fits in twice. */
@@ -60,13 +61,15 @@
      * @throws CorruptStreamException if an event, or what comes without a new one, is too long
      */
     byte[] feed(byte[] bytes) throws CorruptStreamException {
-        boolean advanced = false;
+        ByteArrayOutputStream fresh = new ByteArrayOutputStream();
         for (EventSplitter.Event event : splitter.feed(bytes)) {
-            advanced |= add(event);
+            if (add(event)) {
+                fresh.writeBytes(takePending());
+            }
         }
-        if (advanced) {
+        if (fresh.size() > 0) {
             unproductiveBytes = 0;
-            return takePending();
+            return fresh.toByteArray();
         }
         unproductiveBytes += bytes.length;
         if (unproductiveBytes > MAX_UNPRODUCTIVE_BYTES) {
@@ -81,6 +84,7 @@
             checkContinuation(event, event.id().getAsLong(), resumedAfter.getAsLong());
         }
         if (!progress.advance(event)) {
+            dropRepeated(event.id().getAsLong());
             return false;
         }
         pending.writeBytes(event.bytes());
@@ -88,6 +92,13 @@
                 || (event.hasData() && progress.lastEventId().isEmpty());
     }
 
+    /** Drops what comes before an event that the caller had before this replica was asked: it has that as well. */
+    private void dropRepeated(long id) {
+        if (resumedAfter.isPresent() && id <= resumedAfter.getAsLong()) {
+            pending.reset();
+        }
+    }
+
     /**
      * Checks that a replica goes on with the stream that another one began. A replica that ignores where it has to go
      * on begins another run, unless it repeats the last event as the caller has it.
