A shorter run of another replica does not complete a stream

What callers saw: a stream that ends as complete before its last piece. It breaks off after event 3, and another replica that ignores where it has to go on begins another run, which ends with its event 1 or 2: all its events were dropped as repeated, and its end was passed on.

Evidence, on the code before: StreamContinuationTest .shorterRunDoesNotCompleteAStream red in both rows (complete).

Fix: a body that has only events before the last one that the caller has ended as broken, at a replica and at another router.

The path by way of another router is not tested.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -255,6 +255,8 @@
             end(AttemptOutcome.FAILED, "the replica answered " + head.status(), Optional.of(buffered));
         } else if (streaming && streamBody.insideEvent()) {
             end(AttemptOutcome.BROKEN, "the stream ended inside an event", Optional.empty());
+        } else if (streaming && streamBody.endsBeforeLast()) {
+            closeAndEnd(AttemptOutcome.BROKEN, "the stream ended before the last event that the caller has");
         } else if (!streaming && exchange.hasResponseStarted()) {
             closeAndEnd(AttemptOutcome.BROKEN, "the replica cannot go on with the stream: " + head.status());
         } else {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayHop.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayHop.java
@@ -192,6 +192,10 @@
             end(AttemptOutcome.BROKEN, "the stream ended inside an event");
             return;
         }
+        if (answer.streaming() && streamBody.endsBeforeLast()) {
+            end(AttemptOutcome.BROKEN, "the stream ended before the last event that the caller has");
+            return;
+        }
         stop();
         request.relay(this, streamBody.takePending());
         request.answered(this, answer);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StreamBody.java
@@ -122,6 +122,13 @@
         return bytes;
     }
 
+    /** Returns whether the body has only events before the last one that the caller has, and may be of another run. */
+    boolean endsBeforeLast() {
+        return continuation.filter(c -> c == Continuation.REPEATED).isPresent()
+                && !repeatedLast
+                && progress.lastEventId().equals(resumedAfter);
+    }
+
     /** Returns whether the body stands in the middle of an event. */
     boolean insideEvent() {
         return splitter.insideEvent();
