Soak: releases beside routers that are out of step

The soak kept "one software a stream" on the code before, too: a version counts as the only one of a service after nine seconds, runs last 12 to 30 s, and no fault cut a router off from the store and the others while versions changed.

In half of the releases a router in step is killed. Callers begin streams at routers in step and resume them at once at those out of step, a third of them without Resumes; these do not count in "resumed streams go on". Four routers at most, since each knows the others by addresses of its own and would choose other ones to tell of a stream.

PromisesTest, FaultPlanTest and SoakPortsTest are green.

--- a/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/FaultDriver.java
@@ -8,6 +8,7 @@
 import org.hornbeamhead.platform.StandinLink;
 import org.hornbeamhead.platform.StandinLink.Mode;
 import org.hornbeamhead.platform.StandinStore.FaultMode;
+import org.hornbeamhead.soak.fault.FaultKind;
 import org.hornbeamhead.soak.fault.FaultPlan.Fault;
 import org.hornbeamhead.soak.history.History;
 import org.hornbeamhead.soak.history.History.Disturbed;
@@ -38,7 +39,8 @@
                 case LEADER -> router(f, leader().orElseGet(() -> routerOf(f)));
                 case ALL_ROUTERS -> noted(f, History.ALL_ROUTERS, () -> killAll(f));
                 case STORE, STORE_WRITES -> noted(f, History.STORE, () -> store(f));
-                case STORE_LINK -> noted(f, routerOf(f).name(), () -> link(fleet.storeLink(f.index()), f));
+                case STORE_LINK, PEER_LINKS -> noted(f, routerOf(f).name(), () -> outOfStep(f, () -> cutOff(f)));
+                case ENGINES -> noted(f, "engines", () -> fleet.release(f.lasting()));
                 case PATH -> noted(f, routerOf(f).name(), () -> path(f));
                 case REPLICA, FROZEN_REPLICA -> replica(f);
                 case OPERATORS -> operators(f);
@@ -86,11 +88,11 @@
                     r.kill();
                     Thread.sleep(f.lasting());
                 }
-                case ROUTER_FROZEN -> {
+                case ROUTER_FROZEN -> outOfStep(f, () -> {
                     r.signal("STOP");
                     Thread.sleep(f.lasting());
                     r.signal("CONT");
-                }
+                });
                 case ROUTER_STOPPED -> {
                     r.signal("TERM");
                     r.awaitEnd(GRACE_MILLIS);
@@ -136,6 +138,28 @@
         link.setMode(Mode.HEALTHY);
     }
 
+    /** Lets callers that resume streams know the router that may have missed a release. */
+    private void outOfStep(Fault f, Step step) throws IOException, InterruptedException {
+        RouterHandle router = routerOf(f);
+        fleet.outOfStep().add(router);
+        try {
+            step.run();
+        } finally {
+            fleet.outOfStep().remove(router);
+        }
+    }
+
+    private void cutOff(Fault f) throws InterruptedException {
+        boolean fromPeers = f.kind() == FaultKind.ROUTER_CUT_OFF;
+        if (fromPeers) {
+            fleet.peerLinks().setCutOff(routerOf(f).name(), true);
+        }
+        link(fleet.storeLink(f.index()), f);
+        if (fromPeers) {
+            fleet.peerLinks().setCutOff(routerOf(f).name(), false);
+        }
+    }
+
     private void path(Fault f) throws InterruptedException {
         ReplicaLinks links = fleet.replicaLinks(f.index());
         links.setMode(
--- a/soak/src/main/java/org/hornbeamhead/soak/ResumingCallers.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/ResumingCallers.java
@@ -20,6 +20,9 @@
     private static final int LATE_ONE_IN = 4;
 
     private static final long LATE_MILLIS = 1_000;
+    /** One in so many streams is resumed without naming the attempt that began it, at routers out of step. */
+    private static final int UNNAMED_ONE_IN = 3;
+
     private static final Pattern EVENT = Pattern.compile("id: (\\d+)\n[^\n]*\n[^\n]*\n\n");
 
     private final SoakFleet fleet;
@@ -47,13 +50,47 @@
     }
 
     private void takeStream(Random random) {
+        List<RouterHandle> outOfStep = fleet.hasReleases() ? List.copyOf(fleet.outOfStep()) : List.of();
+        List<RouterHandle> inStep =
+                fleet.routers().stream().filter(r -> !outOfStep.contains(r)).toList();
+        if (outOfStep.isEmpty() || inStep.isEmpty()) {
+            takeStreamAnywhere(random);
+        } else {
+            takeStream(inStep, outOfStep, random);
+        }
+    }
+
+    /** Begins a stream at a router that is in step, and resumes it at once at those that are not. */
+    private void takeStream(List<RouterHandle> inStep, List<RouterHandle> outOfStep, Random random) {
+        String key = fleet.key(random.nextInt());
+        boolean named = random.nextInt(UNNAMED_ONE_IN) > 0;
+        String first = String.format("d%015x", nextId.incrementAndGet());
+        History.Part begun = takePart(first, "", 0, 1, key, pick(inStep, random), true);
+        history.add(begun);
+        int last = lastEvent(begun, 0);
+        for (int step = 1; step < MAX_STEPS && last > 0 && last < RequestKind.events() && !over; step++) {
+            String id = String.format("d%015x", nextId.incrementAndGet());
+            int until = step % 2 == 0 ? RequestKind.events() : last + 1;
+            History.Part part = takePart(id, first, last, until, key, pick(outOfStep, random), named);
+            history.add(part);
+            last = lastEvent(part, last);
+        }
+        sleep(random.nextInt(MAX_PAUSE_MILLIS));
+    }
+
+    private static RouterHandle pick(List<RouterHandle> routers, Random random) {
+        return routers.get(random.nextInt(routers.size()));
+    }
+
+    private void takeStreamAnywhere(Random random) {
         String first = "";
         int last = 0;
         String key = fleet.key(random.nextInt());
         for (int step = 0; step < MAX_STEPS && last < RequestKind.events() && !over; step++) {
             String id = String.format("d%015x", nextId.incrementAndGet());
             int until = random.nextInt(2) == 0 ? RequestKind.events() : last + 1 + random.nextInt(2);
-            History.Part part = takePart(id, first, last, Math.min(until, RequestKind.events()), key, random);
+            History.Part part = takePart(
+                    id, first, last, Math.min(until, RequestKind.events()), key, pick(fleet.routers(), random), true);
             history.add(part);
             int reached = lastEvent(part, last);
             first = first.isEmpty() && reached > 0 ? id : first;
@@ -70,28 +107,28 @@
     }
 
     /** Takes events of a stream up to one, or up to the end. */
-    private History.Part takePart(String id, String first, int last, int until, String key, Random random) {
-        List<RouterHandle> routers = fleet.routers();
-        RouterHandle router = routers.get(random.nextInt(routers.size()));
+    private History.Part takePart(
+            String id, String first, int last, int until, String key, RouterHandle router, boolean named) {
         long at = clock.millis();
         history.add(new History.Asked(id, RequestKind.RESUME, key, router.name(), router.process(), at));
         StandinCaller.Answer answer = new StandinCaller.Answer(0, "", false, false);
         try (StandinCaller caller = new StandinCaller(router.callers())) {
-            String request = request(id, first, last, key);
+            String request = request(id, first, last, key, named);
             answer = until == RequestKind.events()
                     ? caller.exchange(request)
                     : caller.exchangeUntil(request, "data: " + id + "-" + until + "\n\n");
         } catch (IOException e) {
             logger.atFine().withCause(e).log("request %s got no answer", id);
         }
-        return new History.Part(id, first, last, answer.status(), answer.body(), answer.complete(), at);
+        return new History.Part(id, first, last, answer.status(), answer.body(), answer.complete(), at, named);
     }
 
-    private static String request(String id, String first, int last, String key) {
+    private static String request(String id, String first, int last, String key, boolean named) {
         String request = StandinDocuments.request("resume", true, id, key);
         return first.isEmpty()
                 ? request
-                : request.replaceFirst("\r\n\r\n", "\r\nLast-Event-Id: " + last + "\r\nResumes: " + first + "\r\n\r\n");
+                : request.replaceFirst(
+                        "\r\n\r\n", "\r\nLast-Event-Id: " + last + (named ? "\r\nResumes: " + first : "") + "\r\n\r\n");
     }
 
     private static void sleep(long millis) {
--- a/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/RouterHandle.java
@@ -18,7 +18,9 @@
     private static final String UNCAUGHT = "nothing caught an error";
 
     private static final int PORTS = 6;
+    private static final int PEERS = 1;
     private static final int DIRECTORY = 2;
+    private static final int HINTS = 4;
 
     private final String name;
     private final Path log;
@@ -98,6 +100,14 @@
         return ports[0];
     }
 
+    int peers() {
+        return ports[PEERS];
+    }
+
+    int hints() {
+        return ports[HINTS];
+    }
+
     int directory() {
         return ports[DIRECTORY];
     }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakFleet.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import java.util.stream.IntStream;
 import org.hornbeamhead.platform.StandinDocuments;
 import org.hornbeamhead.platform.StandinLink;
@@ -30,6 +32,10 @@
     private static final List<String> PLAIN_SERVICES = List.of("plain", "plain2", "plain3");
     private static final String ENGINES = "lm";
     private static final long HEARTBEAT_MILLIS = 700;
+    /** How long engines of two versions serve side by side in a release. */
+    private static final long BOTH_VERSIONS_MILLIS = 300;
+    /** How long the service of the engines has run one version at the beginning, as the store's record says. */
+    private static final long ONE_VERSION_MILLIS = 100_000;
     /** A replica that has ended is back after this time. */
     private static final long BACK_MILLIS = 3_000;
 
@@ -40,6 +46,8 @@
     private final List<RouterHandle> routers = new ArrayList<>();
     private final List<StandinLink> storeLinks = new ArrayList<>();
     private final List<ReplicaLinks> replicaLinks = new ArrayList<>();
+    private final PeerLinks peerLinks = new PeerLinks();
+    private final Set<RouterHandle> outOfStep = ConcurrentHashMap.newKeySet();
     private final List<SoakReplica> replicas = new CopyOnWriteArrayList<>();
     private final List<SoakReplica> former = new CopyOnWriteArrayList<>();
     private final List<String> keys = new CopyOnWriteArrayList<>(
@@ -47,37 +55,54 @@
     private final Map<String, OptionalInt> brittle = new ConcurrentHashMap<>();
     private final AtomicInteger nextReplica = new AtomicInteger();
     private final boolean rolled;
+    private final boolean released;
     private long version;
     private long weights = 1;
     private int moves;
+    private int release = 1;
     private boolean closed;
 
     SoakFleet(SoakSettings settings, History history, Stopwatch clock, Path directory) throws IOException {
         this.history = history;
         this.clock = clock;
         this.directory = directory;
-        this.rolled = settings.resuming() > 0;
+        this.released = settings.releases() > 0;
+        this.rolled = settings.resuming() > 0 && !released;
+        if (released) {
+            long since = System.currentTimeMillis() - ONE_VERSION_MILLIS;
+            store.put("hornbeam/software", "{\"sinceMillis\":" + since + ",\"services\":{}}");
+        }
         store.put(StandinDocuments.weightsKey(), StandinDocuments.weightsDocument(weights));
         configure();
         for (int i = 0; i < settings.replicas(); i++) {
             add(i % 2 == 0 ? ENGINES : PLAIN_SERVICES.get(i / 2 % PLAIN_SERVICES.size()), settings.seed() + i);
         }
         for (int i = 0; i < settings.routers(); i++) {
-            int storePort = settings.lostPaths() > 0 ? openView() : store.port();
+            int storePort = settings.lostPaths() > 0 || released
+                    ? openView("router" + i, settings.lostPaths() > 0)
+                    : store.port();
             StandinLink link = new StandinLink(() -> storePort);
             storeLinks.add(link);
             routers.add(new RouterHandle("router" + i, link.port(), directory));
         }
+        if (released) {
+            peerLinks.open(routers);
+        }
         for (RouterHandle r : routers) {
             r.start();
         }
     }
 
-    /** Opens an address of the store at which a router finds replicas behind links of its own. */
-    private int openView() throws IOException {
-        ReplicaLinks links = new ReplicaLinks();
-        replicaLinks.add(links);
-        String address = store.openView(links::rewrite);
+    /** Opens an address of the store at which a router finds other routers and replicas behind links of its own. */
+    private int openView(String router, boolean withReplicaLinks) throws IOException {
+        UnaryOperator<String> replicasBehindLinks = UnaryOperator.identity();
+        if (withReplicaLinks) {
+            ReplicaLinks links = new ReplicaLinks();
+            replicaLinks.add(links);
+            replicasBehindLinks = links::rewrite;
+        }
+        UnaryOperator<String> rewriting = replicasBehindLinks;
+        String address = store.openView(v -> peerLinks.rewrite(router, rewriting.apply(v)));
         return Integer.parseInt(address.substring(address.indexOf(':') + 1));
     }
 
@@ -99,7 +124,7 @@
     private SoakReplica add(String service, long seed) throws IOException {
         int number = nextReplica.incrementAndGet();
         String id = "replica" + number;
-        String software = rolled && number % 4 < 2 ? "v2" : "v1";
+        String software = "v" + (rolled && number % 4 < 2 ? 2 : release);
         SoakReplica r = new SoakReplica(
                 id, service, software, service.equals(ENGINES) ? weights : 0, history, clock, seed, this::ended);
         history.add(new History.Listed(id, software, clock.millis()));
@@ -156,19 +181,41 @@
 
     /** A replica leaves: it says so, another comes, and after the grace it is gone. */
     void replace(SoakReplica leaving, long graceMillis) throws IOException, InterruptedException {
-        synchronized (this) {
-            if (!replicas.remove(leaving)) {
-                return;
-            }
-            former.add(leaving);
-            list(leaving, "draining");
-            history.add(new Acknowledged(Change.LEAVING, leaving.id(), clock.millis()));
+        if (!beginLeave(leaving)) {
+            return;
         }
         add(leaving.service(), clock.millis());
         Thread.sleep(graceMillis);
         store.remove(StandinDocuments.replicaKey(leaving.id()));
     }
 
+    /** Engines of the next software version join; those of the version before leave and are gone after the grace. */
+    void release(long graceMillis) throws IOException, InterruptedException {
+        List<SoakReplica> before;
+        synchronized (this) {
+            release++;
+            before = replicas.stream().filter(r -> r.service().equals(ENGINES)).toList();
+            for (SoakReplica r : before) {
+                add(r.service(), clock.millis() + nextReplica.get());
+            }
+        }
+        Thread.sleep(BOTH_VERSIONS_MILLIS);
+        List<SoakReplica> leaving = before.stream().filter(this::beginLeave).toList();
+        Thread.sleep(graceMillis);
+        leaving.forEach(r -> store.remove(StandinDocuments.replicaKey(r.id())));
+    }
+
+    /** A replica says that it leaves; false if it is no longer there. */
+    private synchronized boolean beginLeave(SoakReplica leaving) {
+        if (!replicas.remove(leaving)) {
+            return false;
+        }
+        former.add(leaving);
+        list(leaving, "draining");
+        history.add(new Acknowledged(Change.LEAVING, leaving.id(), clock.millis()));
+        return true;
+    }
+
     /** A replica's process ends unannounced, and another one starts in its place some seconds later. */
     private void ended(SoakReplica crashed) {
         synchronized (this) {
@@ -220,6 +267,19 @@
         return storeLinks.get(router);
     }
 
+    PeerLinks peerLinks() {
+        return peerLinks;
+    }
+
+    /** The routers that may have missed a release, since they stand still or are cut off. */
+    Set<RouterHandle> outOfStep() {
+        return outOfStep;
+    }
+
+    boolean hasReleases() {
+        return released;
+    }
+
     ReplicaLinks replicaLinks(int router) {
         return replicaLinks.get(router);
     }
@@ -258,6 +318,7 @@
             l.close();
         }
         replicaLinks.forEach(ReplicaLinks::close);
+        peerLinks.close();
         for (SoakReplica r : replicas) {
             r.close();
         }
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakMain.java
@@ -44,6 +44,8 @@
             "resuming", "callers that resume streams, while engines of two software versions are rolled; 0: none", 2);
     private final OptionSpec<Integer> handovers =
             number("handovers", "how often leaders of the rollout of weights end one after the other", 0);
+    private final OptionSpec<Integer> releases =
+            number("releases", "how often engines of a new software version join while routers are out of step", 0);
     private final OptionSpec<String> json =
             parser.accepts("json", "file for the results, a JSON line a run").withRequiredArg();
 
@@ -105,7 +107,8 @@
                 options.valueOf(brittle) > 0,
                 options.valueOf(endless),
                 options.valueOf(resuming),
-                options.valueOf(handovers));
+                options.valueOf(handovers),
+                options.valueOf(releases));
         Path directory = Files.createTempDirectory("hornbeam-soak-" + runSeed + "-");
         try {
             SoakReport report = new SoakRun(settings, directory).play();
--- a/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/SoakRun.java
@@ -34,14 +34,7 @@
     }
 
     SoakReport play() throws IOException, InterruptedException, TimeoutException {
-        FaultPlan plan = FaultPlan.draw(
-                settings.seed(),
-                settings.seconds() * 1_000L,
-                settings.routers(),
-                settings.replicas(),
-                settings.lostPaths(),
-                settings.pausing(),
-                settings.handovers());
+        FaultPlan plan = drawPlan();
         History history = new History();
         Stopwatch clock = new Stopwatch();
         ExecutorService threads = Executors.newCachedThreadPool();
@@ -94,6 +87,18 @@
         return SoakReport.of(settings, plan, history, new Promises(Set.of(SoakFleet.ISOLATED)).check(history));
     }
 
+    private FaultPlan drawPlan() {
+        return FaultPlan.draw(
+                settings.seed(),
+                settings.seconds() * 1_000L,
+                settings.routers(),
+                settings.replicas(),
+                settings.lostPaths(),
+                settings.pausing(),
+                settings.handovers(),
+                settings.releases());
+    }
+
     private static void close(SoakFleet fleet) {
         try {
             fleet.close();
--- a/soak/src/main/java/org/hornbeamhead/soak/fault/FaultKind.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultKind.java
@@ -28,6 +28,8 @@
     STORE_LINK_RESET(Target.STORE_LINK, false),
     /** What the store answers one router does not arrive, though what it is asked does. */
     STORE_LINK_ONE_WAY(Target.STORE_LINK, false),
+    /** One router's connections to the store and to the other routers are silent, and its datagrams are lost. */
+    ROUTER_CUT_OFF(Target.PEER_LINKS, false),
     /** One router's connections to all replicas are reset, and new ones are refused. */
     PATH_REFUSED(Target.PATH, false),
     /** One router's connections to all replicas live on, and new ones are refused. */
@@ -48,6 +50,8 @@
     REPLICA_FROZEN(Target.FROZEN_REPLICA, true),
     /** A replica leaves, and another comes. */
     REPLICA_LEAVES(Target.REPLICA, true),
+    /** Engines of the next software version join, and those of the version before leave. */
+    RELEASE(Target.ENGINES, true),
     /** A key is taken away. */
     KEY_REVOKED(Target.OPERATORS, true),
     /** A route leads to another service. */
@@ -69,12 +73,16 @@
         STORE_WRITES,
         /** The way of one router to the store. */
         STORE_LINK,
+        /** The ways of one router to the store and to all other routers. */
+        PEER_LINKS,
         /** The way of one router to all replicas. */
         PATH,
         /** One replica. */
         REPLICA,
         /** One replica, which is sound. */
         FROZEN_REPLICA,
+        /** All engines. */
+        ENGINES,
         /** Nothing: operators change something. */
         OPERATORS
     }
--- a/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/fault/FaultPlan.java
@@ -37,8 +37,8 @@
     private static final int MAX_HANDOVER_START_MILLIS = 2_000;
     private static final int MAX_HANDOVER_JITTER_MILLIS = 500;
     /** Faults that are drawn by themselves. */
-    private static final Set<Target> DRAWN_APART =
-            EnumSet.of(Target.PATH, Target.FROZEN_REPLICA, Target.LEADER, Target.STORE_WRITES);
+    private static final Set<Target> DRAWN_APART = EnumSet.of(
+            Target.PATH, Target.FROZEN_REPLICA, Target.LEADER, Target.STORE_WRITES, Target.PEER_LINKS, Target.ENGINES);
 
     /**
      * One fault.
@@ -65,10 +65,18 @@
      * @param lostPaths how often a router loses its path to all replicas, beside the other faults
      * @param pausing sound replicas at a time that stand still and go on, beside the other faults
      * @param handovers how often leaders end one after the other, beside the other faults
+     * @param releases how often engines of a new software version join while routers are out of step
      * @return the plan
      */
     public static FaultPlan draw(
-            long seed, long untilMillis, int routers, int replicas, int lostPaths, int pausing, int handovers) {
+            long seed,
+            long untilMillis,
+            int routers,
+            int replicas,
+            int lostPaths,
+            int pausing,
+            int handovers,
+            int releases) {
         List<Fault> faults = new ArrayList<>(drawOthers(seed, untilMillis, routers, replicas));
         faults.addAll(drawLostPaths(new Random(~seed), untilMillis, routers, lostPaths));
         IntStream.range(0, pausing)
@@ -76,6 +84,10 @@
         IntStream.range(0, handovers)
                 .forEach(i -> faults.addAll(
                         drawHandover(new Random(seed * 17 + i), i * HANDOVER_MILLIS, untilMillis, routers)));
+        IntStream.range(0, releases)
+                .mapToObj(i -> Release.draw(
+                        new Random(seed * 13 + i), QUIET_START_MILLIS + i * Release.PERIOD_MILLIS, routers))
+                .forEach(r -> r.addTo(faults, untilMillis));
         faults.sort(Comparator.comparingLong(Fault::at));
         return new FaultPlan(faults);
     }
@@ -142,9 +154,9 @@
     private static Fault fault(FaultKind kind, long at, Random random, int routers, int replicas) {
         int index =
                 switch (kind.target()) {
-                    case ROUTER, STORE_LINK, PATH -> random.nextInt(routers);
+                    case ROUTER, STORE_LINK, PEER_LINKS, PATH -> random.nextInt(routers);
                     case REPLICA, FROZEN_REPLICA -> random.nextInt(replicas);
-                    case LEADER, ALL_ROUTERS, STORE, STORE_WRITES, OPERATORS -> 0;
+                    case LEADER, ALL_ROUTERS, STORE, STORE_WRITES, ENGINES, OPERATORS -> 0;
                 };
         long lasting = MIN_LASTING_MILLIS + (long) random.nextInt(MAX_LASTING_MILLIS - MIN_LASTING_MILLIS);
         return new Fault(kind, index, at, kind.target() == Target.PATH ? lasting + PATH_MILLIS : lasting);
--- a/soak/src/main/java/org/hornbeamhead/soak/history/History.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/history/History.java
@@ -48,8 +48,10 @@
      * @param body what came of the body
      * @param whole whether the stream ended as its head says
      * @param at when it was asked for
+     * @param named whether the request names the one that brought the first event; a router may refuse it otherwise
      */
-    public record Part(String id, String first, int last, int status, String body, boolean whole, long at) {}
+    public record Part(
+            String id, String first, int last, int status, String body, boolean whole, long at, boolean named) {}
 
     /**
      * A replica was listed.
--- a/soak/src/main/java/org/hornbeamhead/soak/promise/ResumeChecks.java
+++ b/soak/src/main/java/org/hornbeamhead/soak/promise/ResumeChecks.java
@@ -101,10 +101,20 @@
                 .toList();
         List<Part> begun = inTouch.stream().filter(p -> p.first().isEmpty()).toList();
         List<Part> resumed = inTouch.stream()
-                .filter(p -> softwareByStream.containsKey(p.first()))
+                .filter(p -> p.named() && softwareByStream.containsKey(p.first()))
                 .filter(p -> countServing(h, softwareByStream.get(p.first()), p.at()) >= LEAST_REPLICAS)
                 .toList();
-        return new ResumeShares(begun.size(), countGone(begun), resumed.size(), countGone(resumed));
+        List<Part> atDisturbed = h.parts().stream()
+                .filter(p -> !p.first().isEmpty())
+                .filter(p -> !h.undisturbed(asked.get(p.id()).router(), p.at(), p.at()))
+                .toList();
+        return new ResumeShares(
+                begun.size(),
+                countGone(begun),
+                resumed.size(),
+                countGone(resumed),
+                atDisturbed.size(),
+                countGone(atDisturbed));
     }
 
     private static int countGone(List<Part> parts) {
