Whole requests in progress take at most a quarter of the heap; further ones are refused as not run

Cause: only requests that have not arrived completely were bounded over all callers. Each whole request is kept until its response is complete, without a bound on their number or bytes, until the heap of 64 MB is full.

Evidence: RequestMemoryTest sends 32 MB of sound requests at one router whose replicas hold them.

Fix: RequestMemory counts the bodies of the requests in progress, and a fixed part for each, from their arrival to the end of their response. A request that arrives beyond 16 MiB is refused at once with 503 and a Retry-After of 20 to 40 ms, or declined if another router handed it over. It was not sent to a replica then, so that no request is dropped that may have run. A single request is never refused for its size.

--- a/core/src/main/java/org/hornbeamhead/core/forward/RefusalReason.java
+++ b/core/src/main/java/org/hornbeamhead/core/forward/RefusalReason.java
@@ -8,6 +8,8 @@
     STALE_CONFIGURATION,
     /** The router is about to end. */
     STOPPING,
+    /** The requests in progress take all the memory that the router has for them. */
+    REQUEST_MEMORY,
     /** It is not known which software began the stream that is to be resumed. */
     UNKNOWN_STREAM,
     /** The request is beyond its customer's quota. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.hornbeamhead.core.crash.CrashGossip;
 import org.hornbeamhead.core.entry.ActiveRouters;
+import org.hornbeamhead.core.forward.RefusalReason;
 import org.hornbeamhead.core.http.WholeRequest;
 import org.hornbeamhead.core.mirror.StoreMirror;
 import org.hornbeamhead.core.quota.QuotaContacts;
@@ -67,6 +68,7 @@
 
 /** A router process: creates and connects its components, which run on one reactor. */
 public final class RouterProcess {
+    private static final String TOO_MANY_REQUESTS = "the requests in progress take too much memory";
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     /** The limits for callers until the first configuration has been read. */
     private static final CallerLimits DEFAULT_LIMITS = new CallerLimits(16_384, 4_194_304, 3_000, 15_000);
@@ -353,7 +355,9 @@
 
     private void handle(WholeRequest request, CallerResponse answer) {
         if (shutdown.rejectsNewRequests()) {
-            dispatcher.rejectForOtherRouter(request, answer, "the router is about to end");
+            dispatcher.rejectForOtherRouter(request, answer, RefusalReason.STOPPING, "the router is about to end");
+        } else if (callerServer.requestMemory().isExceeded()) {
+            dispatcher.rejectForOtherRouter(request, answer, RefusalReason.REQUEST_MEMORY, TOO_MANY_REQUESTS);
         } else {
             dispatcher.handle(request, answer);
         }
@@ -362,6 +366,8 @@
     private void handleRelayed(WholeRequest request, CallerResponse answer) {
         if (shutdown.rejectsNewRequests()) {
             dispatcher.declineRelayed(request, answer, "the router is about to end");
+        } else if (callerServer.requestMemory().isExceeded()) {
+            dispatcher.declineRelayed(request, answer, TOO_MANY_REQUESTS);
         } else {
             dispatcher.handleRelayed(request, answer);
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerConnection.java
@@ -154,7 +154,7 @@
                 () -> keepAlive && (!server.draining() || pipelined.length > 0),
                 request.head().method().equals("HEAD"),
                 this::responseCompleted);
-        server.requestStarted();
+        server.requestStarted(request);
         server.handle(handler, request, response);
     }
 
@@ -166,9 +166,9 @@
      * more request, and that response announces the close.
      */
     private void responseCompleted(boolean reusable) {
+        server.requestEnded(request);
         response = null;
         request = null;
-        server.requestEnded();
         if (closed) {
             return;
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/caller/CallerServer.java
@@ -42,6 +42,7 @@
     private final Metrics metrics;
     private final StallDetector stallDetector;
     private final IncompleteRequests incomplete = new IncompleteRequests();
+    private final RequestMemory requestMemory = new RequestMemory();
     private final Set<CallerConnection> openConnections = new HashSet<>();
     private final List<SimpleServer> servers = new ArrayList<>();
     private int inFlight;
@@ -228,12 +229,23 @@
         return openConnections.size();
     }
 
-    void requestStarted() {
+    void requestStarted(WholeRequest request) {
         inFlight++;
+        requestMemory.add(request);
     }
 
-    void requestEnded() {
+    void requestEnded(WholeRequest request) {
         inFlight--;
+        requestMemory.remove(request);
+    }
+
+    /**
+     * Returns the memory of the requests in flight.
+     *
+     * @return the memory
+     */
+    public RequestMemory requestMemory() {
+        return requestMemory;
     }
 
     IncompleteRequests incomplete() {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -271,10 +271,11 @@
      *
      * @param message the request
      * @param response receives the response
+     * @param why the reason, for the metrics
      * @param reason the reason, sent to the caller
      */
-    public void rejectForOtherRouter(WholeRequest message, CallerResponse response, String reason) {
-        stopAdmission.reject(headerCodec.decodeRequest(message), response, reason);
+    public void rejectForOtherRouter(WholeRequest message, CallerResponse response, RefusalReason why, String reason) {
+        stopAdmission.reject(headerCodec.decodeRequest(message), response, why, reason);
     }
 
     private void forward(RoutedRequest routed, CallerResponse response) {
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StopAdmission.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/StopAdmission.java
@@ -28,17 +28,13 @@
         if (routed.origin().isPresent()) {
             answers.decline(routed.callerRequest(), response, reason);
         } else {
-            reject(routed.callerRequest(), response, reason);
+            reject(routed.callerRequest(), response, RefusalReason.STOPPING, reason);
         }
     }
 
     /** Rejects a request that has not run and that the caller may send to another router at once. */
-    void reject(CallerRequest request, CallerResponse response, String reason) {
+    void reject(CallerRequest request, CallerResponse response, RefusalReason why, String reason) {
         answers.rejectNotExecuted(
-                request,
-                response,
-                Refusal.beforeRouting(RefusalReason.STOPPING),
-                reason,
-                Dispatcher.OTHER_ROUTER_RETRY_MILLIS);
+                request, response, Refusal.beforeRouting(why), reason, Dispatcher.OTHER_ROUTER_RETRY_MILLIS);
     }
 }
