Routers repeat, once their list is current again, which streams they began while it was not

What callers saw: a stream that began on an old software version, at a router that is cut off from the store and the other routers, goes on at a replica of the new version once the router is back.

Cause: a router announces an origin once, by datagrams. While it is cut off they are lost. A router that looks for the origin asks four others, and the one that began the stream need not be one of them. The old version counts for the longest stream and five seconds after it was last listed; a stream that the router began on it later outlasts that, and the confirmed list names the new version only. Class: silence counts as no.

Evidence, on the code before, in virtual time: StreamOriginDirectoryTest .streamOfARemovedVersionIsFoundAfterTheOutageInWhichItBegan red in 4 of 24 rows, all with 95 routers and a router that reaches nothing: three found the new version, one refused the stream. With two and seven routers the one that began the stream is asked.

Fix: what was announced while the list was out of date is announced once more when it is current again, with the holders that the current list gives. It is kept for as long as origins are, 60 s and 50,000 at most.

Measured: the class green (266 rows).

--- a/core/src/main/java/org/hornbeamhead/core/resume/StreamOrigins.java
+++ b/core/src/main/java/org/hornbeamhead/core/resume/StreamOrigins.java
@@ -12,9 +12,10 @@
  */
 public final class StreamOrigins {
     /** How long an origin is kept after it was recorded; callers resume a broken stream within seconds. */
-    static final long LIFETIME_MILLIS = 60_000;
+    public static final long LIFETIME_MILLIS = 60_000;
 
-    static final int MAX_STREAMS = 50_000;
+    /** The number of streams whose origins are kept. */
+    public static final int MAX_STREAMS = 50_000;
 
     private final Map<StreamKey, Entry> entries = new LinkedHashMap<>();
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
@@ -1,6 +1,8 @@
 package org.hornbeamhead.gateway.resume;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +16,7 @@
 import org.hornbeamhead.core.resume.SoftwareVersion;
 import org.hornbeamhead.core.resume.StreamKey;
 import org.hornbeamhead.core.resume.StreamOrigin;
+import org.hornbeamhead.core.resume.StreamOrigins;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.daemon.Logs;
 import org.hornbeamhead.daemon.Metrics;
@@ -35,9 +38,13 @@
     private final LongSupplier listConfirmedAt;
     private final Metrics metrics;
     private final Map<StreamKey, RunningStream> unannounced = new LinkedHashMap<>();
+    /** Announced while the list was out of date, the earliest first. */
+    private final Deque<Announced> announcedOutOfDate = new ArrayDeque<>();
 
     private record RunningStream(String service, StreamOrigin origin) {}
 
+    private record Announced(StreamOrigin origin, long atMillis) {}
+
     /**
      * A stream that callers may resume.
      *
@@ -97,11 +104,16 @@
 
     /**
      * Announces the running streams once the list is out of date. A second version may be listed meanwhile, and callers
-     * that resume a stream elsewhere could not be told which version began it.
+     * that resume a stream elsewhere could not be told which version began it. A router that does not reach the store
+     * may not reach other routers either, so these announcements are repeated once the list is current again.
      */
     public void checkList() {
         if (!listCurrent.getAsBoolean()) {
             announce(s -> true);
+        } else if (!announcedOutOfDate.isEmpty()) {
+            dropForgotten();
+            exchange.announce(announcedOutOfDate.stream().map(Announced::origin).toList());
+            announcedOutOfDate.clear();
         }
     }
 
@@ -111,7 +123,26 @@
                 .map(RunningStream::origin)
                 .toList();
         running.forEach(o -> unannounced.remove(o.key()));
-        exchange.announce(running);
+        announce(running);
+    }
+
+    private void announce(List<StreamOrigin> origins) {
+        if (!listCurrent.getAsBoolean()) {
+            long now = clock.monotonicMillis();
+            origins.forEach(o -> announcedOutOfDate.addLast(new Announced(o, now)));
+            dropForgotten();
+        }
+        exchange.announce(origins);
+    }
+
+    /** Drops the announcements that other routers would have forgotten by now. */
+    private void dropForgotten() {
+        long now = clock.monotonicMillis();
+        while (!announcedOutOfDate.isEmpty()
+                && (announcedOutOfDate.size() > StreamOrigins.MAX_STREAMS
+                        || now - announcedOutOfDate.getFirst().atMillis() >= StreamOrigins.LIFETIME_MILLIS)) {
+            announcedOutOfDate.removeFirst();
+        }
     }
 
     private Optional<SoftwareVersion> soleVersion(String service, long windowMillis) {
@@ -132,7 +163,7 @@
                 exchange.remember(origin);
                 unannounced.put(origin.key(), new RunningStream(stream.service(), origin));
             } else {
-                exchange.announce(List.of(origin));
+                announce(List.of(origin));
             }
         });
     }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/resume/StreamOriginDirectoryTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/resume/StreamOriginDirectoryTest.java
@@ -78,6 +78,10 @@
 
         void readList() {
             listed.stream().filter(known::add).forEach(v -> history.replicaListed(SERVICE, v));
+            List<SoftwareVersion> gone =
+                    known.stream().filter(v -> !listed.contains(v)).toList();
+            gone.forEach(v -> history.replicaRemoved(SERVICE, v, clock.monotonicMillis()));
+            gone.forEach(known::remove);
             confirmedAt = clock.monotonicMillis();
         }
 
@@ -210,4 +214,39 @@
         }
         assertEquals(find(resumer, stream(Optional.of("attempt"))), Optional.of(OLD));
     }
+
+    @DataProvider
+    public Object[][] outages() {
+        return Stream.of(2, 7, 95)
+                .flatMap(routers -> Stream.of(Reach.ROUTERS_ONLY, Reach.NOTHING)
+                        .flatMap(reach -> Stream.of(3_000L, 6_000L, 12_000L, 20_000L)
+                                .map(outage -> new Object[] {routers, reach, outage})))
+                .toArray(Object[][]::new);
+    }
+
+    /**
+     * Guards against taking a stream for one of the only version that is listed, if a router began it on a version that
+     * the others have not listed for longer than they account for, and its announcement was lost.
+     */
+    @Test(dataProvider = "outages")
+    public void streamOfARemovedVersionIsFoundAfterTheOutageInWhichItBegan(
+            int routers, Reach reach, long outageMillis) {
+        startFleet(routers);
+        String outOfStep = "r" + (routers - 1);
+        withoutStore.add(outOfStep);
+        if (reach.routersLost) {
+            withoutRouters.add(outOfStep);
+        }
+        listed.set(0, NEW);
+        readLists(outOfStep);
+        timers.advance(outageMillis);
+        nodes.get(outOfStep).directory.streamBegan(stream(Optional.of("attempt")), OLD);
+        withoutStore.clear();
+        withoutRouters.clear();
+        nodes.values().forEach(Node::readList);
+        nodes.get(outOfStep).directory.checkList();
+        timers.advance(WINDOW_MILLIS - 5_000 - ANSWERED_MILLIS);
+        nodes.values().forEach(Node::readList);
+        assertEquals(find("r0", stream(Optional.of("attempt"))), Optional.of(OLD));
+    }
 }
