An unframed stream of a leaving replica goes on elsewhere when its process has ended

What callers saw: a stream without length and chunks, whose replica was leaving and whose process ended before the last event, reached them as complete.

Cause: an orderly end of a connection ends such an answer. The router checks whether the replica still takes connections, but not if the replica leaves, since its listener closes before its last answers end.

Evidence, on the code before: StreamContinuationTest .unframedStreamOfALeavingReplicaReachesItsEnd red in one of three rows (cut after three of six events, beside a replica that can go on).

Fix: the check is made in any case. If a leaving replica takes no connection and another one can go on with the stream, the stream goes on there after its last event; if it was complete, that replica sends nothing more. Otherwise nothing tells a complete answer from a cut one, and the leaving replica's answer is taken as complete as before.

Measured: the three rows green, two of them for whole answers; CrashingPromptPartTest green.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -270,14 +270,9 @@
             onComplete();
             return;
         }
-        if (replica.isLeaving()) {
-            exchange.log().endedWithConnection(replica, "LEAVING");
-            onComplete();
-            return;
-        }
         replica.connections().checkRunning().whenResult(check -> {
             exchange.log().endedWithConnection(replica, check.name());
-            if (check == Check.REFUSED) {
+            if (check == Check.REFUSED && !isLastAnswer()) {
                 onFailure("the replica ended together with its answer");
             } else {
                 onComplete();
@@ -285,6 +280,15 @@
         });
     }
 
+    /**
+     * Returns whether an answer without a length is taken as complete though the replica takes no connection. One that
+     * leaves does not while its last answers end. A stream that another replica can go on with is not taken so, since
+     * that replica sends nothing more if it was complete.
+     */
+    private boolean isLastAnswer() {
+        return replica.isLeaving() && !(streaming && exchange.canRetryNow());
+    }
+
     private void endRefused() {
         boolean misdirected = head.status() == 421;
         if (head.status() == SERVICE_UNAVAILABLE) {
