Known red: a version that a router out of step still uses after it has left the window

Found by the review of the fix, in virtual time: a router that reaches neither the store nor the other routers keeps its list. It may begin a stream on a version whose last replica was removed seconds ago, and nobody else hears of it. Resumed elsewhere, the stream counts as one of the remaining version once the removed one has left the window of the longest stream and five seconds.

--- a/gateway/src/test/java/org/hornbeamhead/gateway/resume/StreamOriginDirectoryTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/resume/StreamOriginDirectoryTest.java
@@ -249,4 +249,29 @@
         nodes.values().forEach(Node::readList);
         assertEquals(find("r0", stream(Optional.of("attempt"))), Optional.of(OLD));
     }
+
+    @DataProvider
+    public Object[][] missedRemovals() {
+        return new Object[][] {{1_000L}, {5_000L}, {10_000L}, {16_000L}};
+    }
+
+    /** Guards against forgetting a version that is gone while a router that is cut off still sends to its replicas. */
+    @Test(dataProvider = "missedRemovals", groups = "known-red")
+    public void streamOfARouterThatMissedARemovalIsNotTakenForOneOfTheRemainingVersion(long millisAfterRemoval) {
+        startFleet(7);
+        listed.add(NEW);
+        readLists();
+        timers.advance(1_000);
+        withoutStore.add("r0");
+        withoutRouters.add("r0");
+        nodes.values().stream()
+                .filter(n -> !n.address.equals("r0"))
+                .forEach(n -> n.history.replicaRemoved(SERVICE, OLD, clock.monotonicMillis()));
+        timers.advance(millisAfterRemoval);
+        readLists("r0");
+        nodes.get("r0").directory.streamBegan(stream(Optional.of("attempt")), OLD);
+        timers.advance(8_000);
+        readLists("r0");
+        assertEquals(find("r3", stream(Optional.of("attempt"))), Optional.empty());
+    }
 }
