A lookup of a stream's software ends though the service comes to have one version while it lasts

What callers saw: nothing yet; found by reading. A request that resumes a stream would get no answer at all.

Cause: the list is confirmed only if it names one version when the lookup begins. If the last but one version leaves the window while other routers are asked, the lookup waits for a confirmation that nobody asked for.

Evidence: StreamOriginDirectoryTest.lookupEndsThoughAVersionIsForgottenMeanwhile red before (no answer), green after, with the whole class (267 rows).

Fix: without a confirmation the list counts as unconfirmed, and the stream is refused as not run.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/resume/StreamOriginDirectory.java
@@ -194,7 +194,9 @@
                 .ifPresentOrElse(
                         key -> exchange.find(key, lookup::searched),
                         () -> lookup.searched(new OriginExchange.Result(Optional.empty(), 0, 0)));
-        if (!lookup.hasEnded() && listed.get().isPresent()) {
+        if (listed.get().isEmpty()) {
+            lookup.confirmed(false);
+        } else if (!lookup.hasEnded()) {
             listConfirmation.confirm(confirmed -> listConfirmed(lookup, confirmed));
         }
     }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/resume/StreamOriginDirectoryTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/resume/StreamOriginDirectoryTest.java
@@ -250,6 +250,19 @@
         assertEquals(find("r0", stream(Optional.of("attempt"))), Optional.of(OLD));
     }
 
+    /** Guards against a lookup without an end, since the service comes to have one version while it lasts. */
+    @Test
+    public void lookupEndsThoughAVersionIsForgottenMeanwhile() {
+        startFleet(7);
+        listed.add(NEW);
+        readLists();
+        listed.remove(OLD);
+        readLists();
+        timers.advance(WINDOW_MILLIS - 100);
+        withoutRouters.add("r6");
+        assertEquals(find("r6", stream(Optional.of("attempt"))), Optional.empty());
+    }
+
     @DataProvider
     public Object[][] missedRemovals() {
         return new Object[][] {{1_000L}, {5_000L}, {10_000L}, {16_000L}};
