Lone CRs without anything between them are no events

Since a lone CR ends a line, a stream of CRs without end was split into empty events, and never rejected.

Fix: a blank line that a lone CR ends and that nothing precedes belongs to the next event, so that the bound of an event holds for it. The row of EventSplitterTest that took such a line for an event of its own was new with the lone CRs and wrong: an event without a field is none. It has an event after the blank line now, whose bytes are checked as well.

--- a/core/src/main/java/org/hornbeamhead/core/stream/EventSplitter.java
+++ b/core/src/main/java/org/hornbeamhead/core/stream/EventSplitter.java
@@ -25,6 +25,7 @@
     private int lineLength;
     private byte previous;
     private boolean blankLine;
+    private boolean hasContent;
     private boolean loneCarriageReturns;
     private boolean begun;
 
@@ -104,6 +105,7 @@
         if (b != '\r' && b != '\n') {
             lineLength++;
             blankLine = false;
+            hasContent = true;
             return;
         }
         blankLine = lineLength == 0;
@@ -121,13 +123,14 @@
         buffer.write(b);
     }
 
-    /** Ends the event if its last line is blank. */
+    /** Ends the event if its last line is blank. Lone CRs without anything between them belong to the next event. */
     private void endEvent(List<Event> events) {
-        if (blankLine) {
+        if (blankLine && (hasContent || !loneCarriageReturns)) {
             events.add(new Event(begun ? buffer.toByteArray() : withoutMark(buffer.toByteArray())));
             begun = true;
             buffer.reset();
             blankLine = false;
+            hasContent = false;
         }
     }
 
@@ -144,7 +147,7 @@
      * @return true in the middle of an event
      */
     public boolean insideEvent() {
-        return buffer.size() > 0;
+        return hasContent || (buffer.size() > 0 && !loneCarriageReturns);
     }
 
     /** Reads the last id field. One that contains NUL is ignored, and an id that is no number counts as none. */
