--- a/review/standins-2/Service.java
+++ b/review/standins-2/Service.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A sound replica of a plain service. It checks in with the store every heartbeat. */
+/** A sound replica of a plain service. It checks in with the store a heartbeat after its last check-in. */
 final class Service {
     private static final long HEARTBEAT_MILLIS = 1_200;
 
@@ -25,6 +25,7 @@
     private final AtomicInteger running = new AtomicInteger();
     private final long born = System.currentTimeMillis();
     private int seq;
+    private volatile long lastBeatMillis;
     private boolean draining;
     private volatile boolean ended;
     /** The time that a request takes. */
@@ -40,8 +41,12 @@
         beat(0);
         Http.daemon(() -> {
             while (!ended) {
-                Thread.sleep(HEARTBEAT_MILLIS);
-                beat(0);
+                long wait = lastBeatMillis + HEARTBEAT_MILLIS - record.millis();
+                if (wait <= 0) {
+                    beat(0);
+                } else {
+                    Thread.sleep(wait);
+                }
             }
         });
     }
@@ -55,6 +60,7 @@
         if (ended) {
             return;
         }
+        lastBeatMillis = record.millis();
         String value = "{\"service\":\"app\",\"address\":\"" + Http.format(address)
                 + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":6,\"state\":\""
                 + (draining ? "draining" : "ready") + "\",\"cold_remaining_ms\":0,\"seq\":" + ++seq + ",\"born\":" + born + "}";
