--- a/review/standins-2/Record.java
+++ b/review/standins-2/Record.java
@@ -14,12 +14,16 @@
 
     private final PrintWriter out;
     private final long start = System.nanoTime();
+    private boolean ended;
 
     private Record(Path file) throws IOException {
         out = new PrintWriter(Files.newBufferedWriter(file));
     }
 
     synchronized void add(String text) {
+        if (ended) {
+            return;
+        }
         out.printf("%7.3f %s%n", millis() / 1000.0, text);
         out.flush();
     }
@@ -30,6 +34,12 @@
         System.out.println(text);
     }
 
+    /** Adds the last line; what happens while the processes are ended is not recorded. */
+    private synchronized void end(String verdict) {
+        report(verdict);
+        ended = true;
+    }
+
     long millis() {
         return (System.nanoTime() - start) / 1_000_000;
     }
@@ -47,7 +57,7 @@
             Path folder = Files.createTempDirectory("hornbeam-review-");
             try {
                 code = play.play(record, folder, trouble) ? 1 : 0;
-                record.report(code == 1 ? "the rule was broken" : "the rule held");
+                record.end(code == 1 ? "the rule was broken" : "the rule held");
             } finally {
                 Router.killAll();
                 if (System.getenv("KEEP") == null) {
