--- a/review/standins-2/LeavingCut.java
+++ b/review/standins-2/LeavingCut.java
@@ -22,7 +22,7 @@
         store.put("op/version/ma", "{\"model\":\"ma\",\"version\":1}");
         store.put("op/config", Config.oneModel(7, Config.streamRoute("case", false, 1, 5_000, 800), false));
         List<EngineProcess> engines = new ArrayList<>();
-        for (int i = 0; i < 4; i++) {
+        for (int i = 0; i < 8; i++) {
             engines.add(new EngineProcess(record, store, "i-7f3a910" + i, EVENTS, PAUSE_MILLIS, true));
         }
         List<Router> routers = Router.startAll(folder, store, 2);
@@ -68,7 +68,7 @@
                 }
                 record.add("answer to " + id + ": " + outcome);
             }));
-            Thread.sleep(50);
+            Thread.sleep(25);
         }
         for (Thread t : callers) {
             t.join(8_000);
