--- a/review/standins-2/StaleEntry.java
+++ b/review/standins-2/StaleEntry.java
@@ -22,7 +22,7 @@
         long[] acknowledged = {Long.MAX_VALUE / 2};
         AtomicInteger late = new AtomicInteger();
         List<Service> services = new ArrayList<>();
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < 8; i++) {
             services.add(new Service(record, store, i, (s, r) -> {
                 long after = record.millis() - acknowledged[0];
                 if (s == services.get(0) && after > 0) {
