Two values of one replica's entry are ordered by its own numbers, not by the store's revisions

What callers saw: requests that are not idempotent reached replicas 2.6 s and more after the store had acknowledged that they leave, and were lost when these ended (502).

Cause: the store may carry out a write seconds late. The mirror ordered the values of a key by revision, so an earlier renewal (ready) replaced the report that the replica leaves. The sequence number in the entry was not used.

Fix: the mirror compares the stamps of values of one writer (start, origin, sequence) and ignores the earlier one; it keeps the stamp of a removed key. This is the one place that both the router's own view and what it hands to other routers come from.

--- a/core/src/main/java/org/hornbeamhead/core/mirror/StoreMirror.java
+++ b/core/src/main/java/org/hornbeamhead/core/mirror/StoreMirror.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,9 @@
  * newer one, a removed key would become valid again or a route would revert. The mirror therefore keeps the revision of
  * the last change of each key, including removals, and ignores older changes from any source.
  *
+ * <p>The store itself may carry out a write late, so that an older value gets a newer revision. Of two values that bear
+ * stamps of their writer the stamps decide, also after the key was removed.
+ *
  * <p>Not thread-safe.
  */
 public final class StoreMirror {
@@ -31,6 +35,13 @@
     private final Map<String, StoreItem> items = new TreeMap<>();
     private final Map<String, StoreItem> tombstones = new HashMap<>();
     private final List<Consumer<StoreItem>> listeners = new ArrayList<>();
+    private final WriterStampReader stampReader;
+    private final Map<String, WriterStamp> stamps = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, WriterStamp> eldest) {
+            return size() > items.size() + MAX_TOMBSTONES;
+        }
+    };
     private long revision;
     private long lastDroppedRevision;
     /**
@@ -40,6 +51,20 @@
      */
     private long snapshotRevision;
 
+    /** Creates an empty mirror of a store whose items bear no stamps. */
+    public StoreMirror() {
+        this(item -> Optional.empty());
+    }
+
+    /**
+     * Creates an empty mirror.
+     *
+     * @param stampReader reads the stamps of the items
+     */
+    public StoreMirror(WriterStampReader stampReader) {
+        this.stampReader = stampReader;
+    }
+
     /**
      * Adds a listener that is called for each change of a key.
      *
@@ -70,17 +95,37 @@
     }
 
     private void applyItem(StoreItem item) {
-        if (item.revision() <= lastChangeRevision(item.key())) {
-            return;
-        }
         if (item.removed()) {
+            applyRemoval(item);
+        } else {
+            applyValue(item);
+        }
+    }
+
+    private void applyRemoval(StoreItem item) {
+        if (item.revision() > lastChangeRevision(item.key())) {
             items.remove(item.key());
             addTombstone(item);
-        } else {
-            tombstones.remove(item.key());
-            items.put(item.key(), item);
+            listeners.forEach(l -> l.accept(item));
+        }
+    }
+
+    private void applyValue(StoreItem item) {
+        Optional<WriterStamp> stamp = stampReader.read(item);
+        WriterStamp known = stamps.get(item.key());
+        int order = stamp.filter(s -> known != null)
+                .flatMap(s -> s.compareWith(known))
+                .orElse(0);
+        long lastRevision = lastChangeRevision(item.key());
+        boolean outdatedRevision = item.revision() <= lastRevision;
+        if (order < 0 || (outdatedRevision && !(order > 0 && items.containsKey(item.key())))) {
+            return;
         }
-        listeners.forEach(l -> l.accept(item));
+        stamp.ifPresent(s -> stamps.put(item.key(), s));
+        StoreItem applied = new StoreItem(item.key(), Math.max(item.revision(), lastRevision), item.value(), false);
+        tombstones.remove(item.key());
+        items.put(item.key(), applied);
+        listeners.forEach(l -> l.accept(applied));
     }
 
     private long lastChangeRevision(String key) {
--- a/core/src/test/java/org/hornbeamhead/core/mirror/StoreMirrorTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/mirror/StoreMirrorTest.java
@@ -6,7 +6,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.LongStream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class StoreMirrorTest {
@@ -117,4 +119,47 @@
         mirror.apply(changes(3, item("a/1", 1, ""), item("a/2", 2, ""), item("b/1", 3, "")));
         assertEquals(mirror.withPrefix("a/").size(), 2);
     }
+
+    /** Reads the stamp of a value such as "100 a 7 text": the start, the origin and the sequence number. */
+    private static Optional<WriterStamp> stamp(StoreItem item) {
+        String[] parts = item.value().split(" ", -1);
+        return Optional.of(new WriterStamp(Long.parseLong(parts[0]), parts[1], Long.parseLong(parts[2])));
+    }
+
+    @DataProvider
+    public Object[][] writesInOrder() {
+        return new Object[][] {
+            {"100 a 7", "100 a 6", "100 a 7"},
+            {"0 a 7", "0 a 6", "0 a 7"},
+            {"100 a 7", "90 a 8", "100 a 7"},
+            {"100 a 7", "100 a 8", "100 a 8"},
+            {"100 a 7", "110 a 1", "110 a 1"},
+            {"100 a 7", "100 b 1", "100 b 1"},
+            {"100 a 7", "0 a 1", "0 a 1"},
+            {"100 a 7", "100 a 7", "100 a 7"},
+        };
+    }
+
+    /** Guards against an older value of a writer that the store carries out late, whatever happened to the key. */
+    @Test(dataProvider = "writesInOrder")
+    public void stampsOrderTheValuesOfOneWriter(String first, String second, String expected) {
+        StoreMirror m = new StoreMirror(StoreMirrorTest::stamp);
+        m.apply(changes(5, item("k", 5, first)));
+        m.apply(changes(9, item("k", 9, second)));
+        assertEquals(m.get("k").orElseThrow().value(), expected);
+        StoreMirror removed = new StoreMirror(StoreMirrorTest::stamp);
+        removed.apply(changes(5, item("k", 5, first)));
+        removed.apply(changes(7, removal("k", 7)));
+        removed.apply(snapshot(9, item("k", 9, second)));
+        assertEquals(removed.get("k").isPresent(), !expected.equals(first) || first.equals(second));
+    }
+
+    /** Guards against a router that read a late write only, and ignores the newer value that another router has. */
+    @Test
+    public void newerValueOfAWriterReplacesALateWrite() {
+        StoreMirror laterStarted = new StoreMirror(StoreMirrorTest::stamp);
+        laterStarted.apply(snapshot(9, item("k", 9, "100 a 6")));
+        laterStarted.apply(changes(9, item("k", 5, "100 a 7")));
+        assertEquals(laterStarted.get("k"), Optional.of(item("k", 9, "100 a 7")));
+    }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/PlatformDocumentParser.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/PlatformDocumentParser.java
@@ -1,7 +1,9 @@
 package org.hornbeamhead.gateway;
 
 import io.vavr.control.Either;
+import java.util.Optional;
 import org.hornbeamhead.core.mirror.StoreItem;
+import org.hornbeamhead.core.mirror.WriterStamp;
 import org.hornbeamhead.core.replica.ReplicaEntry;
 import org.hornbeamhead.core.route.RoutingConfig;
 
@@ -59,6 +61,14 @@
      */
     Either<String, ReplicaEntry> parseReplica(StoreItem item);
 
+    /**
+     * Reads the stamp that a replica puts on its entry.
+     *
+     * @param item the item
+     * @return the stamp, or empty if the item is not a replica's entry or bears none
+     */
+    Optional<WriterStamp> readStamp(StoreItem item);
+
     /**
      * Extracts the replica's id from the key of its entry.
      *
--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -79,7 +79,7 @@
     private final Clock clock;
     private final PlatformDocumentParser documents;
     private final Metrics metrics = new Metrics();
-    private final StoreMirror mirror = new StoreMirror();
+    private final StoreMirror mirror;
     private final RoutingState state = new RoutingState();
     private final ReplicaRegistry registry;
     private final WeightsView weights;
@@ -135,6 +135,7 @@
         this.reactor = daemon.reactor();
         this.clock = daemon.clock();
         this.documents = ports.documents();
+        this.mirror = new StoreMirror(documents::readStamp);
         Random random = new Random();
         registry = new ReplicaRegistry(reactor, clock);
         weights = new WeightsView(settings.supersededWeightsLimit().toMillis());
