A rollout of weights goes on beside entries whose replicas take no orders

What callers saw: 503 for each request of a model, from 5.7 s after a new version was published, while another writer's entry stood in the store.

Cause: the rollout took an entry of a service that is not configured for a replica, and a router that lost the path to the service of any entry with weights gave the lease back; so each did in turn. A replica that refused its orders, or on which they had no effect, was ordered again without end and kept its place among those that change.

Fix: only replicas of configured services with engines take part. A router leads while it has a path to a service whose replicas have to change. Replicas that do not carry out their orders give their place to others and are ordered again after growing delays. Ruled out: leaving out the foreign entry alone, since one of a configured service had the same effect in a pool of two.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/RouterProcess.java
@@ -240,7 +240,7 @@
                 ports.store(),
                 mirror,
                 notifier,
-                this::reachesEngines);
+                service -> !paths.isLost(service));
     }
 
     private StoreChanges.Dependencies storeChangesDependencies() {
@@ -266,13 +266,6 @@
                 .orElse("/");
     }
 
-    /** Returns whether this host has paths to all engines, so that it can order them to load weights. */
-    private boolean reachesEngines() {
-        return registry.all().stream()
-                .filter(r -> !r.entry().weights().isEmpty())
-                .noneMatch(r -> paths.isLost(r.entry().service()));
-    }
-
     private UsageGossip gossip(UsageReports reports) {
         return new UsageGossip(clock, daemon.timers(), reports, activeRouters, routers::hintAddresses, datagrams);
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderTasks.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/LeaderTasks.java
@@ -1,8 +1,7 @@
 package org.hornbeamhead.gateway.duty;
 
-import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.hornbeamhead.core.mirror.StoreMirror;
-import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.route.ServiceSpec;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
@@ -29,7 +28,7 @@
      * @param store the platform's store
      * @param mirror the mirror of the store
      * @param notifier announces changes to other routers
-     * @param reachesReplicas returns whether this host reaches the replicas
+     * @param reachesService returns whether this host has a path to the replicas of a service
      */
     public record Dependencies(
             Timers timers,
@@ -40,7 +39,7 @@
             PlatformStore store,
             StoreMirror mirror,
             PeerChangeNotifier notifier,
-            BooleanSupplier reachesReplicas) {}
+            Predicate<String> reachesService) {}
 
     /**
      * Creates the tasks; this router is not the leader yet.
@@ -62,14 +61,10 @@
                         settings.parallelLoads(),
                         settings.supersededWeightsLimit().toMillis()),
                 routers::rank,
-                service -> state.config()
-                        .flatMap(c -> c.findService(service))
-                        .flatMap(ServiceSpec::engine)
-                        .map(EngineSpec::kvCapacityTokens)
-                        .orElse(1L),
+                service -> state.config().flatMap(c -> c.findService(service)).flatMap(ServiceSpec::engine),
                 self,
                 settings.leaderPause().toMillis(),
-                dependencies.reachesReplicas());
+                dependencies.reachesService());
         rolloutCoordinator = new RolloutCoordinator(
                 coordinatorDependencies,
                 new LeaderLease(dependencies.clock(), dependencies.store(), dependencies.mirror(), self),
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/OrderTracker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/OrderTracker.java
@@ -29,11 +29,14 @@
      */
     private static final long UNRESPONSIVE_REPORT_INTERVAL_MILLIS = 250;
 
+    /** After this many orders without effect in a row other replicas go first. */
+    private static final int MAX_LOST_ORDERS = 3;
+
     private final Clock clock;
     private final ReplicaOrderClient orderClient;
     private final LeaderLease lease;
     private final String self;
-    private final Consumer<String> onRefused;
+    private final Consumer<String> onDeclined;
     private final Map<String, Long> acceptedOrders = new HashMap<>();
     private long lastOrderAt = Long.MIN_VALUE / 2;
 
@@ -44,15 +47,15 @@
      * @param orderClient sends orders to replicas
      * @param lease the leader lease
      * @param self this router's name
-     * @param onRefused called with each run of a replica that refuses its order
+     * @param onDeclined called with each run of a replica that refuses its order, or on which several had no effect
      */
     OrderTracker(
-            Clock clock, ReplicaOrderClient orderClient, LeaderLease lease, String self, Consumer<String> onRefused) {
+            Clock clock, ReplicaOrderClient orderClient, LeaderLease lease, String self, Consumer<String> onDeclined) {
         this.clock = clock;
         this.orderClient = orderClient;
         this.lease = lease;
         this.self = self;
-        this.onRefused = onRefused;
+        this.onDeclined = onDeclined;
     }
 
     /** Forgets what replicas reported before this router became leader, since it may be outdated. */
@@ -127,7 +130,7 @@
         } else if (reply == Reply.ALREADY) {
             replica.observeVersion(change.version);
         } else if (reply == Reply.REFUSED) {
-            onRefused.accept(replica.entry().run());
+            onDeclined.accept(replica.entry().run());
         }
     }
 
@@ -152,8 +155,16 @@
         long version = report.weights().getOrDefault(change.model, 0L);
         replica.observeVersion(version);
         boolean idle = !report.busy() && version < change.version;
-        if (idle && now() - change.orderedAt > LOST_ORDER_TIMEOUT_MILLIS) {
-            change.ordered = false;
+        if (idle && change.ordered && now() - change.orderedAt > LOST_ORDER_TIMEOUT_MILLIS) {
+            recordLostOrder(run, change);
+        }
+    }
+
+    private void recordLostOrder(String run, WeightsChange change) {
+        change.ordered = false;
+        change.lostOrders++;
+        if (change.lostOrders >= MAX_LOST_ORDERS) {
+            onDeclined.accept(run);
         }
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/RolloutCoordinator.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/RolloutCoordinator.java
@@ -1,8 +1,10 @@
 package org.hornbeamhead.gateway.duty;
 
-import java.util.function.BooleanSupplier;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.IntSupplier;
-import java.util.function.ToLongFunction;
+import java.util.function.Predicate;
+import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.time.Clock;
 import org.hornbeamhead.core.time.Timers;
 import org.hornbeamhead.core.weights.RolloutPlan;
@@ -28,7 +30,6 @@
     private final LeaderElection election;
     private final WeightsRollout rollout;
     private final long handoverPauseMillis;
-    private final BooleanSupplier reachesReplicas;
     private boolean stopping;
     private long orderDeadline;
     private long nextTickAt;
@@ -43,11 +44,11 @@
      * @param orderClient sends orders to replicas
      * @param plan selects the replicas that change next
      * @param rank this router's place in the order in which routers try to become leader, from 0
-     * @param memoryTokens the tokens that fit into the memory of a service's engine
+     * @param engines returns the engines of a service; empty if it is not configured or has none
      * @param self this router's name
      * @param pauseMillis the minimum time between the orders of two leaders, in milliseconds
-     * @param reachesReplicas returns whether this host reaches the replicas; a router that does not leaves the
-     *     leadership to others
+     * @param reachesService returns whether this host has a path to the replicas of a service; a router that reaches
+     *     none of the replicas to change leaves the leadership to others
      */
     public record Dependencies(
             Timers timers,
@@ -57,10 +58,10 @@
             ReplicaOrderClient orderClient,
             RolloutPlan plan,
             IntSupplier rank,
-            ToLongFunction<String> memoryTokens,
+            Function<String, Optional<EngineSpec>> engines,
             String self,
             long pauseMillis,
-            BooleanSupplier reachesReplicas) {}
+            Predicate<String> reachesService) {}
 
     /**
      * Creates a coordinator that is not the leader.
@@ -74,7 +75,6 @@
         this.clock = dependencies.clock();
         this.lease = lease;
         this.handoverPauseMillis = dependencies.pauseMillis() + PAUSE_MARGIN_MILLIS;
-        this.reachesReplicas = dependencies.reachesReplicas();
         this.rollout = new WeightsRollout(dependencies, lease, notifier);
         this.election = new LeaderElection(clock, lease, dependencies.rank(), handoverPauseMillis, rollout::reset);
     }
@@ -129,7 +129,7 @@
         election.recordNeed(needed);
         if (lease.isHeld()) {
             lead(needed);
-        } else if (!stopping && reachesReplicas.getAsBoolean()) {
+        } else if (!stopping && (!needed || rollout.hasReachableWork())) {
             election.tryAcquire(needed);
         }
         return needed;
@@ -139,7 +139,7 @@
         lease.renewIfDue();
         if (lease.fencingToken().isEmpty()) {
             rollout.clear();
-        } else if (!reachesReplicas.getAsBoolean()) {
+        } else if (needed && !rollout.hasReachableWork()) {
             handOver();
         } else if (stopping && (!needed || isPauseOver() || now() >= orderDeadline)) {
             handOver();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsChange.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsChange.java
@@ -8,6 +8,9 @@
     boolean announced;
 
     boolean ordered;
+    /** How many orders in a row had no effect. */
+    int lostOrders;
+
     /** When the change was last ordered, or when it was selected if it has not been ordered. */
     long orderedAt;
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.weights.RolloutReplica;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 
@@ -33,6 +35,7 @@
     private final ChangeNotifier notifier;
     private final OrderTracker orderTracker;
     private final Map<String, WeightsChange> changes = new HashMap<>();
+    private final OrderBackoff backoff = new OrderBackoff();
     private final Deque<Long> recentDurations = new ArrayDeque<>();
 
     /**
@@ -46,14 +49,33 @@
         this.dependencies = dependencies;
         this.notifier = notifier;
         this.orderTracker = new OrderTracker(
-                dependencies.clock(), dependencies.orderClient(), lease, dependencies.self(), changes::remove);
+                dependencies.clock(), dependencies.orderClient(), lease, dependencies.self(), this::setAside);
     }
 
     /** Returns whether a change is in progress or a replica serves an older version than the target. */
     boolean isNeeded() {
         return !changes.isEmpty()
                 || dependencies.weights().latestVersions().entrySet().stream()
-                        .anyMatch(e -> hasOutdatedReplica(e.getKey(), e.getValue()));
+                        .flatMap(e -> outdatedReplicas(e.getKey(), e.getValue()))
+                        .findAny()
+                        .isPresent();
+    }
+
+    /** Returns whether this host has a path to any replica that has to change. */
+    boolean hasReachableWork() {
+        return changes.keySet().stream().anyMatch(run -> dependencies.registry().byRun(run).stream()
+                        .allMatch(this::isReachable))
+                || dependencies.weights().latestVersions().entrySet().stream()
+                        .flatMap(e -> outdatedReplicas(e.getKey(), e.getValue()))
+                        .anyMatch(this::isReachable);
+    }
+
+    private boolean isReachable(LiveReplica replica) {
+        return dependencies.reachesService().test(replica.entry().service());
+    }
+
+    private void setAside(String run) {
+        Optional.ofNullable(changes.remove(run)).ifPresent(change -> backoff.recordFailure(run, change, now()));
     }
 
     long lastOrderAt() {
@@ -68,6 +90,7 @@
     /** Drops all changes and reports, since this router has just become the leader and they may be outdated. */
     void reset() {
         changes.clear();
+        backoff.clear();
         orderTracker.reset();
     }
 
@@ -75,8 +98,9 @@
         removeFinished();
         retargetSuperseded();
         startChanges();
-        changes.forEach((run, change) ->
-                dependencies.registry().byRun(run).ifPresent(replica -> orderTracker.advance(replica, change)));
+        Map.copyOf(changes)
+                .forEach((run, change) ->
+                        dependencies.registry().byRun(run).ifPresent(replica -> orderTracker.advance(replica, change)));
     }
 
     /**
@@ -126,21 +150,28 @@
         return Math.max(MIN_CHANGE_MILLIS, shortest);
     }
 
-    private boolean hasOutdatedReplica(String model, long version) {
-        return servingReplicas(model).stream().anyMatch(replica -> replica.weightsVersion(model) < version);
+    private Stream<LiveReplica> outdatedReplicas(String model, long version) {
+        return servingReplicas(model).filter(replica -> replica.weightsVersion(model) < version);
     }
 
-    private List<LiveReplica> servingReplicas(String model) {
+    /** Returns the replicas of a model. An entry of a service that is not configured is no replica to use. */
+    private Stream<LiveReplica> servingReplicas(String model) {
         return dependencies.registry().all().stream()
                 .filter(replica -> replica.isInService() && replica.weightsVersion(model) > 0)
-                .toList();
+                .filter(replica -> engine(replica).isPresent());
+    }
+
+    private Optional<EngineSpec> engine(LiveReplica replica) {
+        return dependencies.engines().apply(replica.entry().service());
     }
 
     private void startChanges() {
         List<String> selected = new ArrayList<>();
         dependencies.weights().latestVersions().forEach((model, version) -> {
-            List<RolloutReplica> replicas = servingReplicas(model).stream()
+            List<RolloutReplica> replicas = servingReplicas(model)
+                    .filter(this::isReachable)
                     .filter(replica -> !isUnresponsive(replica.entry().run()))
+                    .filter(replica -> !backoff.isActive(replica.entry().run(), model, version, now()))
                     .map(replica -> toWeightsReplica(replica, model))
                     .toList();
             dependencies
@@ -182,7 +213,7 @@
 
     private double memoryUse(LiveReplica replica) {
         return (double) replica.load().memoryTokens(now())
-                / dependencies.memoryTokens().applyAsLong(replica.entry().service());
+                / engine(replica).map(EngineSpec::kvCapacityTokens).orElse(1L);
     }
 
     private long now() {
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
@@ -3,9 +3,11 @@
 import io.activej.eventloop.Eventloop;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.hornbeamhead.core.mirror.StoreChanges;
 import org.hornbeamhead.core.mirror.StoreMirror;
+import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.time.ManualClock;
 import org.hornbeamhead.core.time.ManualTimers;
 import org.hornbeamhead.core.time.Timers;
@@ -17,6 +19,8 @@
 final class RolloutTestBed {
     static final long PAUSE_MILLIS = 3_000;
     static final int MEMORY_TOKENS = 90_000;
+    private static final Optional<EngineSpec> ENGINES =
+            Optional.of(new EngineSpec(8, MEMORY_TOKENS, 163_840, 530_000, List.of(FakeReplicas.MODEL)));
 
     final ManualClock clock = new ManualClock(1_000_000);
     final StoreMirror mirror = new StoreMirror();
@@ -61,10 +65,10 @@
                     testBed.replicas,
                     new RolloutPlan(2, testBed.limitMillis),
                     () -> rank,
-                    service -> MEMORY_TOKENS,
+                    service -> ENGINES,
                     name,
                     PAUSE_MILLIS,
-                    () -> reachesReplicas);
+                    service -> reachesReplicas);
             LeaderLease lease = new LeaderLease(testBed.clock, testBed.store, routerMirror, name);
             coordinator = new RolloutCoordinator(dependencies, lease, (changing, changed) -> {});
             coordinator.start();
