A version that a replica serves counts for its model only

What callers saw: 503 for each request of a model once another model service, or another model of the same replicas, had a higher version.

Cause: a router kept one observed version for each replica, whatever the model, and announcements of changed replicas named no model. The leader therefore ordered weights at replicas that do not serve the model, which refused them, and their own change was never begun; requests expected a version of another model.

Fix: observed versions are kept by model, and answers, reports, orders and announcements name it. Replicas that change for another model do not count in how many may change at once.

--- a/core/src/main/java/org/hornbeamhead/core/weights/RolloutPlan.java
+++ b/core/src/main/java/org/hornbeamhead/core/weights/RolloutPlan.java
@@ -74,16 +74,18 @@
      *
      * @param replicas the replicas that accept orders, including those that are done
      * @param target the target version
-     * @param changing the replicas that were ordered and have not finished
+     * @param changing the replicas that were ordered and have not finished; those of other models do not count
      * @param changeMillis how long a replica takes from its order to the new weights, in milliseconds
      * @return the replicas to order now, in order
      */
     public List<RolloutReplica> next(
             List<RolloutReplica> replicas, long target, Set<String> changing, long changeMillis) {
+        long changingHere =
+                replicas.stream().filter(r -> changing.contains(r.id())).count();
         return replicas.stream()
                 .filter(r -> r.version() < target && !changing.contains(r.id()))
                 .sorted(BY_URGENCY)
-                .limit(Math.max(0, maxChanging(replicas, target, changeMillis) - changing.size()))
+                .limit(Math.max(0, maxChanging(replicas, target, changeMillis) - changingHere))
                 .toList();
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Attempt.java
@@ -177,7 +177,9 @@
     public void onHead(ResponseHead received) {
         silence.recordContact();
         head = received;
-        responseInfo = exchange.dispatcher().statements().observe(replica, received, sentAt, request.id());
+        responseInfo = exchange.dispatcher()
+                .statements()
+                .observe(replica, received, sentAt, exchange.serviceRequest().callerRequest());
         if (!responseInfo.isAttributable()
                 || (received.ok() && responseInfo.requestId().isEmpty())) {
             closeAndEnd(AttemptOutcome.BROKEN, "the answer bears no proof that it belongs to the request");
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayHop.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayHop.java
@@ -136,7 +136,7 @@
                 new ResponseHead(head.status(), RelayHeaders.forCaller(head.headers()), head.keepAlive());
         RelayHeaders.replica(head.headers())
                 .flatMap(dispatcher::findReplica)
-                .ifPresent(r -> dispatcher.statements().observe(r, replicaHead, sentAt, request.id()));
+                .ifPresent(r -> dispatcher.statements().observe(r, replicaHead, sentAt, request.callerRequest()));
         boolean streaming = !RelayHeaders.isDeclined(head.headers())
                 && head.ok()
                 && request.route().kind() == RequestKind.STREAM;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/RelayedRequest.java
@@ -420,6 +420,10 @@
                 .log("%s", decision);
     }
 
+    CallerRequest callerRequest() {
+        return routed.callerRequest();
+    }
+
     String id() {
         return routed.callerRequest().id();
     }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaStatements.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/ReplicaStatements.java
@@ -44,20 +44,22 @@
      * @param replica the run of the replica that the request was addressed to
      * @param head the head of the answer
      * @param sentAt when this router sent the request, in monotonic milliseconds
-     * @param request the id of the request, for the log
+     * @param request the request
      * @return the decoded head
      */
-    ReplicaResponseInfo observe(LiveReplica replica, ResponseHead head, long sentAt, String request) {
+    ReplicaResponseInfo observe(LiveReplica replica, ResponseHead head, long sentAt, CallerRequest request) {
+        String id = request.id();
         ReplicaResponseInfo info =
                 headerCodec.decodeResponse(head, replica.entry().id());
-        info.weightsVersion().ifPresent(replica::observeVersion);
+        request.prompt().ifPresent(prompt -> info.weightsVersion()
+                .ifPresent(version -> replica.observeVersion(prompt.model(), version)));
         if (info.isAttributable() && !info.wrongReplica()) {
             observeLimit(replica, info, head.status(), sentAt);
-            brittleReplicas.observe(replica, info.brittle(), sentAt, request);
-            notices.observe(replica, info.availability(), request);
-            loadStatements.observe(replica, info.load(), sentAt, request);
+            brittleReplicas.observe(replica, info.brittle(), sentAt, id);
+            notices.observe(replica, info.availability(), id);
+            loadStatements.observe(replica, info.load(), sentAt, id);
         }
-        unknownHeaders.observe(head, replica.entry().id(), request);
+        unknownHeaders.observe(head, replica.entry().id(), id);
         return info;
     }
 
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/ChangeNotifier.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/ChangeNotifier.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Set;
+import org.hornbeamhead.gateway.state.ReplicaModel;
 
 /** Announces to all routers which replicas are about to change their weights. */
 @FunctionalInterface
@@ -9,8 +10,9 @@
     /**
      * Announces the current changes.
      *
-     * @param changing the replicas that are about to change, by run
-     * @param changed the version that replicas have changed to since the last announcement, by run
+     * @param changing the replicas that are about to change, by run; requests of their other models would delay the
+     *     change
+     * @param changed the versions that replicas have changed to since the last announcement
      */
-    void announce(Set<String> changing, Map<String, Long> changed);
+    void announce(Set<String> changing, Map<ReplicaModel, Long> changed);
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/OrderTracker.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/OrderTracker.java
@@ -128,7 +128,7 @@
         if (reply == Reply.ACCEPTED) {
             acceptedOrders.put(replica.entry().run(), ordersBefore + 1);
         } else if (reply == Reply.ALREADY) {
-            replica.observeVersion(change.version);
+            replica.observeVersion(change.model, change.version);
         } else if (reply == Reply.REFUSED) {
             onDeclined.accept(replica.entry().run());
         }
@@ -153,7 +153,7 @@
         String run = replica.entry().run();
         acceptedOrders.merge(run, report.acceptedOrders(), Math::max);
         long version = report.weights().getOrDefault(change.model, 0L);
-        replica.observeVersion(version);
+        report.weights().forEach(replica::observeVersion);
         boolean idle = !report.busy() && version < change.version;
         if (idle && change.ordered && now() - change.orderedAt > LOST_ORDER_TIMEOUT_MILLIS) {
             recordLostOrder(run, change);
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/PeerChangeNotifier.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/PeerChangeNotifier.java
@@ -21,6 +21,7 @@
 import org.hornbeamhead.daemon.Json;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.ReplicaModel;
 import org.hornbeamhead.gateway.state.WeightsView;
 
 /**
@@ -66,13 +67,17 @@
     }
 
     @Override
-    public void announce(Set<String> changing, Map<String, Long> changed) {
+    public void announce(Set<String> changing, Map<ReplicaModel, Long> changed) {
         weights.setPendingWeightChanges(changing, clock.monotonicMillis());
         ObjectNode tree = Json.object();
         ArrayNode changingNode = tree.putArray("changing");
         changing.forEach(changingNode::add);
-        ObjectNode changedNode = tree.putObject("changed");
-        changed.forEach(changedNode::put);
+        ArrayNode changedNode = tree.putArray("changed");
+        changed.forEach((replica, version) -> changedNode
+                .addObject()
+                .put("run", replica.run())
+                .put("model", replica.model())
+                .put("version", version));
         String text = Json.write(tree);
         peers.get().forEach(peer -> client.call(HttpMethod.POST, "http://" + peer + PATH, text, TIMEOUT));
     }
@@ -92,9 +97,10 @@
         Set<String> changing = new HashSet<>();
         tree.path("changing").forEach(node -> changing.add(node.asText()));
         weights.setPendingWeightChanges(changing, clock.monotonicMillis());
-        tree.path("changed").fields().forEachRemaining(field -> registry.byRun(field.getKey())
-                .ifPresent((LiveReplica replica) ->
-                        replica.observeVersion(field.getValue().asLong())));
+        tree.path("changed").forEach(changed -> registry.byRun(
+                        changed.path("run").asText())
+                .ifPresent((LiveReplica replica) -> replica.observeVersion(
+                        changed.path("model").asText(), changed.path("version").asLong())));
         return HttpAnswers.text(200, "text/plain", "");
     }
 }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/duty/WeightsRollout.java
@@ -14,6 +14,7 @@
 import org.hornbeamhead.core.route.EngineSpec;
 import org.hornbeamhead.core.weights.RolloutReplica;
 import org.hornbeamhead.gateway.replica.LiveReplica;
+import org.hornbeamhead.gateway.state.ReplicaModel;
 
 /** The changes that the leader has started: selects the next ones and removes those that have finished. */
 final class WeightsRollout {
@@ -98,9 +99,11 @@
         removeFinished();
         retargetSuperseded();
         startChanges();
-        Map.copyOf(changes)
-                .forEach((run, change) ->
-                        dependencies.registry().byRun(run).ifPresent(replica -> orderTracker.advance(replica, change)));
+        // A reply may remove its change at once.
+        new ArrayList<>(changes.entrySet()).forEach(e -> dependencies
+                .registry()
+                .byRun(e.getKey())
+                .ifPresent(replica -> orderTracker.advance(replica, e.getValue())));
     }
 
     /**
@@ -117,19 +120,19 @@
     }
 
     private void removeFinished() {
-        Map<String, Long> finished = new HashMap<>();
+        Map<ReplicaModel, Long> finished = new HashMap<>();
         Set<String> removed = new HashSet<>();
         changes.forEach((run, change) -> {
             Optional<LiveReplica> replica = dependencies.registry().byRun(run);
             if (replica.isEmpty() || replica.get().isLeaving()) {
                 removed.add(run);
             } else if (replica.get().weightsVersion(change.model) >= change.version) {
-                finished.put(run, change.version);
+                finished.put(new ReplicaModel(run, change.model), change.version);
                 recordDuration(change);
             }
         });
         if (!finished.isEmpty() || !removed.isEmpty()) {
-            changes.keySet().removeAll(finished.keySet());
+            finished.keySet().forEach(replica -> changes.remove(replica.run()));
             changes.keySet().removeAll(removed);
             notifier.announce(Set.copyOf(changes.keySet()), finished);
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/LiveReplica.java
@@ -1,5 +1,7 @@
 package org.hornbeamhead.gateway.replica;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.hornbeamhead.core.availability.NoticeState;
 import org.hornbeamhead.core.engine.EngineLoad;
 import org.hornbeamhead.core.limit.BrittleLimit;
@@ -17,8 +19,8 @@
     private final OutlierDetector guard = new OutlierDetector();
     private final RunStatements statements;
     private final SoftwareVersion software;
+    private final Map<String, Long> observedVersions = new HashMap<>();
     private ReplicaEntry entry;
-    private long observedVersion;
     private boolean entryInvalid;
     private boolean crashed;
 
@@ -146,16 +148,18 @@
      * @return the version, 0 when the replica does not serve the model
      */
     public long weightsVersion(String model) {
-        return Math.max(observedVersion, entry.weights().getOrDefault(model, 0L));
+        return Math.max(
+                observedVersions.getOrDefault(model, 0L), entry.weights().getOrDefault(model, 0L));
     }
 
     /**
      * Records a version that the replica was seen to serve.
      *
+     * @param model the model
      * @param version the version
      */
-    public void observeVersion(long version) {
-        observedVersion = Math.max(observedVersion, version);
+    public void observeVersion(String model, long version) {
+        observedVersions.merge(model, version, Math::max);
     }
 
     RunStatements statements() {
--- a/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/duty/RolloutTestBed.java
@@ -142,7 +142,7 @@
                     .filter(r -> r.hearsStore)
                     .flatMap(r -> r.registry.all().stream())
                     .forEach(replica -> replica.observeVersion(
-                            replicas.version(replica.entry().id())));
+                            FakeReplicas.MODEL, replicas.version(replica.entry().id())));
             startHeartbeats(intervalMillis);
         });
     }
--- a/gateway/src/test/java/org/hornbeamhead/gateway/replica/ReplicaRegistryTest.java
+++ b/gateway/src/test/java/org/hornbeamhead/gateway/replica/ReplicaRegistryTest.java
@@ -66,7 +66,7 @@
     public void laterRunReplacesEarlierRunWithoutItsState(String description, List<ReplicaEntry> entries) {
         entries.stream().limit(1).forEach(e -> registry.put(e, 1));
         LiveReplica before = onlyReplica();
-        before.observeVersion(9);
+        before.observeVersion("m", 9);
         before.load().recordSent("q", 100, 1_000, true, clock.monotonicMillis());
         before.guard().recordConnectFailure(clock.monotonicMillis());
         entries.stream().skip(1).forEach(e -> registry.put(e, 2));
@@ -102,7 +102,7 @@
     public void repeatedEntryOfSameRunKeepsState() {
         registry.put(FIRST_RUN, 1);
         LiveReplica before = onlyReplica();
-        before.observeVersion(9);
+        before.observeVersion("m", 9);
         registry.put(entry(1_000, 6), 2);
         assertSame(onlyReplica(), before);
         assertEquals(onlyReplica().weightsVersion("m"), 9);
