The salt of customers who share cached parts depends on who is isolated

What callers saw: nothing; requests of one customer used cached parts that another one's requests had made before it became isolated.

Cause: the salt of all customers that are not isolated was made of the model and its version only, so it stayed the same when a customer left the group.

Fix: the shared group is named after the set of isolated customers, as the configuration in force names them. Nobody who is isolated now has made anything under that name, whatever the order of changes. Ruled out: a number of the last such change kept in the store, which a router would need before its first request.

Price: shared parts are read anew when somebody becomes isolated or stops to be; other changes keep them (in the test).

--- a/core/src/main/java/org/hornbeamhead/core/route/RoutingConfig.java
+++ b/core/src/main/java/org/hornbeamhead/core/route/RoutingConfig.java
@@ -19,6 +19,7 @@
     private final List<KvCacheStore> kvCacheStores;
     private final boolean keysRequired;
     private final Map<String, KeyOwner> keys;
+    private final CacheIsolation cacheIsolation;
     private final Map<String, Map<String, Route>> routesByHost;
     private final Map<String, Long> longestStreams;
     private final Map<String, ServiceLevels> serviceLevels;
@@ -35,6 +36,7 @@
      * @param keysRequired whether routes that allow no anonymous requests require an API key; stays true after the last
      *     key is removed
      * @param keys the owner of each API key
+     * @param cacheIsolation which customers share cached prompt parts
      */
     public RoutingConfig(
             long version,
@@ -43,13 +45,15 @@
             List<ServiceSpec> services,
             List<KvCacheStore> kvCacheStores,
             boolean keysRequired,
-            Map<String, KeyOwner> keys) {
+            Map<String, KeyOwner> keys,
+            CacheIsolation cacheIsolation) {
         this.version = version;
         this.limits = limits;
         this.services = services.stream().collect(Collectors.toUnmodifiableMap(ServiceSpec::name, Function.identity()));
         this.kvCacheStores = List.copyOf(kvCacheStores);
         this.keysRequired = keysRequired;
         this.keys = Map.copyOf(keys);
+        this.cacheIsolation = cacheIsolation;
         this.routesByHost = routes.stream()
                 .collect(Collectors.groupingBy(
                         Route::host, HashMap::new, Collectors.toMap(Route::prefix, r -> r, (a, b) -> b)));
@@ -140,6 +144,15 @@
         return Optional.ofNullable(keys.get(key));
     }
 
+    /**
+     * Returns which customers share cached prompt parts.
+     *
+     * @return the groups of customers
+     */
+    public CacheIsolation cacheIsolation() {
+        return cacheIsolation;
+    }
+
     /**
      * Returns a service by name.
      *
--- a/core/src/test/java/org/hornbeamhead/core/route/RoutingConfigTest.java
+++ b/core/src/test/java/org/hornbeamhead/core/route/RoutingConfigTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -39,7 +40,8 @@
                 List.of(),
                 List.of(),
                 keysNeeded,
-                keys);
+                keys,
+                new CacheIsolation(Set.of()));
     }
 
     @DataProvider
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -181,7 +181,7 @@
         this.weightsExpiry = new WeightsExpiryMonitor(
                 timers, v -> weights.usableMillis(v.model(), v.version(), clock.monotonicMillis()));
         this.targetSelector = new TargetSelector(
-                clock, registry, availability, weights, dependencies.dataCentre(), dependencies.priorTraffic());
+                clock, registry, availability, weights, state, dependencies.dataCentre(), dependencies.priorTraffic());
     }
 
     @Override
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/TargetSelector.java
@@ -19,8 +19,8 @@
 import org.hornbeamhead.core.engine.Prompt;
 import org.hornbeamhead.core.engine.RequestLevel;
 import org.hornbeamhead.core.load.PlainReplica;
+import org.hornbeamhead.core.route.CacheIsolation;
 import org.hornbeamhead.core.route.EngineSpec;
-import org.hornbeamhead.core.route.KeyOwner;
 import org.hornbeamhead.core.route.RoutingConfig;
 import org.hornbeamhead.core.route.ServiceLevels;
 import org.hornbeamhead.core.route.ServiceSpec;
@@ -28,6 +28,7 @@
 import org.hornbeamhead.gateway.availability.ReplicaAvailability;
 import org.hornbeamhead.gateway.replica.LiveReplica;
 import org.hornbeamhead.gateway.replica.ReplicaRegistry;
+import org.hornbeamhead.gateway.state.RoutingState;
 import org.hornbeamhead.gateway.state.WeightsView;
 
 /** Selects the replica for an attempt. Engines are chosen by the engine chooser; this class collects its inputs. */
@@ -36,6 +37,7 @@
     private final ReplicaRegistry registry;
     private final ReplicaAvailability availability;
     private final WeightsView weights;
+    private final RoutingState state;
     private final String dataCentre;
     private final boolean priorTraffic;
     private final Map<String, EngineChooser> choosers = new HashMap<>();
@@ -54,12 +56,14 @@
             ReplicaRegistry registry,
             ReplicaAvailability availability,
             WeightsView weights,
+            RoutingState state,
             String dataCentre,
             boolean priorTraffic) {
         this.clock = clock;
         this.registry = registry;
         this.availability = availability;
         this.weights = weights;
+        this.state = state;
         this.dataCentre = dataCentre;
         this.priorTraffic = priorTraffic;
     }
@@ -111,7 +115,7 @@
     private Stream<Evaluation> engineEvaluations(ServiceRequest request, Prompt prompt, List<LiveReplica> replicas) {
         long now = clock.monotonicMillis();
         EngineSpec spec = request.service().engine().orElseThrow();
-        String customer = isolatedCustomer(request.owner());
+        String group = cacheGroup(request);
         Map<String, LiveReplica> byRun =
                 replicas.stream().collect(Collectors.toMap(r -> r.entry().run(), Function.identity()));
         EngineChooser chooser = Optional.ofNullable(
@@ -120,7 +124,7 @@
         List<EngineEvaluation> evaluations = chooser.evaluations(
                 prompt,
                 level(request, now),
-                c -> salt(prompt, customer, c.weights()).hashCode(),
+                c -> salt(prompt, group, c.weights()).hashCode(),
                 candidates(spec, prompt, replicas),
                 links(spec, request.config()),
                 now);
@@ -202,9 +206,9 @@
         EngineSpec spec = service.engine().orElseThrow();
         KvTransferLinks links = links(spec, request.config());
         List<EngineCandidate> all = candidates(spec, prompt, replicas);
-        String isolatedCustomer = isolatedCustomer(request.owner());
+        String group = cacheGroup(request);
         ToLongFunction<EngineCandidate> salt =
-                c -> salt(prompt, isolatedCustomer, c.weights()).hashCode();
+                c -> salt(prompt, group, c.weights()).hashCode();
         RequestLevel level = level(request, now);
         EngineChooser chooser = chooser(service.name());
         List<EngineCandidate> preferred = eligible.apply(all);
@@ -215,7 +219,7 @@
                 .map(choice -> toTarget(
                         links,
                         prompt,
-                        isolatedCustomer,
+                        group,
                         choice,
                         replicasByRun.get(choice.engine().id())));
     }
@@ -238,8 +242,16 @@
                 .toList();
     }
 
-    private static String isolatedCustomer(Optional<KeyOwner> owner) {
-        return owner.filter(KeyOwner::isolated).map(KeyOwner::customer).orElse("");
+    /**
+     * Returns the group whose cached parts a request may use. The configuration in force decides, since the request may
+     * have waited while its customer or another one became isolated.
+     */
+    private String cacheGroup(ServiceRequest request) {
+        CacheIsolation isolation = state.config().orElseGet(request::config).cacheIsolation();
+        return request.owner()
+                .filter(owner -> owner.isolated() || isolation.isIsolated(owner.customer()))
+                .map(owner -> isolation.ownGroup(owner.customer()))
+                .orElseGet(isolation::sharedGroup);
     }
 
     private static RequestLevel level(ServiceRequest request, long now) {
@@ -291,17 +303,17 @@
     }
 
     /**
-     * Returns the cache salt. Prompt parts that were processed with other weights, or for an isolated customer, are
-     * never found under it.
+     * Returns the cache salt. Prompt parts that were processed with other weights, or for customers of another group,
+     * are never found under it.
      */
-    private static String salt(Prompt prompt, String isolatedCustomer, long version) {
-        return prompt.model() + '.' + version + (isolatedCustomer.isEmpty() ? "" : '.' + isolatedCustomer);
+    private static String salt(Prompt prompt, String group, long version) {
+        return prompt.model() + '.' + version + group;
     }
 
     private Target toTarget(
-            KvTransferLinks links, Prompt prompt, String isolatedCustomer, EngineChoice choice, LiveReplica replica) {
+            KvTransferLinks links, Prompt prompt, String group, EngineChoice choice, LiveReplica replica) {
         long version = choice.engine().weights();
-        String salt = salt(prompt, isolatedCustomer, version);
+        String salt = salt(prompt, group, version);
         Optional<String> store = links.storeFor(choice.prefixHash()).map(KvTransferLinks.Store::address);
         Optional<String> source =
                 choice.fetchFrom().flatMap(registry::byRun).map(r -> r.entry().address());
