An answer without a length that ends with a reset is not complete

What callers saw: a 200 with part of a body as a complete answer, when a replica answered at once, sent part of its answer and closed with the request unread.

Cause: the system of such a replica ends the stream in an orderly way and resets the connection after it. The router took the end of the stream for the end of the answer, also while it still wrote the request.

Fix: a successful answer without a length is whole only if the request was wholly written and no reset follows within 30 ms. After the end of the stream a read does not tell of a reset; a selector with an interest that an open connection never has does. Ruled out: a further write, which the system of each closed replica answers with a reset.

--- a/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnection.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/replica/ReplicaConnection.java
@@ -2,12 +2,14 @@
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.common.MemSize;
-import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.time.Duration;
 import java.util.function.Predicate;
 import org.hornbeamhead.core.http.BadMessageException;
@@ -41,7 +43,14 @@
     /** How much of late responses to earlier requests is skipped before one of them counts as endless. */
     private static final int MAX_SKIPPED_BYTES = 1 << 16;
 
-    private final ITcpSocket socket;
+    /**
+     * A reset that belongs to the end of a response arrives within this time after it: the replica closed without
+     * having read the whole request, or was killed while it wrote.
+     */
+    private static final long RESET_WAIT_MILLIS = 30;
+
+    private final NioReactor reactor;
+    private final TcpSocket socket;
     private final Runnable onClosed;
     private ResponseListener listener;
     private Predicate<ResponseHead> matchesRequest;
@@ -56,7 +65,8 @@
     private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
     private long idleSince;
 
-    private ReplicaConnection(ITcpSocket socket, Runnable onClosed) {
+    private ReplicaConnection(NioReactor reactor, TcpSocket socket, Runnable onClosed) {
+        this.reactor = reactor;
         this.socket = socket;
         this.onClosed = onClosed;
     }
@@ -73,7 +83,7 @@
     static Promise<ReplicaConnection> open(
             NioReactor reactor, InetSocketAddress address, Duration timeout, Runnable onClosed) {
         return TcpSocket.connect(reactor, address, timeout, SOCKET_SETTINGS).map(socket -> {
-            ReplicaConnection connection = new ReplicaConnection(socket, onClosed);
+            ReplicaConnection connection = new ReplicaConnection(reactor, socket, onClosed);
             connection.read();
             return connection;
         });
@@ -127,13 +137,47 @@
     }
 
     private void onEndOfStream() {
-        if (listener != null && reader.endsAtClose() && headDelivered) {
-            ResponseListener currentListener = listener;
-            listener = null;
-            close();
-            currentListener.onEndOfConnection();
-        } else {
+        if (listener == null || !headDelivered || !reader.endsAtClose()) {
             fail("the replica closed the connection");
+        } else if (reader.head().filter(ResponseHead::ok).isEmpty()) {
+            endResponse();
+        } else if (!requestWritten) {
+            fail("the replica closed the connection before it had the whole request");
+        } else {
+            reactor.delayBackground(RESET_WAIT_MILLIS, this::endUnlessReset);
+        }
+    }
+
+    /** Ends a response without a length, unless the connection was reset after its orderly end. */
+    private void endUnlessReset() {
+        if (closed) {
+            return;
+        }
+        if (isReset()) {
+            fail("the connection was reset at the end of the answer");
+        } else {
+            endResponse();
+        }
+    }
+
+    private void endResponse() {
+        ResponseListener currentListener = listener;
+        listener = null;
+        close();
+        currentListener.onEndOfConnection();
+    }
+
+    /**
+     * Returns whether the connection was reset. After the end of the stream a read does not tell. The system reports an
+     * error for any interest, even for one that an open connection never has.
+     */
+    private boolean isReset() {
+        try (Selector selector = Selector.open()) {
+            SelectionKey key = socket.getSocketChannel().register(selector, SelectionKey.OP_CONNECT);
+            selector.selectNow();
+            return key.isConnectable();
+        } catch (IOException e) {
+            return true;
         }
     }
 
