A status line that is none fails the attempt at once

What callers saw: 504 after their whole time for a status of 000, 099 or 101; 2001 as 200; 600 and 999 as they came.

Cause: every status below 200 counted as interim, and the bytes after three digits were not looked at.

Fix: a status has three digits from 100 to 599 and a blank or the end of the line after them; 101 is refused, since no protocol was asked for.

--- a/core/src/main/java/org/hornbeamhead/core/http/ResponseReader.java
+++ b/core/src/main/java/org/hornbeamhead/core/http/ResponseReader.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Incremental parser for one response of a connection. */
 public final class ResponseReader {
@@ -15,7 +17,12 @@
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
     private static final int FIRST_FINAL_STATUS = 200;
-    private static final int STATUS_DIGITS = 3;
+    private static final int LAST_STATUS = 599;
+    private static final int FIRST_STATUS = 100;
+    /** Replicas are never asked to switch protocols, and what follows would be no HTTP any more. */
+    private static final int SWITCHING_PROTOCOLS = 101;
+
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d (\\d{3})( .*)?", Pattern.DOTALL);
 
     private final boolean bodiless;
     private final HeadReader headReader = new HeadReader(MAX_HEAD_BYTES);
@@ -54,12 +61,7 @@
 
     private void readHead(List<String> lines) throws BadMessageException {
         String start = lines.get(0);
-        boolean valid = start.startsWith("HTTP/1.") && start.length() >= 12 && start.charAt(8) == ' ';
-        String digits = valid ? start.substring(9, 9 + STATUS_DIGITS) : "";
-        if (!valid || !digits.chars().allMatch(c -> c >= '0' && c <= '9')) {
-            throw new BadMessageException(BAD_GATEWAY, "the first line is no response");
-        }
-        int status = Integer.parseInt(digits);
+        int status = status(start);
         Headers headers = HeadReader.headers(lines.subList(1, lines.size()));
         if (status < FIRST_FINAL_STATUS) {
             countInterimHead();
@@ -71,6 +73,18 @@
         head = new ResponseHead(status, headers, keepAlive);
     }
 
+    private static int status(String line) throws BadMessageException {
+        Matcher matcher = STATUS_LINE.matcher(line);
+        if (!matcher.matches()) {
+            throw new BadMessageException(BAD_GATEWAY, "the first line is no response");
+        }
+        int status = Integer.parseInt(matcher.group(1));
+        if (status < FIRST_STATUS || status > LAST_STATUS || status == SWITCHING_PROTOCOLS) {
+            throw new BadMessageException(BAD_GATEWAY, "the status " + status + " is none of an answer");
+        }
+        return status;
+    }
+
     private void countInterimHead() throws BadMessageException {
         if (++interimHeads > MAX_INTERIM_HEADS) {
             throw new BadMessageException(BAD_GATEWAY, "more than " + MAX_INTERIM_HEADS + " interim responses");
