An entry with a router's own address is no replica to use

What callers saw: failures of requests that were sent to a router as to a replica, while another writer's entry with that address stood in the store.

Cause: an entry was taken for a replica whatever listens at its address.

Evidence: RouterAddressEntryTest on, 2 of 2 rows red (the address of the router itself, of another router).

Fix: a replica whose entry has the address of this router or of a listed one is unavailable. It is checked when a replica is chosen, since routers may be listed after the entry.

Measured: RouterAddressEntryTest 2 of 2 green.

--- a/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
+++ b/core/src/main/java/org/hornbeamhead/core/availability/Unavailability.java
@@ -4,6 +4,8 @@
 public enum Unavailability {
     /** The replica's entry cannot be read. */
     INVALID_ENTRY,
+    /** The replica's entry has the address of a router. */
+    ROUTER_ADDRESS,
     /** This host has no path to the replica's service. */
     NO_PATH,
     /** The replica is leaving, by its entry or by one of its answers. */
--- a/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/availability/ReplicaAvailability.java
@@ -26,6 +26,7 @@
     private final ReplicaLimits limits;
     private final BrittleReplicas brittleReplicas;
     private final ReplicaPaths paths;
+    private final Predicate<String> isRouterAddress;
 
     /**
      * Creates the decision.
@@ -34,12 +35,19 @@
      * @param limits the request limits of replicas
      * @param brittleReplicas the limits of brittle replicas
      * @param paths the paths of this host
+     * @param isRouterAddress returns whether a router listens at an address
      */
-    public ReplicaAvailability(Clock clock, ReplicaLimits limits, BrittleReplicas brittleReplicas, ReplicaPaths paths) {
+    public ReplicaAvailability(
+            Clock clock,
+            ReplicaLimits limits,
+            BrittleReplicas brittleReplicas,
+            ReplicaPaths paths,
+            Predicate<String> isRouterAddress) {
         this.clock = clock;
         this.limits = limits;
         this.brittleReplicas = brittleReplicas;
         this.paths = paths;
+        this.isRouterAddress = isRouterAddress;
     }
 
     /**
@@ -79,6 +87,9 @@
         if (replica.isEntryInvalid()) {
             return Optional.of(Unavailability.INVALID_ENTRY);
         }
+        if (isRouterAddress.test(replica.entry().address())) {
+            return Optional.of(Unavailability.ROUTER_ADDRESS);
+        }
         if (paths.isLost(replica.entry().service())) {
             return Optional.of(Unavailability.NO_PATH);
         }
--- a/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/dispatch/Dispatcher.java
@@ -172,7 +172,8 @@
         this.paths = dependencies.paths();
         this.relayRouters = dependencies.relayRouters();
         this.resumptions = new StreamResumptions(dependencies.streamOrigins());
-        this.availability = new ReplicaAvailability(clock, replicaLimits, brittleReplicas, paths);
+        this.availability =
+                new ReplicaAvailability(clock, replicaLimits, brittleReplicas, paths, relayRouters::isRouterAddress);
         quarantine.onQuarantined(inFlight::cancelQuarantined);
         Timers timers = (delay, action) -> reactor.delayBackground(delay, action);
         WeightsView weights = dependencies.weights();
--- a/gateway/src/main/java/org/hornbeamhead/gateway/path/RelayRouters.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/path/RelayRouters.java
@@ -130,6 +130,16 @@
         return select(service, tried).isPresent();
     }
 
+    /**
+     * Returns whether a router listens at an address, so that no replica does.
+     *
+     * @param address the IP address and port
+     * @return true for the addresses of this router and of the listed ones
+     */
+    public boolean isRouterAddress(String address) {
+        return routers.isRouterAddress(address);
+    }
+
     private int inProgress(RouterEntry router) {
         Peer known = peers.get(router.hints());
         return known == null ? 0 : known.inProgress;
--- a/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
+++ b/gateway/src/main/java/org/hornbeamhead/gateway/state/RouterList.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.hornbeamhead.core.entry.EntrySelection;
 import org.hornbeamhead.core.entry.StoreReaders;
@@ -27,6 +29,7 @@
     private final Clock clock;
     private final Map<String, RouterEntry> others = new TreeMap<>();
     private Optional<List<RouterEntry>> readers = Optional.empty();
+    private Set<String> addresses;
     private int recordedSize;
 
     /**
@@ -40,6 +43,7 @@
         this.self = self;
         this.selfServes = selfServes;
         this.clock = clock;
+        this.addresses = collectAddresses();
     }
 
     /**
@@ -60,6 +64,7 @@
                     .peekLeft(error -> logger.atWarning().log("ignoring malformed entry of router %s: %s", node, error))
                     .forEach(e -> others.put(node, e));
         }
+        addresses = collectAddresses();
         logger.atInfo()
                 .with(Logs.DECISION, item.removed() ? "router gone" : "router listed")
                 .with(Logs.INPUTS, "revision=" + item.revision() + " routers=" + (others.size() + 1))
@@ -140,6 +145,22 @@
         return List.copyOf(others.values());
     }
 
+    /**
+     * Returns whether a router listens at an address, so that no replica does.
+     *
+     * @param address the IP address and port
+     * @return true for the addresses of this router and of the listed ones
+     */
+    public boolean isRouterAddress(String address) {
+        return addresses.contains(address);
+    }
+
+    private Set<String> collectAddresses() {
+        return Stream.concat(Stream.of(self), others.values().stream())
+                .flatMap(r -> Stream.of(r.caller(), r.peer(), r.hints()))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Returns whether an IP address is that of another router.
      *
